--- /dev/null
+++ b/ctl/doc.go
@@ -0,0 +1,2 @@
+// Package ctl is the module of the operators' command line.
+package ctl
--- /dev/null
+++ b/fleet/errkind/errkind_test.go
@@ -0,0 +1,30 @@
+package errkind
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Every kind has a distinct name, a status and a run state.
+func TestTableIsWhole(t *testing.T) {
+	is := is.New(t)
+	names := make(map[string]Kind)
+	for k := Kind(0); k < Count; k++ {
+		a := k.Answer()
+		is.True(a.Name != "")
+		is.True(a.Status >= 400)
+		is.True(a.Run != 0)
+		_, seen := names[a.Name]
+		is.True(!seen)
+		names[a.Name] = k
+	}
+}
+
+func TestOfFindsTheWrappedKind(t *testing.T) {
+	is := is.New(t)
+	err := errors.Join(errors.New("outer"), New(BodyTooLarge, "body above %d bytes", 4))
+	is.Equal(Of(err), BodyTooLarge)
+	is.Equal(Of(errors.New("plain")), Internal)
+}
