--- a/fleet/errkind/errkind.go
+++ b/fleet/errkind/errkind.go
@@ -63,6 +63,8 @@
 	Overloaded
 	// DeadlinePassed is a deadline that passed before dispatch.
 	DeadlinePassed
+	// DeadlineInRun is a deadline that passed after dispatch.
+	DeadlineInRun
 	// NoTarget is a service without a target that takes new work.
 	NoTarget
 	// TargetRefused is a target's own word that it didn't start.
@@ -148,6 +150,7 @@
 	BillOverReservation: {"bill_over_reservation", http.StatusInternalServerError, codes.Internal, ran, RetryNever},
 	Overloaded:          {"overloaded", http.StatusTooManyRequests, codes.ResourceExhausted, notRun, RetryLater},
 	DeadlinePassed:      {"deadline_passed", http.StatusGatewayTimeout, codes.DeadlineExceeded, notRun, RetryLater},
+	DeadlineInRun:       {"deadline_in_run", http.StatusGatewayTimeout, codes.DeadlineExceeded, unknown, RetryAsk},
 	NoTarget:            {"no_target", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
 	TargetRefused:       {"target_refused", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
 	TargetFailed:        {"target_failed", http.StatusBadGateway, codes.Unknown, unknown, RetryAsk},
--- /dev/null
+++ b/router/cmd/cuminrock-router/main.go
@@ -0,0 +1,110 @@
+// Command cuminrock-router is the daemon on every entry VM.
+//
+// Usage: cuminrock-router -settings FILE
+//
+// It prints one JSON line with its addresses when its doors are open. SIGTERM
+// or SIGINT starts a planned stop; a second one, or the stop limit of the
+// settings, ends it and says what was cut. Exit codes: 0 a whole stop, 1 a
+// failure or a cut, 2 bad usage or settings.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/router/node"
+	"cuminrock.example/router/settings"
+)
+
+const (
+	exitDone  = 0
+	exitFail  = 1
+	exitUsage = 2
+)
+
+// started is the line printed when the doors are open.
+type started struct {
+	Name     string `json:"name"`
+	Caller   string `json:"caller"`
+	Operator string `json:"operator"`
+	Peer     string `json:"peer"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	path := flag.String("settings", "", "file with the router's settings, in JSON")
+	flag.Parse()
+	if *path == "" || flag.NArg() > 0 {
+		fmt.Fprintln(os.Stderr, "usage: cuminrock-router -settings FILE")
+		return exitUsage
+	}
+	s, err := settings.Load(*path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	log, err := newLog(s.Log)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	n, err := node.Start(s, log)
+	if err != nil {
+		log.Error("node: can't start.", zap.Error(err))
+		return exitFail
+	}
+	announce(s.Name, n)
+	return waitAndStop(n, s)
+}
+
+func announce(name string, n *node.Node) {
+	_ = json.NewEncoder(os.Stdout).Encode(started{
+		Name:     name,
+		Caller:   n.CallerAddr(),
+		Operator: n.OperatorAddr(),
+		Peer:     n.PeerAddr(),
+	})
+}
+
+// waitAndStop runs until a signal or an operator's order, then stops.
+func waitAndStop(n *node.Node, s *pb.RouterSettings) int {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-signals:
+	case <-n.DrainAsked():
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), s.StopLimit.AsDuration())
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	if n.Stop(ctx) != nil {
+		return exitFail
+	}
+	return exitDone
+}
+
+// newLog returns a log on standard error.
+func newLog(s *pb.LogSettings) (*zap.Logger, error) {
+	level, err := zapcore.ParseLevel(s.GetLevel())
+	if err != nil {
+		return nil, err
+	}
+	c := zap.NewProductionConfig()
+	c.Level = zap.NewAtomicLevelAt(level)
+	c.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	c.DisableStacktrace = true
+	return c.Build()
+}
--- /dev/null
+++ b/router/node/adapters.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"context"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+)
+
+// ledgerPeers lets the ledger reach the other routers.
+type ledgerPeers struct{ n *Node }
+
+// Home implements ledger.Peers.
+func (p ledgerPeers) Home(budget string) (*pb.Member, bool) { return p.n.membership.Home(budget) }
+
+// Others implements ledger.Peers.
+func (p ledgerPeers) Others() []*pb.Member { return p.n.membership.Members() }
+
+// Borrow implements ledger.Peers.
+func (p ledgerPeers) Borrow(ctx context.Context, m *pb.Member, req *pb.BorrowRequest) (*pb.BorrowResponse, error) {
+	return p.n.pool.Borrow(ctx, m, req)
+}
+
+// Settle implements ledger.Peers.
+func (p ledgerPeers) Settle(ctx context.Context, m *pb.Member, req *pb.SettleRequest) (*pb.SettleResponse, error) {
+	return p.n.pool.Settle(ctx, m, req)
+}
+
+// configPeers lets the configuration watch reach the other routers.
+type configPeers struct{ n *Node }
+
+// Members implements configwatch.Peers.
+func (p configPeers) Members() []*pb.Member { return p.n.membership.Members() }
+
+// FetchConfig implements configwatch.Peers.
+func (p configPeers) FetchConfig(ctx context.Context, m *pb.Member, req *pb.FetchConfigRequest) (*pb.FetchConfigResponse, error) {
+	return p.n.pool.FetchConfig(ctx, m, req)
+}
+
+// servePeers lets the serving path reach the other routers.
+type servePeers struct{ n *Node }
+
+// Members implements serve.Peers.
+func (p servePeers) Members() []*pb.Member { return p.n.membership.Members() }
+
+// Takeover implements serve.Peers.
+func (p servePeers) Takeover(ctx context.Context, m *pb.Member, req *pb.TakeoverRequest) (*pb.TakeoverResponse, error) {
+	return p.n.pool.Takeover(ctx, m, req)
+}
--- /dev/null
+++ b/router/node/state.go
@@ -0,0 +1,124 @@
+package node
+
+import (
+	"context"
+	"expvar"
+	"time"
+
+	"cuminrock.example/fleet/config"
+	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/router/operatordoor"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+)
+
+const (
+	// routesInterval is how often a new configuration or a leaving target is
+	// looked for, well inside the 3 s that both are allowed.
+	routesInterval = 100 * time.Millisecond
+	// loadInterval is how often targets are asked for their load.
+	loadInterval = time.Second
+)
+
+// Health implements operatordoor.Node.
+func (n *Node) Health() operatordoor.Health {
+	if n.draining.Load() {
+		return operatordoor.Health{Reason: "draining"}
+	}
+	ready, reason := n.config.Ready()
+	return operatordoor.Health{Ready: ready, Reason: reason}
+}
+
+// Status implements operatordoor.Node.
+func (n *Node) Status() operatordoor.Status {
+	h := n.Health()
+	s := operatordoor.Status{
+		Name:        n.self.Name,
+		Incarnation: n.self.Incarnation,
+		DataCentre:  n.self.DataCentre,
+		Ready:       h.Ready,
+		Reason:      h.Reason,
+		Draining:    n.draining.Load(),
+		Streams:     n.server.Streams(),
+	}
+	view := n.config.Current()
+	if view != nil {
+		s.ConfigVersion = view.Version()
+	}
+	for _, m := range n.membership.Members() {
+		s.Members = append(s.Members, operatordoor.Member{
+			Name:          m.Name,
+			DataCentre:    m.DataCentre,
+			Draining:      m.Draining,
+			ConfigVersion: m.ConfigVersion,
+		})
+	}
+	return s
+}
+
+// keepRoutes gives the routing table the targets of the configuration in
+// force and those known to be leaving.
+func (n *Node) keepRoutes(ctx context.Context) {
+	ticker := time.NewTicker(routesInterval)
+	defer ticker.Stop()
+	var seen *config.View
+	var seenLeaving uint64
+	for {
+		view := n.config.Current()
+		leaving := n.membership.Leaving()
+		if view != nil && (view != seen || leaving.Version() != seenLeaving) {
+			seen, seenLeaving = view, leaving.Version()
+			n.routes.Update(view.AllTargets(), leaving.Contains)
+			n.membership.SetConfigVersion(view.Version())
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// pollTargets asks the targets for their load, each once an interval.
+func (n *Node) pollTargets(ctx context.Context) {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		view := n.config.Current()
+		if view != nil {
+			n.pollOnce(ctx, view.AllTargets())
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) pollOnce(ctx context.Context, targets []*pb.Target) {
+	for _, t := range targets {
+		n.targets.PollLoad(ctx, t, n.takeLoad)
+	}
+}
+
+// takeLoad records a target's own report.
+func (n *Node) takeLoad(t *pb.Target, inFlight int, leaving bool) {
+	n.routes.Report(t.Name, inFlight, leaving)
+	if leaving {
+		n.membership.MarkLeaving(t.Name)
+	}
+}
+
+// publish puts the router's counters into its metrics.
+func (n *Node) publish() {
+	n.vars.Set("streams", expvar.Func(func() any { return n.server.Streams() }))
+	n.vars.Set("calls_received", expvar.Func(func() any { return n.callers.Received() }))
+	n.vars.Set("ledger", expvar.Func(func() any { return n.ledger.Stats() }))
+	n.vars.Set("cpu_seconds", expvar.Func(func() any { return processSeconds() }))
+	refused := new(expvar.Map).Init()
+	for k := errkind.Kind(0); k < errkind.Count; k++ {
+		refused.Set(k.String(), expvar.Func(func() any { return n.callers.Refused(k) }))
+	}
+	n.vars.Set("refused", refused)
+}
--- /dev/null
+++ b/router/peer/peer.go
@@ -0,0 +1,223 @@
+// Package peer is the door between the fleet's own routers: a gRPC server
+// that hands each message to the part that owns it, and a pool of clients.
+//
+// The door holds no state of the protocols. Messages may be lost, doubled or
+// reordered; the parts behind it are built for that.
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/errkind"
+)
+
+const (
+	// callTimeout bounds one call to a peer where its caller sets no bound.
+	callTimeout = 2 * time.Second
+	// pingInterval is the idle time after which a connection is probed, so
+	// that one that has gone silent is closed and dialled anew.
+	pingInterval = 10 * time.Second
+	// pingTimeout is the wait for the answer to a probe.
+	pingTimeout = 2 * time.Second
+	// maxMessageBytes bounds one message, so that a snapshot fits.
+	maxMessageBytes = 256 << 20
+)
+
+// Membership handles heartbeats.
+type Membership interface {
+	HandleHeartbeat(ctx context.Context, req *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error)
+}
+
+// Ledger handles loans and bills.
+type Ledger interface {
+	HandleBorrow(ctx context.Context, req *pb.BorrowRequest) (*pb.BorrowResponse, error)
+	HandleSettle(ctx context.Context, req *pb.SettleRequest) (*pb.SettleResponse, error)
+}
+
+// Config hands out configurations.
+type Config interface {
+	HandleFetchConfig(ctx context.Context, req *pb.FetchConfigRequest) (*pb.FetchConfigResponse, error)
+}
+
+// Requests tells of requests and hands over parked streams.
+type Requests interface {
+	HandleLocate(ctx context.Context, req *pb.LocateRequest) (*pb.LocateResponse, error)
+	HandleTakeover(ctx context.Context, req *pb.TakeoverRequest) (*pb.TakeoverResponse, error)
+}
+
+// Server is the peer door's service.
+type Server struct {
+	pb.UnimplementedPeerServiceServer
+
+	membership Membership
+	ledger     Ledger
+	config     Config
+	requests   Requests
+}
+
+// NewServer returns a gRPC server with the peer service registered.
+func NewServer(m Membership, l Ledger, c Config, r Requests) *grpc.Server {
+	g := grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.MaxSendMsgSize(maxMessageBytes),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingInterval / 2, PermitWithoutStream: true}),
+		grpc.UnaryInterceptor(answerKind),
+	)
+	pb.RegisterPeerServiceServer(g, &Server{membership: m, ledger: l, config: c, requests: r})
+	return g
+}
+
+// answerKind gives errors the gRPC code of their kind.
+func answerKind(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
+	resp, err := handler(ctx, req)
+	if err == nil {
+		return resp, nil
+	}
+	e := errkind.As(err)
+	return nil, status.Error(e.Kind.Answer().Code, e.Error())
+}
+
+// Heartbeat implements the peer service.
+func (s *Server) Heartbeat(ctx context.Context, req *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
+	return s.membership.HandleHeartbeat(ctx, req)
+}
+
+// Borrow implements the peer service.
+func (s *Server) Borrow(ctx context.Context, req *pb.BorrowRequest) (*pb.BorrowResponse, error) {
+	return s.ledger.HandleBorrow(ctx, req)
+}
+
+// Settle implements the peer service.
+func (s *Server) Settle(ctx context.Context, req *pb.SettleRequest) (*pb.SettleResponse, error) {
+	return s.ledger.HandleSettle(ctx, req)
+}
+
+// FetchConfig implements the peer service.
+func (s *Server) FetchConfig(ctx context.Context, req *pb.FetchConfigRequest) (*pb.FetchConfigResponse, error) {
+	return s.config.HandleFetchConfig(ctx, req)
+}
+
+// Locate implements the peer service.
+func (s *Server) Locate(ctx context.Context, req *pb.LocateRequest) (*pb.LocateResponse, error) {
+	return s.requests.HandleLocate(ctx, req)
+}
+
+// Takeover implements the peer service.
+func (s *Server) Takeover(ctx context.Context, req *pb.TakeoverRequest) (*pb.TakeoverResponse, error) {
+	return s.requests.HandleTakeover(ctx, req)
+}
+
+// Pool keeps one connection for each peer address. It is safe for concurrent
+// use.
+type Pool struct {
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	return &Pool{conns: make(map[string]*grpc.ClientConn)}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		_ = c.Close()
+	}
+	clear(p.conns)
+}
+
+// Retain closes the connections to addresses that are no longer members.
+func (p *Pool) Retain(members []*pb.Member) {
+	live := make(map[string]struct{}, len(members))
+	for _, m := range members {
+		live[m.PeerAddress] = struct{}{}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, c := range p.conns {
+		if _, ok := live[address]; ok {
+			continue
+		}
+		_ = c.Close()
+		delete(p.conns, address)
+	}
+}
+
+func (p *Pool) client(address string) (pb.PeerServiceClient, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.conns[address]; ok {
+		return pb.NewPeerServiceClient(c), nil
+	}
+	c, err := grpc.NewClient(address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout, PermitWithoutStream: true}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
+	)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	p.conns[address] = c
+	return pb.NewPeerServiceClient(c), nil
+}
+
+// Heartbeat calls a peer by its address.
+func (p *Pool) Heartbeat(ctx context.Context, address string, req *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
+	return call(ctx, p, address, req, pb.PeerServiceClient.Heartbeat)
+}
+
+// Borrow asks a member for tokens.
+func (p *Pool) Borrow(ctx context.Context, m *pb.Member, req *pb.BorrowRequest) (*pb.BorrowResponse, error) {
+	return call(ctx, p, m.PeerAddress, req, pb.PeerServiceClient.Borrow)
+}
+
+// Settle brings bills to a member.
+func (p *Pool) Settle(ctx context.Context, m *pb.Member, req *pb.SettleRequest) (*pb.SettleResponse, error) {
+	return call(ctx, p, m.PeerAddress, req, pb.PeerServiceClient.Settle)
+}
+
+// FetchConfig asks a member for its configuration.
+func (p *Pool) FetchConfig(ctx context.Context, m *pb.Member, req *pb.FetchConfigRequest) (*pb.FetchConfigResponse, error) {
+	return call(ctx, p, m.PeerAddress, req, pb.PeerServiceClient.FetchConfig)
+}
+
+// Locate asks a member what it knows of a request.
+func (p *Pool) Locate(ctx context.Context, m *pb.Member, req *pb.LocateRequest) (*pb.LocateResponse, error) {
+	return call(ctx, p, m.PeerAddress, req, pb.PeerServiceClient.Locate)
+}
+
+// Takeover asks a member for a parked stream.
+func (p *Pool) Takeover(ctx context.Context, m *pb.Member, req *pb.TakeoverRequest) (*pb.TakeoverResponse, error) {
+	return call(ctx, p, m.PeerAddress, req, pb.PeerServiceClient.Takeover)
+}
+
+// call is one bounded unary call.
+func call[Req, Resp any](
+	ctx context.Context, p *Pool, address string, req Req,
+	method func(pb.PeerServiceClient, context.Context, Req, ...grpc.CallOption) (Resp, error),
+) (Resp, error) {
+	var none Resp
+	c, err := p.client(address)
+	if err != nil {
+		return none, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := method(c, ctx, req)
+	if err != nil {
+		return none, trace.Wrap(err)
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/router/serve/outcome.go
@@ -0,0 +1,42 @@
+package serve
+
+import (
+	"context"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/errkind"
+)
+
+// Outcome is what became of a request.
+type Outcome struct {
+	Run pb.RunState
+	// Billed is the tokens of its bill; 0 without one.
+	Billed int64
+	// Answer is the recorded answer of an action that ran; nil otherwise.
+	Answer *Answer
+}
+
+// Outcome tells what became of a request. The error is an *errkind.Error of
+// kind UnknownRequest where neither an action nor a bill is known.
+func (s *Server) Outcome(ctx context.Context, workspace, key string) (*Outcome, error) {
+	id := workspace + ":" + key
+	located, err := s.HandleLocate(ctx, &pb.LocateRequest{RequestId: id})
+	if err != nil {
+		return nil, err
+	}
+	out := &Outcome{Run: located.RunState, Billed: located.Bill.GetTokens()}
+	action, err := s.Actions.Lookup(ctx, workspace, key)
+	switch {
+	case err == nil:
+		out.Run = action.State
+		if action.Answer != nil {
+			out.Answer = replayed(action.Answer)
+		}
+		return out, nil
+	case errkind.Of(err) != errkind.UnknownRequest:
+		return nil, err
+	case !located.Known:
+		return nil, errkind.New(errkind.UnknownRequest, "no action and no bill of this request is known")
+	}
+	return out, nil
+}
--- /dev/null
+++ b/router/serve/park.go
@@ -0,0 +1,225 @@
+package serve
+
+import (
+	"context"
+	"crypto/sha256"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/retry"
+	"cuminrock.example/router/ledger"
+)
+
+const (
+	// cancelAttempts bounds how often an engine is asked for the usage of a
+	// stream that nobody reads.
+	cancelAttempts = 4
+	// cancelTimeout bounds one such call.
+	cancelTimeout = 2 * time.Second
+)
+
+// parked is a dispatched stream without a reader.
+type parked struct {
+	target *pb.Target
+	stream string
+	res    *ledger.Reservation
+	timer  *time.Timer
+}
+
+// park keeps a stream for the grace, then ends it.
+func (s *Server) park(r *Request, p *parked) {
+	select {
+	case <-s.stopping:
+		s.finishAbandoned(r, p)
+		return
+	default:
+	}
+	s.active.Add(1)
+	s.runs.park(r.ID, p)
+	go func() {
+		defer s.active.Done()
+		select {
+		case <-time.After(s.Grace):
+		case <-s.stopping:
+		}
+		if s.runs.take(r.ID, p) {
+			s.settleAbandoned(r, p)
+		}
+	}()
+}
+
+// finishAbandoned cancels and bills a stream that nobody will read.
+func (s *Server) finishAbandoned(r *Request, p *parked) {
+	s.runs.remove(r.ID)
+	s.settleAbandoned(r, p)
+}
+
+func (s *Server) finishInBackground(r *Request, p *parked) {
+	s.active.Add(1)
+	go func() {
+		defer s.active.Done()
+		s.finishAbandoned(r, p)
+	}()
+}
+
+// settleAbandoned asks the engine to cancel the stream and bills the usage it
+// names. Where no answer can be had the bound stays charged as unknown.
+func (s *Server) settleAbandoned(r *Request, p *parked) {
+	for attempt := 1; attempt <= cancelAttempts; attempt++ {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		usage, err := s.Targets.Cancel(ctx, p.target, r.ID, p.stream)
+		cancel()
+		if err == nil {
+			s.settleUsage(r, p, usage.Total())
+			return
+		}
+		time.Sleep(retry.Backoff(attempt, 1))
+	}
+	p.res.Unknown()
+	s.record(r, pb.EventKind_EVENT_KIND_CUT, p.target.Name, 0, "usage unknown")
+}
+
+func (s *Server) settleUsage(r *Request, p *parked, tokens int64) {
+	err := p.res.Settle(tokens)
+	if err != nil {
+		s.Log.Error("serve: the bill differs from its reservation.", errField(err))
+	}
+	s.record(r, pb.EventKind_EVENT_KIND_BILLED, p.target.Name, tokens, "cancelled")
+}
+
+// HandleLocate tells a peer what this router knows of a request.
+func (s *Server) HandleLocate(ctx context.Context, req *pb.LocateRequest) (*pb.LocateResponse, error) {
+	resp := s.runs.locate(req.RequestId)
+	if resp.Known {
+		return resp, nil
+	}
+	bill, found, err := s.Ledger.Bill(ctx, req.RequestId)
+	if err != nil {
+		return nil, err
+	}
+	if found {
+		resp.Known = true
+		resp.Bill = bill
+		resp.RunState = pb.RunState_RUN_STATE_RAN
+	}
+	return resp, nil
+}
+
+// HandleTakeover lets go of a parked stream. The taker holds a reservation of
+// its own for the same request, so this one's is released.
+func (s *Server) HandleTakeover(_ context.Context, req *pb.TakeoverRequest) (*pb.TakeoverResponse, error) {
+	p := s.runs.handOver(req.RequestId)
+	if p == nil {
+		return &pb.TakeoverResponse{}, nil
+	}
+	p.res.Release()
+	return &pb.TakeoverResponse{Granted: true, Target: p.target.Name, Stream: p.stream}, nil
+}
+
+// run is what this router knows of one streamed request.
+type run struct {
+	target, stream string
+	// parked is set while nobody reads the stream.
+	parked *parked
+}
+
+// registry holds the streamed requests in progress at this router.
+type registry struct {
+	mu   sync.Mutex
+	runs map[string]*run
+}
+
+func (g *registry) init() { g.runs = make(map[string]*run) }
+
+// claim registers a request, and returns its parked stream if there is one.
+// One that is being read is refused.
+func (g *registry) claim(id string) (*parked, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known, ok := g.runs[id]
+	if !ok {
+		g.runs[id] = &run{}
+		return nil, nil
+	}
+	if known.parked == nil {
+		return nil, errkind.New(errkind.InProgress, "this request is being answered on another connection").After(time.Second)
+	}
+	p := known.parked
+	known.parked = nil
+	return p, nil
+}
+
+func (g *registry) dispatched(id, targetName, stream string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.runs[id] = &run{target: targetName, stream: stream}
+}
+
+func (g *registry) park(id string, p *parked) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.runs[id] = &run{target: p.target.Name, stream: p.stream, parked: p}
+}
+
+// take removes a request if it is still parked as p.
+func (g *registry) take(id string, p *parked) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known, ok := g.runs[id]
+	if !ok || known.parked != p {
+		return false
+	}
+	delete(g.runs, id)
+	return true
+}
+
+func (g *registry) remove(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.runs, id)
+}
+
+// handOver removes and returns a parked stream; nil when there is none.
+func (g *registry) handOver(id string) *parked {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known, ok := g.runs[id]
+	if !ok || known.parked == nil {
+		return nil
+	}
+	delete(g.runs, id)
+	return known.parked
+}
+
+func (g *registry) locate(id string) *pb.LocateResponse {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known, ok := g.runs[id]
+	if !ok {
+		return &pb.LocateResponse{}
+	}
+	return &pb.LocateResponse{
+		Known:    true,
+		Running:  true,
+		Target:   known.target,
+		Stream:   known.stream,
+		RunState: pb.RunState_RUN_STATE_UNKNOWN,
+	}
+}
+
+// requestDigest names what an action asks for.
+func requestDigest(r *Request) [sha256.Size]byte {
+	h := sha256.New()
+	h.Write([]byte(r.Service.Name))
+	h.Write([]byte{0})
+	h.Write([]byte(r.Call.Path))
+	h.Write([]byte{0})
+	h.Write(r.Body)
+	return [sha256.Size]byte(h.Sum(nil))
+}
+
+func errField(err error) zap.Field { return zap.Error(err) }
--- /dev/null
+++ b/router/serve/stream.go
@@ -0,0 +1,307 @@
+package serve
+
+import (
+	"context"
+	"time"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/route"
+	"cuminrock.example/router/ledger"
+	"cuminrock.example/router/target"
+)
+
+// maxResumes bounds how often one stream is resumed at its engine.
+const maxResumes = 3
+
+// Stream is one streamed answer on its way to a caller. One goroutine uses it.
+type Stream struct {
+	server *Server
+	req    *Request
+	res    *ledger.Reservation
+	lease  *route.Lease
+	up     *target.Stream
+	// next is the offset of the next event to pass on.
+	next    int64
+	resumes int
+	first   bool
+	ended   bool
+}
+
+// Event is one event for the caller.
+type Event struct {
+	Position Position
+	// Data is valid until the next call of Next.
+	Data []byte
+	// End is set on the last event of a whole answer.
+	End *target.End
+}
+
+// OpenStream starts or resumes a streamed model call. It returns when the
+// engine has accepted the call. The error is an *errkind.Error.
+//
+// The engine call isn't bound to ctx, which ends when the caller goes away:
+// a call that was sent must be known until it is billed.
+func (s *Server) OpenStream(ctx context.Context, r *Request) (*Stream, error) {
+	s.active.Add(1)
+	s.streams.Add(1)
+	st, err := s.open(ctx, r)
+	if err != nil {
+		s.streams.Add(-1)
+		s.active.Done()
+	}
+	return st, err
+}
+
+func (s *Server) open(ctx context.Context, r *Request) (*Stream, error) {
+	parked, err := s.runs.claim(r.ID)
+	if err != nil {
+		return nil, err
+	}
+	st, err := s.start(ctx, r, parked)
+	if err != nil {
+		s.runs.remove(r.ID)
+	}
+	return st, err
+}
+
+func (s *Server) start(ctx context.Context, r *Request, p *parked) (*Stream, error) {
+	if p != nil {
+		return s.unpark(ctx, r, p)
+	}
+	res, err := s.reserve(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	st := &Stream{server: s, req: r, res: res}
+	if r.Resume != nil {
+		return st, st.openResumed(ctx)
+	}
+	err = st.openNew(ctx)
+	if err != nil {
+		endReservation(res, target.RunState(err))
+		return nil, err
+	}
+	return st, nil
+}
+
+// unpark goes on with a stream that this router has parked.
+func (s *Server) unpark(ctx context.Context, r *Request, p *parked) (*Stream, error) {
+	st := &Stream{server: s, req: r, res: p.res}
+	if r.Resume != nil {
+		st.next = r.Resume.Offset + 1
+	}
+	err := st.attach(ctx, p.target, p.stream)
+	if err != nil {
+		s.finishInBackground(r, p)
+		return nil, err
+	}
+	return st, nil
+}
+
+// openNew dispatches to a picked target, and to others while none has
+// accepted the call.
+func (st *Stream) openNew(ctx context.Context) error {
+	s := st.server
+	var tried []string
+	sent := false
+	for attempt := 1; ; attempt++ {
+		lease, err := s.pick(st.req, tried)
+		if err != nil {
+			return soften(err, sent)
+		}
+		t := lease.Target()
+		s.record(st.req, pb.EventKind_EVENT_KIND_DISPATCHED, t.Name, 0, "")
+		up, err := s.Targets.Stream(detach(ctx), s.call(st.req, t))
+		if err == nil {
+			st.lease = lease
+			st.up = up
+			s.runs.dispatched(st.req.ID, t.Name, up.ID())
+			return nil
+		}
+		lease.Done(outcomeOf(err))
+		sent = sent || target.RunState(err) != pb.RunState_RUN_STATE_NOT_RUN
+		if !s.mayRetry(st.req, err, attempt) {
+			return soften(err, sent)
+		}
+		tried = append(tried, t.Name)
+		s.pause(ctx, attempt)
+	}
+}
+
+// openResumed goes on with a stream that another router dispatched. That
+// router is asked to let go of it; one that can't be reached bills what it
+// knows, and the request still has one bill. When the engine can't be asked,
+// the reservation is kept only if the other router let go of its own.
+func (st *Stream) openResumed(ctx context.Context) error {
+	s := st.server
+	p := st.req.Resume
+	t, ok := s.findTarget(st.req.Service.Name, p.Target)
+	if !ok {
+		st.res.Release()
+		return errkind.New(errkind.UnknownRequest, "the target of this stream is not known")
+	}
+	st.next = p.Offset + 1
+	taken := s.takeover(ctx, st.req)
+	err := st.attach(ctx, t, p.Stream)
+	if err == nil {
+		return nil
+	}
+	if taken {
+		s.finishInBackground(st.req, &parked{target: t, stream: p.Stream, res: st.res})
+		return err
+	}
+	st.res.Release()
+	return err
+}
+
+// attach resumes an engine's stream at the next offset.
+func (st *Stream) attach(ctx context.Context, t *pb.Target, stream string) error {
+	s := st.server
+	up, err := s.Targets.Resume(detach(ctx), s.call(st.req, t), stream, st.next)
+	if err != nil {
+		return errkind.Wrap(errkind.TargetFailed, err, "the stream can't be resumed")
+	}
+	st.lease = s.Routes.Attach(t.Name)
+	st.up = up
+	st.first = st.next > 0
+	s.runs.dispatched(st.req.ID, t.Name, stream)
+	s.record(st.req, pb.EventKind_EVENT_KIND_RESUMED, t.Name, st.next, "")
+	return nil
+}
+
+// Next returns the next event. After an event with End the answer is whole
+// and billed. A stream that fails is resumed at its engine where that helps;
+// else the error is an *errkind.Error, and the stream has ended. When ctx
+// ends, the caller must call Park.
+func (st *Stream) Next(ctx context.Context) (Event, error) {
+	for {
+		ev, err := st.up.Next(ctx)
+		if err == nil {
+			return st.passOn(ev), nil
+		}
+		if ctx.Err() != nil {
+			return Event{}, ctx.Err()
+		}
+		err = st.recover(ctx, err)
+		if err != nil {
+			return Event{}, err
+		}
+	}
+}
+
+func (st *Stream) passOn(ev target.Event) Event {
+	s := st.server
+	if !st.first {
+		st.first = true
+		s.record(st.req, pb.EventKind_EVENT_KIND_FIRST_BYTE, st.lease.Target().Name, 0, "")
+	}
+	st.next = ev.Offset + 1
+	out := Event{
+		Position: Position{Target: st.lease.Target().Name, Stream: st.up.ID(), Offset: ev.Offset},
+		Data:     ev.Data,
+		End:      ev.End,
+	}
+	if ev.End != nil {
+		st.finish(ev.End.Usage.Total())
+	}
+	return out
+}
+
+// recover resumes a broken stream at its engine, or ends it.
+func (st *Stream) recover(ctx context.Context, cause error) error {
+	s := st.server
+	name := st.lease.Target().Name
+	s.record(st.req, pb.EventKind_EVENT_KIND_CUT, name, st.next, errkind.Of(cause).String())
+	st.up.Close()
+	for st.resumes < maxResumes && s.Now().Before(st.req.Deadline) && s.Retries.Take() {
+		st.resumes++
+		s.pause(ctx, st.resumes)
+		up, err := s.Targets.Resume(detach(ctx), s.call(st.req, st.lease.Target()), st.up.ID(), st.next)
+		if err == nil {
+			st.up = up
+			s.record(st.req, pb.EventKind_EVENT_KIND_RESUMED, name, st.next, "")
+			return nil
+		}
+		cause = err
+	}
+	st.lease.Done(outcomeOf(cause))
+	t := st.lease.Target()
+	s.finishInBackground(st.req, &parked{target: t, stream: st.up.ID(), res: st.res})
+	st.close()
+	return errkind.Wrap(errkind.TargetFailed, cause, "the stream broke off and can't be resumed now")
+}
+
+// finish bills a whole answer.
+func (st *Stream) finish(tokens int64) {
+	s := st.server
+	err := st.res.Settle(tokens)
+	if err != nil {
+		s.Log.Error("serve: the bill differs from its reservation.", errField(err))
+	}
+	s.record(st.req, pb.EventKind_EVENT_KIND_ANSWERED, st.lease.Target().Name, tokens, "")
+	st.up.Close()
+	st.lease.Done(route.OutcomeOK)
+	s.runs.remove(st.req.ID)
+	st.close()
+}
+
+// Park ends the caller's part of a stream that isn't whole yet. It is a no-op
+// on a stream that has ended.
+func (st *Stream) Park() {
+	if st.ended {
+		return
+	}
+	s := st.server
+	st.up.Close()
+	t := st.lease.Target()
+	st.lease.Done(route.OutcomeCancelled)
+	s.record(st.req, pb.EventKind_EVENT_KIND_CUT, t.Name, st.next, "the caller went away")
+	s.park(st.req, &parked{target: t, stream: st.up.ID(), res: st.res})
+	st.close()
+}
+
+func (st *Stream) close() {
+	if st.ended {
+		return
+	}
+	st.ended = true
+	st.server.streams.Add(-1)
+	st.server.active.Done()
+}
+
+// detach keeps the values of ctx and drops its end.
+func detach(ctx context.Context) context.Context { return context.WithoutCancel(ctx) }
+
+func (s *Server) findTarget(service, name string) (*pb.Target, bool) {
+	view := s.Config()
+	if view == nil {
+		return nil, false
+	}
+	for _, t := range view.Targets(service) {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return nil, false
+}
+
+// takeoverTimeout bounds the search for the router that has parked a stream.
+const takeoverTimeout = 300 * time.Millisecond
+
+// takeover asks the other routers to let go of the request's stream, and
+// tells whether one did.
+func (s *Server) takeover(ctx context.Context, r *Request) bool {
+	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
+	defer cancel()
+	for _, m := range s.Peers.Members() {
+		if ctx.Err() != nil {
+			return false
+		}
+		resp, err := s.Peers.Takeover(ctx, m, &pb.TakeoverRequest{RequestId: r.ID, Taker: s.Incarnation})
+		if err == nil && resp.Granted {
+			return true
+		}
+	}
+	return false
+}
