Add configuration views, the morning sheet, the change log and membership

First, thin version: views that share structure between versions, the sheet's parser and plan, the change log by compare-and-swap on its head row, the router's watcher, and heartbeats with rendezvous hashing.

--- /dev/null
+++ b/fleet/config/record.go
@@ -0,0 +1,59 @@
+package config
+
+import (
+	"cmp"
+	"strings"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+)
+
+// WorkspaceRecord wraps a workspace.
+func WorkspaceRecord(w *pb.Workspace) *pb.Record {
+	return &pb.Record{Record: &pb.Record_Workspace{Workspace: w}}
+}
+
+// BudgetRecord wraps a budget.
+func BudgetRecord(b *pb.Budget) *pb.Record {
+	return &pb.Record{Record: &pb.Record_Budget{Budget: b}}
+}
+
+// ServiceRecord wraps a service.
+func ServiceRecord(s *pb.Service) *pb.Record {
+	return &pb.Record{Record: &pb.Record_Service{Service: s}}
+}
+
+// TargetRecord wraps a target.
+func TargetRecord(t *pb.Target) *pb.Record {
+	return &pb.Record{Record: &pb.Record_Target{Target: t}}
+}
+
+// Key returns the kind and name of a record; the kind is unspecified where the
+// record is empty.
+func Key(r *pb.Record) *pb.RecordKey {
+	switch r := r.GetRecord().(type) {
+	case *pb.Record_Workspace:
+		return &pb.RecordKey{Kind: pb.RecordKind_RECORD_KIND_WORKSPACE, Name: r.Workspace.GetName()}
+	case *pb.Record_Budget:
+		return &pb.RecordKey{Kind: pb.RecordKind_RECORD_KIND_BUDGET, Name: r.Budget.GetName()}
+	case *pb.Record_Service:
+		return &pb.RecordKey{Kind: pb.RecordKind_RECORD_KIND_SERVICE, Name: r.Service.GetName()}
+	case *pb.Record_Target:
+		return &pb.RecordKey{Kind: pb.RecordKind_RECORD_KIND_TARGET, Name: r.Target.GetName()}
+	}
+	return &pb.RecordKey{}
+}
+
+// KindName returns the word for a record kind that sheets and messages use.
+func KindName(kind pb.RecordKind) string {
+	return strings.ToLower(strings.TrimPrefix(kind.String(), "RECORD_KIND_"))
+}
+
+// KeyName returns a record key in words, such as "budget archive-daily".
+func KeyName(key *pb.RecordKey) string { return KindName(key.GetKind()) + " " + key.GetName() }
+
+func compareKeys(a, b *pb.RecordKey) int {
+	if byKind := cmp.Compare(a.GetKind(), b.GetKind()); byKind != 0 {
+		return byKind
+	}
+	return cmp.Compare(a.GetName(), b.GetName())
+}
--- /dev/null
+++ b/fleet/config/view.go
@@ -0,0 +1,202 @@
+// Package config holds the operators' configuration as immutable views.
+//
+// A View is one version. Apply makes the next version from a change and
+// shares with the old one all that the change leaves as it was, so readers
+// keep a consistent version without a lock and a small change costs little at
+// any size. Records returned by a View are shared and must not be modified.
+package config
+
+import (
+	"cmp"
+	"slices"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/errkind"
+)
+
+// fullShare is the sum of the shares of one service, in permille.
+const fullShare = 1000
+
+// View is the whole configuration at one version. It is immutable and safe
+// for concurrent use.
+type View struct {
+	version    uint64
+	workspaces index[pb.Workspace]
+	budgets    index[pb.Budget]
+	services   index[serviceEntry]
+	targets    index[pb.Target]
+	keys       index[keyEntry]
+}
+
+// serviceEntry is a service with what requests look up in it.
+type serviceEntry struct {
+	service  *pb.Service
+	calls    map[string]*pb.Call
+	targets  []*pb.Target
+	defaults []*pb.ProviderShare
+}
+
+// keyEntry finds a workspace by the SHA-256 of a bearer key.
+type keyEntry struct {
+	sum       string
+	workspace *pb.Workspace
+}
+
+// Empty returns version 0, which has no records.
+func Empty() *View {
+	return &View{
+		workspaces: newIndex((*pb.Workspace).GetName),
+		budgets:    newIndex((*pb.Budget).GetName),
+		services:   newIndex(func(e *serviceEntry) string { return e.service.GetName() }),
+		targets:    newIndex((*pb.Target).GetName),
+		keys:       newIndex(func(e *keyEntry) string { return e.sum }),
+	}
+}
+
+// FromSnapshot returns the view of a snapshot. The view keeps the snapshot's
+// records.
+func FromSnapshot(s *pb.Snapshot) (*View, error) {
+	b := newBuilder(Empty())
+	for _, r := range s.GetRecords() {
+		if err := b.upsert(r); err != nil {
+			return nil, err
+		}
+	}
+	return b.view(s.GetVersion()), nil
+}
+
+// Apply returns the next version. The change must be for the version after
+// this one. The view keeps the change's records.
+func (v *View) Apply(c *pb.Change) (*View, error) {
+	if c.GetVersion() != v.version+1 {
+		return nil, errkind.New(errkind.Internal, "change %d doesn't follow version %d", c.GetVersion(), v.version)
+	}
+	b := newBuilder(v)
+	for _, key := range c.GetRemoves() {
+		b.remove(key)
+	}
+	for _, r := range c.GetUpserts() {
+		if err := b.upsert(r); err != nil {
+			return nil, err
+		}
+	}
+	return b.view(c.GetVersion()), nil
+}
+
+// Version returns the version; 0 is the empty configuration.
+func (v *View) Version() uint64 { return v.version }
+
+// Snapshot returns all records, ordered by kind and name.
+func (v *View) Snapshot() *pb.Snapshot {
+	records := make([]*pb.Record, 0, v.Records())
+	v.workspaces.all(func(w *pb.Workspace) { records = append(records, WorkspaceRecord(w)) })
+	v.budgets.all(func(b *pb.Budget) { records = append(records, BudgetRecord(b)) })
+	v.services.all(func(e *serviceEntry) { records = append(records, ServiceRecord(e.service)) })
+	v.targets.all(func(t *pb.Target) { records = append(records, TargetRecord(t)) })
+	slices.SortFunc(records, func(a, b *pb.Record) int { return compareKeys(Key(a), Key(b)) })
+	return &pb.Snapshot{Version: v.version, Records: records}
+}
+
+// Records returns the number of records.
+func (v *View) Records() int {
+	return v.workspaces.length + v.budgets.length + v.services.length + v.targets.length
+}
+
+// Record returns the record of the key.
+func (v *View) Record(key *pb.RecordKey) (*pb.Record, bool) {
+	switch key.GetKind() {
+	case pb.RecordKind_RECORD_KIND_WORKSPACE:
+		w, ok := v.Workspace(key.Name)
+		return WorkspaceRecord(w), ok
+	case pb.RecordKind_RECORD_KIND_BUDGET:
+		b, ok := v.Budget(key.Name)
+		return BudgetRecord(b), ok
+	case pb.RecordKind_RECORD_KIND_SERVICE:
+		s, ok := v.Service(key.Name)
+		return ServiceRecord(s), ok
+	case pb.RecordKind_RECORD_KIND_TARGET:
+		t, ok := v.Target(key.Name)
+		return TargetRecord(t), ok
+	}
+	return nil, false
+}
+
+// WorkspaceByKey returns the workspace that the SHA-256 of a bearer key names.
+func (v *View) WorkspaceByKey(sum [32]byte) (*pb.Workspace, bool) {
+	e, ok := v.keys.get(string(sum[:]))
+	if !ok {
+		return nil, false
+	}
+	return e.workspace, true
+}
+
+// Workspace returns the workspace of the name.
+func (v *View) Workspace(name string) (*pb.Workspace, bool) { return v.workspaces.get(name) }
+
+// Budget returns the budget of the name.
+func (v *View) Budget(name string) (*pb.Budget, bool) { return v.budgets.get(name) }
+
+// Target returns the target of the name.
+func (v *View) Target(name string) (*pb.Target, bool) { return v.targets.get(name) }
+
+// Service returns the service of the name.
+func (v *View) Service(name string) (*pb.Service, bool) {
+	e, ok := v.services.get(name)
+	if !ok {
+		return nil, false
+	}
+	return e.service, true
+}
+
+// Services returns all services, ordered by name.
+func (v *View) Services() []*pb.Service {
+	services := make([]*pb.Service, 0, v.services.length)
+	v.services.all(func(e *serviceEntry) { services = append(services, e.service) })
+	slices.SortFunc(services, func(a, b *pb.Service) int { return cmp.Compare(a.Name, b.Name) })
+	return services
+}
+
+// Call returns the call of a service by its path.
+func (v *View) Call(service, path string) (*pb.Call, bool) {
+	e, ok := v.services.get(service)
+	if !ok {
+		return nil, false
+	}
+	call, ok := e.calls[path]
+	return call, ok
+}
+
+// Targets returns the targets of a service, ordered by name, leaving ones
+// included.
+func (v *View) Targets(service string) []*pb.Target {
+	e, ok := v.services.get(service)
+	if !ok {
+		return nil
+	}
+	return e.targets
+}
+
+// AllTargets returns the targets of all services, ordered by name.
+func (v *View) AllTargets() []*pb.Target {
+	targets := make([]*pb.Target, 0, v.targets.length)
+	v.targets.all(func(t *pb.Target) { targets = append(targets, t) })
+	slices.SortFunc(targets, func(a, b *pb.Target) int { return cmp.Compare(a.Name, b.Name) })
+	return targets
+}
+
+// Shares returns how a workspace's traffic to a service is divided: its own
+// shares, else the service's default shares, else all to the default provider.
+// It is empty where the service is unknown or names no provider.
+func (v *View) Shares(workspace, service string) []*pb.ProviderShare {
+	w, _ := v.workspaces.get(workspace)
+	for _, s := range w.GetShares() {
+		if s.Service == service {
+			return s.Providers
+		}
+	}
+	e, ok := v.services.get(service)
+	if !ok {
+		return nil
+	}
+	return e.defaults
+}
--- /dev/null
+++ b/fleet/sheet/merge.go
@@ -0,0 +1,190 @@
+package sheet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/config"
+)
+
+// desired is the configuration that a sheet asks for, with the lines that
+// faults are told by.
+type desired struct {
+	records []*pb.Record
+	lines   map[recordID]int
+	// shiftLines holds the first shift line of a workspace and service.
+	shiftLines map[division]int
+}
+
+// division is what shift lines divide: one workspace's traffic to a service.
+type division struct{ workspace, service string }
+
+// merge returns the configuration in force with the sheet over it.
+func merge(view *config.View, s *Sheet) *desired {
+	d := &desired{lines: s.lines, shiftLines: make(map[division]int)}
+	shares := d.shares(s.Shifts)
+	inForce := recordsByKind(view)
+	for _, service := range pick(s.Services, inForce.services) {
+		d.add(config.ServiceRecord(withDefaultShares(view, service, s, shares)))
+	}
+	for _, target := range pick(s.Targets, inForce.targets) {
+		d.add(config.TargetRecord(target))
+	}
+	for _, workspace := range pick(s.Workspaces, inForce.workspaces) {
+		d.add(config.WorkspaceRecord(withShares(view, workspace, s, shares)))
+	}
+	for _, budget := range pick(s.Budgets, inForce.budgets) {
+		d.add(config.BudgetRecord(budget))
+	}
+	return d
+}
+
+func (d *desired) add(r *pb.Record) { d.records = append(d.records, r) }
+
+// pick returns what the sheet declares, else what is in force.
+func pick[T any](declared, inForce []T) []T {
+	if len(declared) > 0 {
+		return declared
+	}
+	return inForce
+}
+
+// shares groups shift lines by workspace; each group is ordered by service
+// and provider.
+func (d *desired) shares(shifts []Shift) map[string][]*pb.ServiceShares {
+	byDivision := make(map[division][]*pb.ProviderShare)
+	for _, s := range shifts {
+		at := division{s.Workspace, s.Service}
+		if len(byDivision[at]) == 0 {
+			d.shiftLines[at] = s.Line
+		}
+		byDivision[at] = append(byDivision[at], &pb.ProviderShare{Provider: s.Provider, Permille: s.Permille})
+	}
+	byWorkspace := make(map[string][]*pb.ServiceShares)
+	for at, providers := range byDivision {
+		slices.SortFunc(providers, func(a, b *pb.ProviderShare) int { return cmp.Compare(a.Provider, b.Provider) })
+		byWorkspace[at.workspace] = append(byWorkspace[at.workspace], &pb.ServiceShares{Service: at.service, Providers: providers})
+	}
+	for services := range maps.Values(byWorkspace) {
+		slices.SortFunc(services, func(a, b *pb.ServiceShares) int { return cmp.Compare(a.Service, b.Service) })
+	}
+	return byWorkspace
+}
+
+// withShares returns a workspace with the sheet's shares, or with those in
+// force where the sheet has no shift lines.
+func withShares(view *config.View, w *pb.Workspace, s *Sheet, shares map[string][]*pb.ServiceShares) *pb.Workspace {
+	wanted := shares[w.Name]
+	if len(s.Shifts) == 0 {
+		old, _ := view.Workspace(w.Name)
+		wanted = old.GetShares()
+	}
+	next := proto.CloneOf(w)
+	next.Shares = wanted
+	return next
+}
+
+// withDefaultShares does the same for a service and the lines of all
+// workspaces.
+func withDefaultShares(view *config.View, service *pb.Service, s *Sheet, shares map[string][]*pb.ServiceShares) *pb.Service {
+	next := proto.CloneOf(service)
+	if len(s.Shifts) == 0 {
+		old, _ := view.Service(service.Name)
+		next.DefaultShares = old.GetDefaultShares()
+		return next
+	}
+	next.DefaultShares = nil
+	for _, division := range shares[AllWorkspaces] {
+		if division.Service == service.Name {
+			next.DefaultShares = division.Providers
+		}
+	}
+	return next
+}
+
+// kinds is the records in force, by kind.
+type kinds struct {
+	workspaces []*pb.Workspace
+	budgets    []*pb.Budget
+	services   []*pb.Service
+	targets    []*pb.Target
+}
+
+func recordsByKind(view *config.View) *kinds {
+	k := &kinds{}
+	for _, r := range view.Snapshot().Records {
+		switch r := r.Record.(type) {
+		case *pb.Record_Workspace:
+			k.workspaces = append(k.workspaces, r.Workspace)
+		case *pb.Record_Budget:
+			k.budgets = append(k.budgets, r.Budget)
+		case *pb.Record_Service:
+			k.services = append(k.services, r.Service)
+		case *pb.Record_Target:
+			k.targets = append(k.targets, r.Target)
+		}
+	}
+	return k
+}
+
+// check returns the faults of the whole configuration that the sheet asks
+// for, and of its shift lines and top-ups.
+func (d *desired) check(s *Sheet) Faults {
+	var faults Faults
+	for _, f := range config.Check(d.records) {
+		faults = append(faults, d.fault(f))
+	}
+	known := make(map[recordID]bool, len(d.records))
+	for _, r := range d.records {
+		known[idOf(config.Key(r))] = true
+	}
+	for _, shift := range s.Shifts {
+		faults = append(faults, checkShift(known, shift)...)
+	}
+	for _, t := range s.TopUps {
+		if !known[recordID{pb.RecordKind_RECORD_KIND_BUDGET, t.Budget}] {
+			faults = append(faults, Fault{Line: t.Line, Column: colBudget.String(), Reason: "budget " + t.Budget + " doesn't exist"})
+		}
+	}
+	return faults.sorted()
+}
+
+func checkShift(known map[recordID]bool, shift Shift) Faults {
+	var faults Faults
+	if shift.Workspace != AllWorkspaces && !known[recordID{pb.RecordKind_RECORD_KIND_WORKSPACE, shift.Workspace}] {
+		faults = append(faults, Fault{Line: shift.Line, Column: colWorkspace.String(), Reason: "workspace " + shift.Workspace + " doesn't exist"})
+	}
+	if shift.Workspace == AllWorkspaces && !known[recordID{pb.RecordKind_RECORD_KIND_SERVICE, shift.Service}] {
+		faults = append(faults, Fault{Line: shift.Line, Column: colService.String(), Reason: "service " + shift.Service + " doesn't exist"})
+	}
+	return faults
+}
+
+// fault tells a fault of the configuration by line and column of the sheet.
+// Line 0 means that the sheet leaves the record as it is in force.
+func (d *desired) fault(f config.Fault) Fault {
+	line, known := d.lines[idOf(f.Key)]
+	column := f.Field
+	switch f.Field {
+	case "default_budget":
+		column = colBudget.String()
+	case "default_provider":
+		column = colProvider.String()
+	case "calls":
+		column = colPath.String()
+	case "shares":
+		column = colPermille.String()
+		line, known = d.shiftLines[division{f.Key.Name, f.Item}]
+	case "default_shares":
+		column = colPermille.String()
+		line, known = d.shiftLines[division{AllWorkspaces, f.Item}]
+	}
+	if !known {
+		return Fault{Reason: f.String() + " (in force, and not in this sheet)"}
+	}
+	return Fault{Line: line, Column: column, Reason: config.KeyName(f.Key) + ": " + f.Reason}
+}
--- /dev/null
+++ b/fleet/sheet/render.go
@@ -0,0 +1,207 @@
+package sheet
+
+import (
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/config"
+)
+
+// field is one value of a record in the words of the sheet.
+type field struct{ name, value string }
+
+// FieldChange is one value that a plan changes. Before is empty where the
+// value is new, After where it goes.
+type FieldChange struct {
+	Field  string `json:"field"`
+	Before string `json:"before,omitempty"`
+	After  string `json:"after,omitempty"`
+}
+
+// ItemReport is an Item for people and programs.
+type ItemReport struct {
+	Operation Operation     `json:"operation"`
+	Kind      string        `json:"kind"`
+	Name      string        `json:"name"`
+	Fields    []FieldChange `json:"fields,omitempty"`
+}
+
+// Report is a Plan for people and programs.
+type Report struct {
+	Base          uint64       `json:"base_version"`
+	Next          uint64       `json:"next_version"`
+	Added         int          `json:"added"`
+	Changed       int          `json:"changed"`
+	Removed       int          `json:"removed"`
+	Items         []ItemReport `json:"items"`
+	TopUps        []TopUp      `json:"top_ups"`
+	AppliedTopUps int          `json:"applied_top_ups"`
+}
+
+// Report returns the plan in printable form.
+func (p *Plan) Report() *Report {
+	r := &Report{
+		Base:          p.Base,
+		Next:          p.Base,
+		Added:         p.Count(Add),
+		Changed:       p.Count(Alter),
+		Removed:       p.Count(Remove),
+		Items:         make([]ItemReport, 0, len(p.Items)),
+		TopUps:        slices.Concat([]TopUp{}, p.TopUps),
+		AppliedTopUps: p.AppliedTopUps,
+	}
+	if p.Change != nil {
+		r.Next = p.Change.Version
+	}
+	for _, item := range p.Items {
+		r.Items = append(r.Items, ItemReport{
+			Operation: item.Operation,
+			Kind:      config.KindName(item.Key.Kind),
+			Name:      item.Key.Name,
+			Fields:    compareFields(fieldsOf(item.Before), fieldsOf(item.After)),
+		})
+	}
+	return r
+}
+
+// Text returns the report as lines: + added, ~ changed, - removed, ^ top-up.
+func (r *Report) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "version %d -> %d: %d added, %d changed, %d removed; %d top-ups to apply, %d applied before\n",
+		r.Base, r.Next, r.Added, r.Changed, r.Removed, len(r.TopUps), r.AppliedTopUps)
+	signs := map[Operation]string{Add: "+", Alter: "~", Remove: "-"}
+	for _, item := range r.Items {
+		fmt.Fprintf(&b, "%s %s %s%s\n", signs[item.Operation], item.Kind, item.Name, item.text())
+	}
+	for _, t := range r.TopUps {
+		fmt.Fprintf(&b, "^ top-up %s: budget %s, %+d tokens\n", t.ID, t.Budget, t.Tokens)
+	}
+	return b.String()
+}
+
+func (i *ItemReport) text() string {
+	if i.Operation == Remove || len(i.Fields) == 0 {
+		return ""
+	}
+	texts := make([]string, len(i.Fields))
+	for n, f := range i.Fields {
+		texts[n] = f.text(i.Operation)
+	}
+	return ": " + strings.Join(texts, ", ")
+}
+
+func (f *FieldChange) text(op Operation) string {
+	if op == Add {
+		return f.Field + "=" + f.After
+	}
+	return fmt.Sprintf("%s %s -> %s", f.Field, orNone(f.Before), orNone(f.After))
+}
+
+func orNone(value string) string {
+	if value == "" {
+		return "none"
+	}
+	return value
+}
+
+func compareFields(before, after []field) []FieldChange {
+	var changes []FieldChange
+	for _, f := range before {
+		if next := valueOf(after, f.name); next != f.value {
+			changes = append(changes, FieldChange{Field: f.name, Before: f.value, After: next})
+		}
+	}
+	for _, f := range after {
+		if valueOf(before, f.name) == "" && f.value != "" {
+			changes = append(changes, FieldChange{Field: f.name, After: f.value})
+		}
+	}
+	return changes
+}
+
+func valueOf(fields []field, name string) string {
+	at := slices.IndexFunc(fields, func(f field) bool { return f.name == name })
+	if at < 0 {
+		return ""
+	}
+	return fields[at].value
+}
+
+func fieldsOf(r *pb.Record) []field {
+	switch r := r.GetRecord().(type) {
+	case *pb.Record_Workspace:
+		return workspaceFields(r.Workspace)
+	case *pb.Record_Budget:
+		return []field{{"workspace", r.Budget.Workspace}}
+	case *pb.Record_Service:
+		return serviceFields(r.Service)
+	case *pb.Record_Target:
+		return targetFields(r.Target)
+	}
+	return nil
+}
+
+func workspaceFields(w *pb.Workspace) []field {
+	sums := make([]string, len(w.KeySha256))
+	for i, sum := range w.KeySha256 {
+		sums[i] = hex.EncodeToString(sum)
+	}
+	fields := []field{
+		{"key_sha256", strings.Join(sums, " ")},
+		{"priority", textOf(priorities, w.Priority)},
+		{"budget", w.DefaultBudget},
+	}
+	for _, s := range w.Shares {
+		fields = append(fields, field{"shift " + s.Service, sharesText(s.Providers)})
+	}
+	return fields
+}
+
+func serviceFields(s *pb.Service) []field {
+	fields := []field{
+		{"kind", textOf(serviceKinds, s.Kind)},
+		{"provider", s.DefaultProvider},
+	}
+	for _, call := range s.Calls {
+		fields = append(fields, field{"call " + call.Path, fmt.Sprintf("%s, %d tokens", textOf(callKinds, call.Kind), call.CostTokens)})
+	}
+	return append(fields, field{"shift " + AllWorkspaces, sharesText(s.DefaultShares)})
+}
+
+func targetFields(t *pb.Target) []field {
+	return []field{
+		{"service", t.Service},
+		{"provider", t.Provider},
+		{"data_centre", t.DataCentre},
+		{"address", t.Address},
+		{"checks_fencing", yesOrNo(t.ChecksFencing)},
+		{"leaving", yesOrNo(t.Leaving)},
+	}
+}
+
+func sharesText(shares []*pb.ProviderShare) string {
+	texts := make([]string, len(shares))
+	for i, s := range shares {
+		texts[i] = s.Provider + " " + strconv.Itoa(int(s.Permille))
+	}
+	return strings.Join(texts, " + ")
+}
+
+func textOf[T comparable](words []word[T], value T) string {
+	at := slices.IndexFunc(words, func(w word[T]) bool { return w.value == value })
+	if at < 0 {
+		return ""
+	}
+	return words[at].text
+}
+
+func yesOrNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
--- /dev/null
+++ b/router/configlog/configlog.go
@@ -0,0 +1,200 @@
+// Package configlog keeps the configuration's change log in the platform.
+//
+// The head row tells the newest version. Change n+1 is committed together with
+// the head's move from n to n+1, on the condition that the head still stands
+// at n, so of operators who race one wins and the others learn what came
+// between. A change carries a nonce: when the answer of a commit is lost, the
+// row of that version tells whether it took effect, and sending the same
+// commit again is harmless. Every few changes a snapshot of the whole goes to
+// the object store, so that a router starts from it and few changes.
+package configlog
+
+import (
+	"context"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/config"
+	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/router/platform"
+)
+
+const (
+	// headKey is the row of pb.ConfigHead.
+	headKey = "config/head"
+	// changeRowBytes is the largest encoded change that stands in its row; the
+	// body of a larger one goes to the object store.
+	changeRowBytes = 64 << 10
+	// readKeys is the most rows asked for in one read.
+	readKeys = 100
+)
+
+func changeKey(version uint64) string { return fmt.Sprintf("config/change/%020d", version) }
+
+func snapshotObject(version uint64) string { return fmt.Sprintf("config/snapshot/%020d", version) }
+
+func bodyObject(c *pb.Change) string { return fmt.Sprintf("config/body/%020d-%s", c.Version, c.Nonce) }
+
+// head is the head row as it was read. Row is 0 where there is none yet.
+type head struct {
+	*pb.ConfigHead
+	row uint64
+}
+
+func readHead(ctx context.Context, tables platform.Tables) (head, error) {
+	rows, err := tables.Read(ctx, headKey)
+	if err != nil {
+		return head{}, down(err, "the configuration's head can't be read")
+	}
+	h := head{ConfigHead: &pb.ConfigHead{}}
+	if len(rows) == 0 {
+		return h, nil
+	}
+	h.row = rows[0].Version
+	return h, decode(rows[0].Value, h.ConfigHead, headKey)
+}
+
+// Head returns the newest accepted version; 0 where there is none.
+func Head(ctx context.Context, tables platform.Tables) (uint64, error) {
+	h, err := readHead(ctx, tables)
+	if err != nil {
+		return 0, err
+	}
+	return h.Version, nil
+}
+
+// Load returns the newest configuration.
+func Load(ctx context.Context, p platform.Platform) (*config.View, error) {
+	h, err := readHead(ctx, p)
+	if err != nil {
+		return nil, err
+	}
+	view, err := loadSnapshot(ctx, p, h.SnapshotVersion)
+	if err != nil {
+		return nil, err
+	}
+	changes, err := read(ctx, p, view.Version(), h.Version)
+	if err != nil {
+		return nil, err
+	}
+	return applyAll(view, changes)
+}
+
+// Since returns the accepted changes after a version, oldest first, without a
+// gap.
+func Since(ctx context.Context, p platform.Platform, version uint64) ([]*pb.Change, error) {
+	newest, err := Head(ctx, p)
+	if err != nil {
+		return nil, err
+	}
+	return read(ctx, p, version, newest)
+}
+
+func loadSnapshot(ctx context.Context, objects platform.Objects, version uint64) (*config.View, error) {
+	if version == 0 {
+		return config.Empty(), nil
+	}
+	snapshot := &pb.Snapshot{}
+	if err := getObject(ctx, objects, snapshotObject(version), snapshot); err != nil {
+		return nil, err
+	}
+	return config.FromSnapshot(snapshot)
+}
+
+func applyAll(view *config.View, changes []*pb.Change) (*config.View, error) {
+	for _, c := range changes {
+		next, err := view.Apply(c)
+		if err != nil {
+			return nil, err
+		}
+		view = next
+	}
+	return view, nil
+}
+
+// read returns the changes after one version up to another.
+func read(ctx context.Context, p platform.Platform, after, upTo uint64) ([]*pb.Change, error) {
+	var changes []*pb.Change
+	for after < upTo {
+		last := min(upTo, after+readKeys)
+		batch, err := readBatch(ctx, p, after, last)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, batch...)
+		after = last
+	}
+	return changes, nil
+}
+
+func readBatch(ctx context.Context, p platform.Platform, after, upTo uint64) ([]*pb.Change, error) {
+	var keys []string
+	for v := after + 1; v <= upTo; v++ {
+		keys = append(keys, changeKey(v))
+	}
+	rows, err := p.Read(ctx, keys...)
+	if err != nil {
+		return nil, down(err, "the change log can't be read")
+	}
+	byKey := make(map[string]*pb.Row, len(rows))
+	for _, row := range rows {
+		byKey[row.Key] = row
+	}
+	changes := make([]*pb.Change, 0, len(keys))
+	for _, key := range keys {
+		row := byKey[key]
+		if row == nil {
+			return nil, errkind.New(errkind.Internal, "the change log lacks row %s", key)
+		}
+		c, err := decodeChange(ctx, p, row)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, c)
+	}
+	return changes, nil
+}
+
+// decodeChange returns the change of a row, with its body where that is an
+// object.
+func decodeChange(ctx context.Context, objects platform.Objects, row *pb.Row) (*pb.Change, error) {
+	c := &pb.Change{}
+	if err := decode(row.Value, c, row.Key); err != nil {
+		return nil, err
+	}
+	if c.BodyObject == "" {
+		return c, nil
+	}
+	body := &pb.Change{}
+	if err := getObject(ctx, objects, c.BodyObject, body); err != nil {
+		return nil, err
+	}
+	c.Upserts = body.Upserts
+	c.Removes = body.Removes
+	c.BodyObject = ""
+	return c, nil
+}
+
+func getObject(ctx context.Context, objects platform.Objects, name string, into proto.Message) error {
+	data, found, err := objects.Get(ctx, name)
+	if err != nil {
+		return down(err, "object "+name+" can't be read")
+	}
+	if !found {
+		return errkind.New(errkind.Internal, "object %s is missing", name)
+	}
+	return decode(data, into, name)
+}
+
+func decode(data []byte, into proto.Message, name string) error {
+	if err := proto.Unmarshal(data, into); err != nil {
+		return errkind.Wrap(errkind.Internal, err, name+" can't be decoded")
+	}
+	return nil
+}
+
+func down(cause error, message string) error {
+	return errkind.Wrap(errkind.PlatformDown, cause, message)
+}
--- /dev/null
+++ b/router/configwatch/peer.go
@@ -0,0 +1,82 @@
+package configwatch
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/config"
+)
+
+// Offer tells that a peer shows a version. A higher one is fetched from it at
+// once. Offer doesn't block; while a fetch is in progress the newest offer
+// waits and later heartbeats repeat the others.
+func (w *Watch) Offer(peer *pb.Member, version uint64) {
+	if version <= w.Version() {
+		return
+	}
+	select {
+	case w.offers <- peer:
+	default:
+	}
+}
+
+// fetch takes what a peer has above the version held. It reports whether the
+// peer answered.
+func (w *Watch) fetch(ctx context.Context, peer *pb.Member, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	held := w.Version()
+	resp, err := w.options.Peers.FetchConfig(ctx, peer, &pb.FetchConfigRequest{FromVersion: held})
+	if err == nil {
+		err = w.takeResponse(resp, peer.Name)
+	}
+	if err != nil {
+		w.options.Log.Warn("config: fetch from peer failed", zap.String("peer", peer.Name), zap.Error(err))
+		return false
+	}
+	return true
+}
+
+func (w *Watch) takeResponse(resp *pb.FetchConfigResponse, peer string) error {
+	if resp.Snapshot.GetVersion() > w.Version() {
+		view, err := config.FromSnapshot(resp.Snapshot)
+		if err != nil {
+			return err
+		}
+		w.take(view, peer)
+	}
+	return w.takeChanges(resp.Changes, peer)
+}
+
+// HandleFetchConfig answers a peer with the changes above its version, or with
+// the whole where they aren't kept.
+func (w *Watch) HandleFetchConfig(_ context.Context, req *pb.FetchConfigRequest) (*pb.FetchConfigResponse, error) {
+	w.mu.Lock()
+	view := w.held.Load()
+	recent := w.recent
+	w.mu.Unlock()
+	if view.Version() <= req.GetFromVersion() {
+		return &pb.FetchConfigResponse{}, nil
+	}
+	at := slices.IndexFunc(recent, func(c *pb.Change) bool { return c.Version == req.GetFromVersion()+1 })
+	if at >= 0 {
+		return &pb.FetchConfigResponse{Changes: recent[at:]}, nil
+	}
+	return &pb.FetchConfigResponse{Snapshot: view.Snapshot()}, nil
+}
+
+// byVersion returns members with the highest version first, and in random
+// order where they are equal, so that routers that start together ask
+// different peers.
+func byVersion(members []*pb.Member) []*pb.Member {
+	sorted := slices.Clone(members)
+	rand.Shuffle(len(sorted), func(i, j int) { sorted[i], sorted[j] = sorted[j], sorted[i] })
+	slices.SortStableFunc(sorted, func(a, b *pb.Member) int { return cmp.Compare(b.ConfigVersion, a.ConfigVersion) })
+	return sorted
+}
--- /dev/null
+++ b/router/configwatch/run.go
@@ -0,0 +1,143 @@
+package configwatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/router/configlog"
+)
+
+// Run keeps the configuration up to date until the context ends.
+func (w *Watch) Run(ctx context.Context) {
+	if !w.start(ctx) {
+		return
+	}
+	var loops conc.WaitGroup
+	loops.Go(func() { w.platformLoop(ctx) })
+	loops.Go(func() { w.peerLoop(ctx) })
+	loops.Wait()
+}
+
+// start asks the platform, and peers while that doesn't answer, until the
+// router is ready.
+func (w *Watch) start(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		if err := w.askPlatform(ctx); err != nil {
+			w.askPeers(ctx)
+		}
+		if w.becomeReady() {
+			return true
+		}
+		pause(ctx, w.options.Poll)
+	}
+	return false
+}
+
+// platformLoop reads the platform in this router's turns.
+func (w *Watch) platformLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, w.options.Poll)
+		now := w.options.Now()
+		slot := now.UnixNano() / int64(w.options.Poll)
+		if !w.options.Turn(slot) && now.Sub(w.lastOwn) < ownPollEvery {
+			continue
+		}
+		// The error is logged where it happens; the next turn tries again.
+		_ = w.askPlatform(ctx)
+	}
+}
+
+// peerLoop fetches what peers have above this router's version.
+func (w *Watch) peerLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case peer := <-w.offers:
+			if peer.ConfigVersion > w.Version() {
+				w.fetch(ctx, peer, fetchTimeout)
+			}
+		}
+	}
+}
+
+// askPlatform reads the change log and takes what is new.
+func (w *Watch) askPlatform(ctx context.Context) error {
+	w.lastOwn = w.options.Now().Add(-rand.N(ownPollEvery / 2))
+	version, err := configlog.Head(ctx, w.options.Platform)
+	if err == nil {
+		err = w.catchUp(ctx, version)
+	}
+	w.platformAnswered(version, err)
+	return err
+}
+
+func (w *Watch) catchUp(ctx context.Context, newest uint64) error {
+	held := w.Version()
+	if newest <= held {
+		return nil
+	}
+	if held == 0 || newest-held > configlog.SnapshotEvery {
+		view, err := configlog.Load(ctx, w.options.Platform)
+		if err != nil {
+			return err
+		}
+		w.take(view, "platform")
+		return nil
+	}
+	changes, err := configlog.Since(ctx, w.options.Platform, held)
+	if err != nil {
+		return err
+	}
+	return w.takeChanges(changes, "platform")
+}
+
+// platformAnswered notes whether the platform shows its newest version.
+func (w *Watch) platformAnswered(version uint64, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.source
+	w.source.platformAsked = true
+	w.source.platformAnswered = err == nil
+	if err == nil {
+		w.source.platformVersion = max(version, before.platformVersion)
+	}
+	if err != nil && (before.platformAnswered || !before.platformAsked) {
+		w.options.Log.Warn("config: the platform doesn't answer", zap.Error(err))
+		w.record(&pb.Event{Kind: pb.EventKind_EVENT_KIND_PLATFORM_DOWN})
+	}
+	if err == nil && before.platformAsked && !before.platformAnswered {
+		w.options.Log.Info("config: the platform answers again")
+		w.record(&pb.Event{Kind: pb.EventKind_EVENT_KIND_PLATFORM_UP})
+	}
+	if err == nil && version < w.Version() {
+		w.options.Log.Error("config: the platform shows an older version", zap.Uint64("version", version), zap.Uint64("held", w.Version()))
+	}
+}
+
+// askPeers fetches from live members, the highest version first, until one
+// answers.
+func (w *Watch) askPeers(ctx context.Context) {
+	for _, m := range byVersion(w.options.Peers.Members()) {
+		if w.fetch(ctx, m, firstFetchTimeout) {
+			w.mu.Lock()
+			w.source.peerAnswered = true
+			w.mu.Unlock()
+			return
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/router/membership/heartbeat.go
@@ -0,0 +1,118 @@
+package membership
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/errkind"
+)
+
+// call sends one heartbeat and takes what comes back.
+func (m *Membership) call(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := m.options.Call(ctx, address, m.request())
+	if err != nil || resp.GetReceiver() == nil {
+		m.failed(address)
+		return
+	}
+	m.answered(address, resp)
+}
+
+func (m *Membership) request() *pb.HeartbeatRequest {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return &pb.HeartbeatRequest{
+		Sender:         m.table.Self(),
+		Time:           m.time(),
+		LeavingTargets: m.leaving.Pushed(m.options.Now()),
+	}
+}
+
+func (m *Membership) time() *pb.HybridTime {
+	if m.options.Clock == nil {
+		return nil
+	}
+	return m.options.Clock.Now()
+}
+
+func (m *Membership) observe(t *pb.HybridTime) {
+	if m.options.Clock != nil {
+		m.options.Clock.Observe(t)
+	}
+}
+
+func (m *Membership) answered(address string, resp *pb.HeartbeatResponse) {
+	m.observe(resp.Time)
+	receiver := resp.Receiver
+	up := false
+	m.update(func(now time.Time) {
+		up = m.table.Answered(address, receiver, now)
+		m.hear(resp.LeavingTargets, now)
+	})
+	if up {
+		m.options.Log.Info("membership: peer is up", zap.String("peer", receiver.Name))
+		m.record(&pb.Event{Kind: pb.EventKind_EVENT_KIND_PEER_UP, Detail: receiver.Name})
+	}
+	m.options.OnVersion(receiver, receiver.ConfigVersion)
+}
+
+func (m *Membership) failed(address string) {
+	down := false
+	m.update(func(now time.Time) { down = m.table.Failed(address, now) })
+	if down {
+		m.options.Log.Warn("membership: peer doesn't answer", zap.String("address", address))
+		m.record(&pb.Event{Kind: pb.EventKind_EVENT_KIND_PEER_DOWN, Detail: address})
+	}
+}
+
+// HandleHeartbeat answers a peer's heartbeat.
+func (m *Membership) HandleHeartbeat(_ context.Context, req *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
+	sender := req.GetSender()
+	if sender.GetName() == "" || sender.GetPeerAddress() == "" {
+		return nil, errkind.New(errkind.BadRequest, "the heartbeat names no sender")
+	}
+	m.observe(req.Time)
+	var resp *pb.HeartbeatResponse
+	m.update(func(now time.Time) {
+		m.table.Heard(sender, now)
+		pushed := m.leaving.Pushed(now)
+		m.hear(req.LeavingTargets, now)
+		resp = &pb.HeartbeatResponse{Receiver: m.table.Self(), Time: m.time(), LeavingTargets: pushed}
+	})
+	m.options.OnVersion(sender, sender.ConfigVersion)
+	return resp, nil
+}
+
+// hear takes the leaving targets of a peer. The caller holds the lock.
+func (m *Membership) hear(targets []string, now time.Time) {
+	for _, target := range targets {
+		if m.leaving.Hear(target, now) {
+			m.recordLeaving(target, "peer")
+		}
+	}
+}
+
+// report takes a leaving target from a source. The caller holds the lock.
+func (m *Membership) report(target string, now time.Time) {
+	if m.leaving.Report(target, now) {
+		m.recordLeaving(target, "source")
+	}
+}
+
+func (m *Membership) recordLeaving(target, from string) {
+	m.options.Log.Info("membership: target is leaving", zap.String("target", target), zap.String("from", from))
+	m.record(&pb.Event{Kind: pb.EventKind_EVENT_KIND_TARGET_LEAVING, Target: target, Detail: from})
+}
+
+func (m *Membership) record(e *pb.Event) {
+	if m.options.Recorder != nil {
+		m.options.Recorder.Record(e)
+	}
+}
+
+func dutyKey(task string, slot int64) string { return task + "/" + strconv.FormatInt(slot, 10) }
