Add the first whole path of target calls, actions and picks

Cause: the caller door needs the API of target calls, at-most-once actions and the target table to be wired against.

- router/target: pooled calls, actions on a connection of their own, event streams with the end event checked, cancel, load report.
The exchange is sealed before a failure is told, so not_run is told only if no byte was written and none can be.
- errkind: new kind target_unreachable; the list lacked a kind for a call that was never sent because no connection was made.

--- a/fleet/errkind/errkind.go
+++ b/fleet/errkind/errkind.go
@@ -65,6 +65,8 @@
 	DeadlinePassed
 	// NoTarget is a service without a target that takes new work.
 	NoTarget
+	// TargetUnreachable is a target that couldn't be reached; nothing was sent.
+	TargetUnreachable
 	// TargetRefused is a target's own word that it didn't start.
 	TargetRefused
 	// TargetFailed is a target that failed after the request was sent.
@@ -149,6 +151,7 @@
 	Overloaded:          {"overloaded", http.StatusTooManyRequests, codes.ResourceExhausted, notRun, RetryLater},
 	DeadlinePassed:      {"deadline_passed", http.StatusGatewayTimeout, codes.DeadlineExceeded, notRun, RetryLater},
 	NoTarget:            {"no_target", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
+	TargetUnreachable:   {"target_unreachable", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
 	TargetRefused:       {"target_refused", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
 	TargetFailed:        {"target_failed", http.StatusBadGateway, codes.Unknown, unknown, RetryAsk},
 	TargetSilent:        {"target_silent", http.StatusGatewayTimeout, codes.Unknown, unknown, RetryAsk},
--- /dev/null
+++ b/router/actions/run.go
@@ -0,0 +1,147 @@
+package actions
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/action"
+	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/router/target"
+)
+
+// run is one attempt in progress.
+type run struct {
+	actions *Actions
+	req     Request
+	told    chan action.Outcome
+
+	mu      sync.Mutex
+	machine *action.Machine
+}
+
+// wait returns the outcome, or what is known of it when ctx ends.
+func (r *run) wait(ctx context.Context) (Outcome, error) {
+	stop := context.AfterFunc(ctx, func() { r.step((*action.Machine).Cancel) })
+	defer stop()
+	o := <-r.told
+	if o.State == pb.RunState_RUN_STATE_RAN {
+		return Outcome{State: o.State, Answer: fromAction(o.Answer), Replayed: o.Replayed}, nil
+	}
+	err := o.Err
+	if err.Kind == errkind.PlatformDown {
+		err = err.After(r.actions.opts.RetryInterval)
+	}
+	return Outcome{State: o.State}, err
+}
+
+// step feeds the machine one input and delivers what the caller is told.
+func (r *run) step(input func(*action.Machine) action.Step) action.Step {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := input(r.machine)
+	if s.Told != nil {
+		r.told <- *s.Told
+	}
+	return s
+}
+
+// drive carries out the machine's steps until none is left or the router ends.
+func (r *run) drive() {
+	life := r.actions.life
+	s := r.step((*action.Machine).Start)
+	for s.Effect != action.Finished {
+		if !sleep(life, r.actions.pause(s.Pause)) {
+			r.abandon()
+			return
+		}
+		s = r.carryOut(life, s)
+	}
+}
+
+// abandon tells a caller that still waits when the router ends.
+func (r *run) abandon() {
+	r.step((*action.Machine).Cancel)
+	r.actions.opts.Log.Warn("actions: an attempt was cut by the stop limit", zap.String("key", r.req.Key))
+}
+
+// carryOut does one effect and returns the next step.
+func (r *run) carryOut(ctx context.Context, s action.Step) action.Step {
+	key := action.RowKey(r.req.Workspace, r.req.Key)
+	switch s.Effect {
+	case action.Commit:
+		result := r.actions.commit(ctx, key, s)
+		r.note(s, result)
+		return r.step(func(m *action.Machine) action.Step { return m.OnCommit(result) })
+	case action.Read:
+		row, err := r.actions.read(ctx, key)
+		return r.step(func(m *action.Machine) action.Step { return m.OnRead(action.ReadResult{OK: err == nil, Row: row}) })
+	default:
+		result := r.send(ctx)
+		return r.step(func(m *action.Machine) action.Step { return m.OnSend(result) })
+	}
+}
+
+// send sends the action and waits for its answer, also when the caller is gone.
+func (r *run) send(ctx context.Context) action.SendResult {
+	ctx, cancel := context.WithTimeout(ctx, r.actions.opts.AnswerTimeout)
+	defer cancel()
+	answer, err := r.req.Send(ctx)
+	if err != nil {
+		return action.SendResult{Err: sendError(err)}
+	}
+	return action.SendResult{Answer: toAction(answer)}
+}
+
+// sendError returns the error of a send as a kind that is told truthfully: an
+// error without a kind of its own leaves the outcome unknown.
+func sendError(err error) *errkind.Error {
+	var e *errkind.Error
+	if !errors.As(err, &e) || e.Kind.Answer().Run == pb.RunState_RUN_STATE_RAN {
+		return errkind.Wrap(errkind.OutcomeUnknown, err, "the action's outcome is unknown")
+	}
+	return e
+}
+
+// note records the events of the time line.
+func (r *run) note(s action.Step, result action.CommitResult) {
+	if result.Outcome != action.CommitDone {
+		return
+	}
+	kind, ok := eventKinds[s.Write.State]
+	if !ok || r.actions.opts.Events == nil {
+		return
+	}
+	r.actions.opts.Events.Record(&pb.Event{Kind: kind, RequestId: r.req.Key, Workspace: r.req.Workspace, Detail: s.Write.Nonce})
+}
+
+var eventKinds = map[pb.ActionState]pb.EventKind{
+	pb.ActionState_ACTION_STATE_CLAIMED: pb.EventKind_EVENT_KIND_ACTION_CLAIMED,
+	pb.ActionState_ACTION_STATE_DONE:    pb.EventKind_EVENT_KIND_ACTION_DONE,
+	pb.ActionState_ACTION_STATE_VOID:    pb.EventKind_EVENT_KIND_ACTION_VOIDED,
+}
+
+// sleep waits and reports false when ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d == 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func toAction(a *target.Answer) *action.Answer {
+	return &action.Answer{Status: uint32(a.Status), ContentType: a.ContentType, Body: a.Body}
+}
+
+func fromAction(a *action.Answer) *target.Answer {
+	return &target.Answer{Status: int(a.Status), ContentType: a.ContentType, Body: a.Body}
+}
--- /dev/null
+++ b/router/target/control.go
@@ -0,0 +1,58 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/errkind"
+)
+
+// Cancel ends a stream at the engine and returns what it used.
+func (c *Client) Cancel(ctx context.Context, target *pb.Target, requestID, stream string) (Usage, error) {
+	answer, err := c.Do(ctx, Call{
+		Target:    target,
+		RequestID: requestID,
+		Method:    http.MethodDelete,
+		Path:      streamPath(stream),
+	})
+	if err != nil {
+		return Usage{}, err
+	}
+	if answer.Status == http.StatusNotFound {
+		return Usage{}, errkind.New(errkind.UnknownRequest, "target %s doesn't know the stream", target.GetName())
+	}
+	return answer.Usage, nil
+}
+
+// Load is a target's own report. It lags.
+type Load struct {
+	// InFlight and Queued count requests.
+	InFlight int `json:"in_flight"`
+	Queued   int `json:"queued"`
+	// Leaving says that the target takes no new work.
+	Leaving bool `json:"leaving"`
+}
+
+// loadRequestID is the request id of load reports.
+const loadRequestID = "load"
+
+// Load asks a target for its report.
+func (c *Client) Load(ctx context.Context, target *pb.Target) (Load, error) {
+	answer, err := c.Do(ctx, Call{
+		Target:    target,
+		RequestID: loadRequestID,
+		Method:    http.MethodGet,
+		Path:      "/v1/load",
+	})
+	if err != nil {
+		return Load{}, err
+	}
+	var load Load
+	err = json.Unmarshal(answer.Body, &load)
+	if err != nil || answer.Status != http.StatusOK {
+		return Load{}, errkind.New(errkind.TargetFailed, "target %s gave no load report", target.GetName())
+	}
+	return load, nil
+}
--- /dev/null
+++ b/router/target/stream.go
@@ -0,0 +1,282 @@
+package target
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"cuminrock.example/fleet/errkind"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// The names and markers of the event stream.
+const (
+	endEvent   = "end"
+	doneMarker = "[DONE]"
+)
+
+// errNotWhole marks a stream whose end event doesn't match what came.
+var errNotWhole = errors.New("stream isn't whole")
+
+// End is the end event of a stream. A stream without it isn't whole.
+type End struct {
+	Usage Usage `json:"usage"`
+	// Length is the number of bytes of all contents.
+	Length int64 `json:"length"`
+	// SHA256 is the hexadecimal digest of all contents.
+	SHA256 string `json:"sha256"`
+}
+
+// Event is one event of a stream.
+type Event struct {
+	// Offset counts the stream's events from 0.
+	Offset int64
+	// Data is the JSON of the event.
+	Data []byte
+	// End is set on the last event only.
+	End *End
+}
+
+// Stream is a streamed answer. It isn't safe for concurrent use.
+type Stream struct {
+	x      *inProgress
+	id     string
+	lines  *bufio.Reader
+	next   int64
+	digest hash.Hash
+	length int64
+	// whole says that the digest covers the stream from its first event.
+	whole bool
+	ended bool
+}
+
+// Stream sends a model call and returns when the header of its answer came.
+func (c *Client) Stream(ctx context.Context, call Call) (*Stream, error) {
+	x, err := c.open(ctx, call, c.pooled(call.Target.GetAddress()))
+	if err != nil {
+		return nil, err
+	}
+	return newStream(x, x.resp.Header.Get(headerStream), 0)
+}
+
+// Resume continues the stream of an earlier call from an offset. The contents'
+// digest can be checked only from offset 0; Stream.Continue checks it always.
+func (c *Client) Resume(ctx context.Context, call Call, stream string, from int64) (*Stream, error) {
+	call.Method = http.MethodGet
+	call.Path = streamPath(stream) + "?from=" + strconv.FormatInt(from, 10)
+	call.Body = nil
+	x, err := c.open(ctx, call, c.pooled(call.Target.GetAddress()))
+	if err != nil {
+		return nil, err
+	}
+	return newStream(x, stream, from)
+}
+
+// Continue resumes a broken stream where it stopped, on another connection.
+func (s *Stream) Continue(ctx context.Context) (*Stream, error) {
+	s.Close()
+	resumed, err := s.x.client.Resume(ctx, s.x.call, s.id, s.next)
+	if err != nil {
+		return nil, err
+	}
+	resumed.digest = s.digest
+	resumed.length = s.length
+	resumed.whole = s.whole
+	return resumed, nil
+}
+
+func newStream(x *inProgress, id string, from int64) (*Stream, error) {
+	status := x.resp.StatusCode
+	if status == http.StatusNotFound {
+		x.close()
+		return nil, errkind.New(errkind.UnknownRequest, "target %s doesn't know the stream", x.call.Target.GetName())
+	}
+	if status != http.StatusOK || id == "" {
+		return nil, x.fail(errStatus(status))
+	}
+	return &Stream{
+		x:      x,
+		id:     id,
+		lines:  bufio.NewReader(watchedBody{x}),
+		next:   from,
+		digest: sha256.New(),
+		whole:  from == 0,
+	}, nil
+}
+
+// ID returns the engine's name of the stream.
+func (s *Stream) ID() string { return s.id }
+
+// Close ends the stream. It doesn't cancel it at the engine.
+func (s *Stream) Close() { s.x.close() }
+
+// Next returns the next event. After the end event it returns io.EOF. A stream
+// that breaks before its end event, or doesn't match it, returns an error.
+func (s *Stream) Next(ctx context.Context) (Event, error) {
+	if s.ended {
+		return Event{}, io.EOF
+	}
+	stop := context.AfterFunc(ctx, func() { s.x.cancel(context.Cause(ctx)) })
+	defer stop()
+	frame, err := s.readFrame()
+	if err != nil {
+		return Event{}, s.x.fail(err)
+	}
+	event, err := s.accept(frame)
+	if err != nil {
+		return Event{}, s.x.fail(err)
+	}
+	if event.End != nil {
+		s.ended = true
+		s.drain()
+	}
+	return event, nil
+}
+
+// drain reads what follows the end event, so that the connection is reused.
+func (s *Stream) drain() {
+	_, err := s.readFrame()
+	if err == nil {
+		_, _ = io.CopyN(io.Discard, s.lines, 1)
+	}
+	s.Close()
+}
+
+// frame is one event as it came.
+type frame struct {
+	id    string
+	event string
+	data  []byte
+}
+
+// readFrame reads lines to the next empty one.
+func (s *Stream) readFrame() (frame, error) {
+	var f frame
+	size := 0
+	for {
+		line, err := s.lines.ReadBytes('\n')
+		if err != nil {
+			return f, noEOF(err)
+		}
+		size += len(line)
+		if size > maxEventBytes {
+			return f, errTooLong
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 && f.data != nil {
+			return f, nil
+		}
+		f.add(line)
+	}
+}
+
+func noEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+func (f *frame) add(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		f.id = string(value)
+	case "event":
+		f.event = string(value)
+	case "data":
+		f.data = append(f.data, value...)
+	}
+}
+
+// chunk is the part of an event's JSON that is checked.
+type chunk struct {
+	End
+	ID      string `json:"id"`
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+}
+
+// accept checks one event's request id, stream and offset.
+func (s *Stream) accept(f frame) (Event, error) {
+	if string(f.data) == doneMarker {
+		return Event{}, fmt.Errorf("%w: no end event", errNotWhole)
+	}
+	var c chunk
+	err := json.Unmarshal(f.data, &c)
+	if err != nil {
+		return Event{}, err
+	}
+	if c.ID != s.x.call.RequestID {
+		return Event{}, errMismatch
+	}
+	stream, offset, err := splitEventID(f.id)
+	if err != nil {
+		return Event{}, err
+	}
+	if stream != s.id {
+		return Event{}, errMismatch
+	}
+	if f.event == endEvent {
+		return Event{Offset: offset, Data: f.data, End: &c.End}, s.checkEnd(&c.End)
+	}
+	if offset != s.next {
+		return Event{}, fmt.Errorf("%w: event %d came in place of %d", errNotWhole, offset, s.next)
+	}
+	s.next++
+	s.sum(&c)
+	return Event{Offset: offset, Data: f.data}, nil
+}
+
+// sum adds an event's contents to the digest.
+func (s *Stream) sum(c *chunk) {
+	for i := range c.Choices {
+		n, _ := io.WriteString(s.digest, c.Choices[i].Delta.Content)
+		s.length += int64(n)
+	}
+}
+
+// checkEnd compares the end event with what came.
+func (s *Stream) checkEnd(end *End) error {
+	if end.Usage.CompletionTokens != s.next {
+		return fmt.Errorf("%w: %d of %d tokens came", errNotWhole, s.next, end.Usage.CompletionTokens)
+	}
+	if !s.whole {
+		return nil
+	}
+	if end.Length != s.length {
+		return fmt.Errorf("%w: %d of %d bytes came", errNotWhole, s.length, end.Length)
+	}
+	if !strings.EqualFold(end.SHA256, hex.EncodeToString(s.digest.Sum(nil))) {
+		return fmt.Errorf("%w: digest differs", errNotWhole)
+	}
+	return nil
+}
+
+func splitEventID(id string) (stream string, offset int64, err error) {
+	cut := strings.LastIndexByte(id, '/')
+	if cut < 0 {
+		return "", 0, fmt.Errorf("event id %q lacks an offset", id)
+	}
+	offset, err = strconv.ParseInt(id[cut+1:], 10, 64)
+	return id[:cut], offset, err
+}
+
+func streamPath(stream string) string { return "/v1/streams/" + url.PathEscape(stream) }
