Add the stand-ins and the command that runs them

Cause: tests, the demo and the load tool need a platform and targets that can be out, slow, silent, late, crossed or dead on order, as processes.

standin/platform serves the three platform services on any number of doors with faults for all or for one door, so that one data centre can be cut off. standin/engine streams text that follows from seed and body, by a timer wheel of 1 ms; standin/service counts executions. cuminrockctl emulate runs each.

Ruled out: a timer per token, which drifts by its own lateness; the wheel keeps each stream's due times in a row from its start. Refusing work while a target is leaving, which would hide a router that still sends it: such runs are served and counted instead.

--- /dev/null
+++ b/ctl/cmd/cuminrockctl/main.go
@@ -0,0 +1,36 @@
+// Command cuminrockctl is the operators' command line of cuminrock.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"cuminrock.example/ctl/cli"
+	"cuminrock.example/ctl/emulatecmd"
+)
+
+func main() {
+	os.Exit(int(run()))
+}
+
+func run() subcommands.ExitStatus {
+	env := cli.OS()
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	register("stand-ins", emulatecmd.Commands(env))
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return subcommands.Execute(ctx)
+}
+
+func register(group string, commands []subcommands.Command) {
+	for _, c := range commands {
+		subcommands.Register(c, group)
+	}
+}
--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,186 @@
+package engine
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminrock.example/standin/target"
+)
+
+const body = `{"model":"m","messages":[{"role":"user","content":"who was born?"}],"max_tokens":40,"stream":true}`
+
+func start(t *testing.T, opts Options) *Engine {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	opts.Seed = 7
+	e := New(opts)
+	serve := e.Open(lis)
+	go serve()
+	t.Cleanup(e.Close)
+	return e
+}
+
+func post(t *testing.T, e *Engine, id string) *http.Response {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+e.Addr()+"/v1/chat/completions", strings.NewReader(body))
+	is.New(t).NoErr(err)
+	req.Header.Set(target.HeaderRequestID, id)
+	resp, err := http.DefaultClient.Do(req)
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+var fast = Options{TokensPerSecond: 2000, FirstToken: time.Millisecond}
+
+func TestStreamIsWholeAndResumesByteIdentical(t *testing.T) {
+	is := is.New(t)
+	e := start(t, fast)
+	resp := post(t, e, "r1")
+	whole, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(resp.Header.Get(target.HeaderRequestID), "r1")
+	stream := resp.Header.Get(target.HeaderStream)
+	for _, from := range []int{0, 1, 17, 40} {
+		again, err := http.Get(fmt.Sprintf("http://%s/v1/streams/%s?from=%d", e.Addr(), stream, from))
+		is.NoErr(err)
+		rest, err := io.ReadAll(again.Body)
+		is.NoErr(err)
+		again.Body.Close()
+		is.Equal(again.Header.Get(target.HeaderRequestID), "r1")
+		is.True(bytes.HasSuffix(whole, rest))
+		is.True(bytes.HasPrefix(rest, fmt.Appendf(nil, "id: %s/%d\n", stream, from)))
+	}
+	is.Equal(e.Runs("r1"), 1) // a resume is no run
+	checkEnd(t, whole, 40)
+}
+
+// checkEnd compares the end event with the contents of the tokens.
+func checkEnd(t *testing.T, events []byte, tokens int64) {
+	t.Helper()
+	is := is.New(t)
+	var text strings.Builder
+	var end endMessage
+	for line := range strings.Lines(string(events)) {
+		data, isData := strings.CutPrefix(line, "data: {")
+		if !isData {
+			continue
+		}
+		var chunk struct {
+			Choices []struct{ Delta struct{ Content string } }
+			endMessage
+		}
+		is.NoErr(json.Unmarshal([]byte("{"+data), &chunk))
+		if len(chunk.Choices) == 0 {
+			end = chunk.endMessage
+			continue
+		}
+		text.WriteString(chunk.Choices[0].Delta.Content)
+	}
+	sum := sha256.Sum256([]byte(text.String()))
+	is.Equal(end.Usage.CompletionTokens, tokens)
+	is.Equal(end.Length, text.Len())
+	is.Equal(end.SHA256, hex.EncodeToString(sum[:]))
+}
+
+func TestSameRequestTwiceIsTwoRuns(t *testing.T) {
+	is := is.New(t)
+	e := start(t, fast)
+	io.ReadAll(post(t, e, "r1").Body)
+	io.ReadAll(post(t, e, "r1").Body)
+	is.Equal(e.Runs("r1"), 2)
+	is.Equal(e.Counts().Repeated, 1)
+}
+
+func TestDeathInMidStreamLeavesTheStreamToResume(t *testing.T) {
+	is := is.New(t)
+	e := start(t, fast)
+	is.NoErr(e.SetFaults(target.Faults{DieNext: 1, DieAtToken: 5}))
+	resp := post(t, e, "r1")
+	part, err := io.ReadAll(resp.Body)
+	is.True(err != nil) // the connection is cut
+	is.Equal(bytes.Count(part, []byte("delta")), 5)
+	again, err := http.Get("http://" + e.Addr() + "/v1/streams/" + resp.Header.Get(target.HeaderStream) + "?from=5")
+	is.NoErr(err)
+	rest, err := io.ReadAll(again.Body)
+	is.NoErr(err)
+	again.Body.Close()
+	checkEnd(t, append(part, rest...), 40)
+}
+
+func TestRefusalsDoNotRun(t *testing.T) {
+	is := is.New(t)
+	e := start(t, Options{Slots: 1, Queue: 1, FirstToken: time.Hour})
+	is.NoErr(e.SetFaults(target.Faults{RefuseNext: 1}))
+	refused := post(t, e, "r0")
+	is.Equal(refused.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(refused.Header.Get(target.HeaderRunState), target.RunStateNotRun)
+	post(t, e, "r1")
+	post(t, e, "r2")
+	full := post(t, e, "r3")
+	is.Equal(full.StatusCode, http.StatusTooManyRequests)
+	is.Equal(full.Header.Get(target.HeaderRunState), target.RunStateNotRun)
+	is.Equal(e.Runs("r0")+e.Runs("r2")+e.Runs("r3"), 0)
+	is.Equal(e.Runs("r1"), 1)
+}
+
+func TestCancelFreesTheSlotAndTellsUsage(t *testing.T) {
+	is := is.New(t)
+	e := start(t, Options{Slots: 1, FirstToken: time.Hour})
+	first := post(t, e, "r1")
+	post(t, e, "r2")
+	req, err := http.NewRequest(http.MethodDelete, "http://"+e.Addr()+"/v1/streams/"+first.Header.Get(target.HeaderStream), nil)
+	is.NoErr(err)
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	var answer cancelMessage
+	is.NoErr(json.NewDecoder(resp.Body).Decode(&answer))
+	is.Equal(answer.Usage.CompletionTokens, int64(0))
+	is.Equal(e.Runs("r2"), 1) // the queued request has the slot now
+}
+
+func TestCrossedAnswerEchoesAnotherID(t *testing.T) {
+	is := is.New(t)
+	e := start(t, fast)
+	is.NoErr(e.SetFaults(target.Faults{CrossNext: 1}))
+	is.True(post(t, e, "r1").Header.Get(target.HeaderRequestID) != "r1")
+	is.Equal(post(t, e, "r2").Header.Get(target.HeaderRequestID), "r2")
+}
+
+func TestReservedTokensBoundTheAnswer(t *testing.T) {
+	is := is.New(t)
+	chat := &chatRequest{MaxTokens: 40}
+	is.Equal(answerTokens(chat, 5, ""), 40)
+	is.Equal(answerTokens(chat, 5, "25"), 20)
+	is.Equal(answerTokens(chat, 5, "3"), 0)
+}
+
+func TestWheelGivesEachStreamAtItsTick(t *testing.T) {
+	is := is.New(t)
+	var w wheel
+	w.add(&stream{id: "now"}, 0)
+	w.add(&stream{id: "later"}, 5*tick)
+	w.add(&stream{id: "far"}, 10*wheelSlots*tick)
+	seen := make(map[string]int64)
+	for now := int64(1); now < wheelSlots; now++ {
+		due, ok := w.take(time.Duration(now)*tick, nil)
+		is.True(ok)
+		for _, s := range due {
+			seen[s.id] = now
+		}
+	}
+	is.Equal(seen, map[string]int64{"now": 1, "later": 5, "far": wheelSlots - 1})
+}
--- /dev/null
+++ b/standin/engine/messages.go
@@ -0,0 +1,94 @@
+package engine
+
+import (
+	"encoding/json"
+	"strconv"
+)
+
+// chatRequest is the part of a request body that the engine reads.
+type chatRequest struct {
+	Model     string        `json:"model"`
+	Messages  []chatMessage `json:"messages"`
+	MaxTokens int           `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// promptBytesPerToken is how many bytes of prompt make one token.
+const promptBytesPerToken = 4
+
+// promptTokens returns the tokens of the prompt, at least one.
+func (r *chatRequest) promptTokens() int {
+	bytes := 0
+	for _, m := range r.Messages {
+		bytes += len(m.Content)
+	}
+	return 1 + bytes/promptBytesPerToken
+}
+
+// Usage is what a request ran.
+type Usage struct {
+	PromptTokens     int64 `json:"prompt_tokens"`
+	CompletionTokens int64 `json:"completion_tokens"`
+}
+
+// endMessage is the data of the end event.
+type endMessage struct {
+	ID     string `json:"id"`
+	Usage  Usage  `json:"usage"`
+	Length int    `json:"length"`
+	SHA256 string `json:"sha256"`
+}
+
+// wholeMessage is the answer of a request that does not stream.
+type wholeMessage struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Choices []wholeChoice `json:"choices"`
+	Usage   Usage         `json:"usage"`
+}
+
+type wholeChoice struct {
+	Index        int         `json:"index"`
+	Message      chatMessage `json:"message"`
+	FinishReason string      `json:"finish_reason"`
+}
+
+// cancelMessage is the answer to a cancel.
+type cancelMessage struct {
+	Usage Usage `json:"usage"`
+}
+
+// appendToken appends the event of one token.
+func appendToken(b []byte, stream string, offset int, idJSON []byte, content string) []byte {
+	b = appendEventID(b, stream, offset)
+	b = append(b, `data: {"id":`...)
+	b = append(b, idJSON...)
+	b = append(b, `,"object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":"`...)
+	b = append(b, content...)
+	return append(b, "\"}}]}\n\n"...)
+}
+
+// appendEnd appends the end event and the line that clients wait for.
+func appendEnd(b []byte, stream string, offset int, end endMessage) []byte {
+	data, err := json.Marshal(end)
+	if err != nil {
+		panic(err) // the message holds only strings and numbers
+	}
+	b = appendEventID(b, stream, offset)
+	b = append(b, "event: end\ndata: "...)
+	b = append(b, data...)
+	return append(b, "\n\ndata: [DONE]\n\n"...)
+}
+
+func appendEventID(b []byte, stream string, offset int) []byte {
+	b = append(b, "id: "...)
+	b = append(b, stream...)
+	b = append(b, '/')
+	b = strconv.AppendInt(b, int64(offset), 10)
+	return append(b, '\n')
+}
--- /dev/null
+++ b/standin/engine/options.go
@@ -0,0 +1,54 @@
+package engine
+
+import "time"
+
+// Options configures an Engine. Zero fields take the defaults named with
+// them.
+type Options struct {
+	// Seed and the request body determine the text.
+	Seed uint64
+	// TokensPerSecond is the rate of one stream. Default 25.
+	TokensPerSecond float64
+	// FirstToken is the time from a stream's start to its first token.
+	// Default 20 ms.
+	FirstToken time.Duration
+	// Slots is how many streams run at once. Default 256.
+	Slots int
+	// Queue is how many requests wait for a slot at most; those beyond are
+	// answered not_run. Default 1,024.
+	Queue int
+	// Keep is how long a finished stream can be resumed. Default 60 s.
+	Keep time.Duration
+}
+
+const (
+	defaultTokensPerSecond = 25
+	defaultFirstToken      = 20 * time.Millisecond
+	defaultSlots           = 256
+	defaultQueue           = 1024
+	defaultKeep            = time.Minute
+)
+
+func (o Options) withDefaults() Options {
+	if o.TokensPerSecond <= 0 {
+		o.TokensPerSecond = defaultTokensPerSecond
+	}
+	if o.FirstToken <= 0 {
+		o.FirstToken = defaultFirstToken
+	}
+	if o.Slots <= 0 {
+		o.Slots = defaultSlots
+	}
+	if o.Queue <= 0 {
+		o.Queue = defaultQueue
+	}
+	if o.Keep <= 0 {
+		o.Keep = defaultKeep
+	}
+	return o
+}
+
+// interval is the time between two tokens of a stream.
+func (o Options) interval() time.Duration {
+	return time.Duration(float64(time.Second) / o.TokensPerSecond)
+}
--- /dev/null
+++ b/standin/target/door.go
@@ -0,0 +1,195 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"cuminrock.example/standin/control"
+)
+
+// Headers of the protocol between router and target.
+const (
+	HeaderRequestID      = "Cuminrock-Request-Id"
+	HeaderMaxTokens      = "Cuminrock-Max-Tokens"
+	HeaderRunState       = "Cuminrock-Run-State"
+	HeaderStream         = "Cuminrock-Stream"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// RunStateNotRun is the value of HeaderRunState of a call not started.
+	RunStateNotRun = "not_run"
+)
+
+// headerTimeout bounds the wait for a request's header.
+const headerTimeout = 10 * time.Second
+
+// Door is the HTTP/1.1 and HTTP/2 door of one target with its faults. It is
+// safe for concurrent use.
+type Door struct {
+	gate    gate
+	past    lagged
+	load    func() LoadReport
+	closed  chan struct{}
+	once    sync.Once
+	stalled atomic.Bool
+	// serial makes the ids of crossed answers differ.
+	serial atomic.Uint64
+
+	mu     sync.Mutex
+	lis    *listener
+	server *http.Server
+}
+
+// NewDoor returns a door. load tells the target's load as it is now; the
+// door adds the leaving mark and the lag.
+func NewDoor(load func() LoadReport) *Door {
+	return &Door{load: load, closed: make(chan struct{})}
+}
+
+// Open takes the listener and returns the function that serves handler on it
+// until Close.
+func (d *Door) Open(lis net.Listener, handler http.Handler) (serve func() error) {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lis = newListener(lis)
+	d.server = &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: headerTimeout}
+	return func() error {
+		err := d.server.Serve(d.lis)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return trace.Wrap(err)
+	}
+}
+
+// Addr returns host:port, empty before Open.
+func (d *Door) Addr() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.lis == nil {
+		return ""
+	}
+	return d.lis.Addr().String()
+}
+
+// Close ends the door and its connections.
+func (d *Door) Close() {
+	d.once.Do(func() { close(d.closed) })
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.server != nil {
+		_ = d.server.Close()
+	}
+}
+
+// SetFaults replaces all faults.
+func (d *Door) SetFaults(f Faults) error {
+	err := f.check()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.gate.set(f)
+	d.stalled.Store(f.Stall)
+	d.RecordLoad()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.lis != nil {
+		d.lis.silence(f.Silence)
+	}
+	return nil
+}
+
+// Faults returns the faults in force, with what is left of the counted ones.
+func (d *Door) Faults() Faults { return d.gate.get() }
+
+// Stalled tells whether all answers are silent now.
+func (d *Door) Stalled() bool { return d.stalled.Load() }
+
+// NextFate decides what happens to the next request.
+func (d *Door) NextFate() Fate { return d.gate.next() }
+
+// RecordLoad keeps the load of now for reports that lag.
+func (d *Door) RecordLoad() { d.past.record(time.Now(), d.currentLoad()) }
+
+func (d *Door) currentLoad() LoadReport {
+	r := d.load()
+	r.Leaving = d.gate.get().Leaving
+	return r
+}
+
+// ServeLoad answers GET /v1/load.
+func (d *Door) ServeLoad(w http.ResponseWriter, _ *http.Request) {
+	lag := time.Duration(d.gate.get().LoadLagMs) * time.Millisecond
+	if lag == 0 {
+		control.Encode(w, d.currentLoad())
+		return
+	}
+	control.Encode(w, d.past.at(time.Now().Add(-lag)))
+}
+
+// Echo sets the answer's request id: the request's own, or another one for a
+// crossed answer. It returns the id that was set.
+func (d *Door) Echo(w http.ResponseWriter, id string, fate Fate) string {
+	if fate == Crossed {
+		id = crossedID(d.serial.Add(1))
+	}
+	w.Header().Set(HeaderRequestID, id)
+	return id
+}
+
+// Refuse answers a request that was not started.
+func (d *Door) Refuse(w http.ResponseWriter, status int, reason string) {
+	w.Header().Set(HeaderRunState, RunStateNotRun)
+	http.Error(w, reason, status)
+}
+
+// Withhold waits while the fate or a stall keeps an answer back. It returns
+// false when the caller is gone or the door is closed.
+func (d *Door) Withhold(ctx context.Context, fate Fate) bool {
+	if fate == Late {
+		late := time.Duration(d.gate.get().LateMs) * time.Millisecond
+		if !d.Sleep(ctx, late) {
+			return false
+		}
+	}
+	for d.Stalled() {
+		if !d.Sleep(ctx, stallPoll) {
+			return false
+		}
+	}
+	return true
+}
+
+// stallPoll is the time between two looks at the end of a stall.
+const stallPoll = 10 * time.Millisecond
+
+// Sleep waits and returns false when the caller is gone or the door closed.
+func (d *Door) Sleep(ctx context.Context, t time.Duration) bool {
+	if t <= 0 {
+		return true
+	}
+	timer := time.NewTimer(t)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-d.closed:
+		return false
+	}
+}
+
+// Closed is closed when the door is.
+func (d *Door) Closed() <-chan struct{} { return d.closed }
+
+// Abort cuts the connection of a request in progress.
+func Abort() { panic(http.ErrAbortHandler) }
--- /dev/null
+++ b/standin/target/faults.go
@@ -0,0 +1,142 @@
+package target
+
+import (
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Silence is what a silent connection swallows.
+type Silence string
+
+// The kinds of silence.
+const (
+	// SilenceNone leaves connections alone.
+	SilenceNone Silence = ""
+	// SilenceBoth swallows what comes and what goes: a request sent on such
+	// a connection never reaches the target.
+	SilenceBoth Silence = "both"
+	// SilenceAnswers swallows only what the target sends: a request runs.
+	SilenceAnswers Silence = "answers"
+)
+
+// Faults are the faults of one target. The zero value is a healthy target.
+// Fields named Next hit that many of the requests that follow, in the order
+// Refuse, Fail, Die, Late, Cross; one request is hit by one of them.
+type Faults struct {
+	// Leaving is told in the load report; requests are still served, so that
+	// work sent to a leaving target shows in its counts.
+	Leaving bool `json:"leaving,omitempty"`
+	// Refuse answers every request not_run.
+	Refuse bool `json:"refuse,omitempty"`
+	// Stall makes all answers go silent while connections stay open.
+	Stall bool `json:"stall,omitempty"`
+	// RefuseNext requests are answered not_run.
+	RefuseNext int `json:"refuse_next,omitempty"`
+	// FailNext requests are answered 500 without a run state; a plain service
+	// executes them first.
+	FailNext int `json:"fail_next,omitempty"`
+	// DieNext requests have their connection cut: a stream after DieAtToken
+	// tokens, a plain call after it was executed.
+	DieNext    int `json:"die_next,omitempty"`
+	DieAtToken int `json:"die_at_token,omitempty"`
+	// LateNext requests run at once and are answered after LateMs
+	// milliseconds.
+	LateNext int   `json:"late_next,omitempty"`
+	LateMs   int64 `json:"late_ms,omitempty"`
+	// CrossNext requests are answered with another request's id.
+	CrossNext int `json:"cross_next,omitempty"`
+	// ForgetStreams makes an engine answer 404 to every resume.
+	ForgetStreams bool `json:"forget_streams,omitempty"`
+	// OverUsageTokens are told in every usage beyond what was generated.
+	OverUsageTokens int64 `json:"over_usage_tokens,omitempty"`
+	// LoadLagMs is the age of the load report, in milliseconds.
+	LoadLagMs int64 `json:"load_lag_ms,omitempty"`
+	// SlowPercent lengthens the service time and the token interval: 100
+	// doubles them.
+	SlowPercent int `json:"slow_percent,omitempty"`
+	// Silence makes the connections that are open now silent for good; new
+	// ones work. It acts once, when it is set.
+	Silence Silence `json:"silence,omitempty"`
+}
+
+func (f Faults) check() error {
+	switch f.Silence {
+	case SilenceNone, SilenceBoth, SilenceAnswers:
+	default:
+		return trace.BadParameter("silence: unknown value %q", f.Silence)
+	}
+	if min(f.LateMs, f.LoadLagMs, f.OverUsageTokens, int64(f.SlowPercent), int64(f.DieAtToken)) < 0 {
+		return trace.BadParameter("a time or an amount is negative")
+	}
+	return nil
+}
+
+// Fate is what happens to one request.
+type Fate int
+
+// The fates.
+const (
+	// Answered requests are served.
+	Answered Fate = iota
+	// Refused requests are answered not_run.
+	Refused
+	// Failed requests are answered 500.
+	Failed
+	// Dies cuts the connection.
+	Dies
+	// Late withholds the answer.
+	Late
+	// Crossed echoes another request's id.
+	Crossed
+)
+
+// gate holds the faults in force.
+type gate struct {
+	mu     sync.Mutex
+	faults Faults
+}
+
+func (g *gate) set(f Faults) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.faults = f
+}
+
+func (g *gate) get() Faults {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.faults
+}
+
+// next decides the fate of the next request and counts it down.
+func (g *gate) next() Fate {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.faults.Refuse {
+		return Refused
+	}
+	ordered := []struct {
+		left *int
+		fate Fate
+	}{
+		{&g.faults.RefuseNext, Refused},
+		{&g.faults.FailNext, Failed},
+		{&g.faults.DieNext, Dies},
+		{&g.faults.LateNext, Late},
+		{&g.faults.CrossNext, Crossed},
+	}
+	for _, o := range ordered {
+		if *o.left > 0 {
+			*o.left--
+			return o.fate
+		}
+	}
+	return Answered
+}
+
+// Lengthen returns a time lengthened by the faults' SlowPercent.
+func (f Faults) Lengthen(d time.Duration) time.Duration {
+	return d + d*time.Duration(f.SlowPercent)/100
+}
--- /dev/null
+++ b/standin/target/runs.go
@@ -0,0 +1,55 @@
+package target
+
+import (
+	"maps"
+	"strconv"
+	"sync"
+)
+
+// Runs counts how often each id ran. It is safe for concurrent use.
+type Runs struct {
+	mu   sync.Mutex
+	byID map[string]int
+}
+
+// Add counts one run and returns how many the id has now.
+func (r *Runs) Add(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.byID == nil {
+		r.byID = make(map[string]int)
+	}
+	r.byID[id]++
+	return r.byID[id]
+}
+
+// Snapshot returns the runs by id.
+func (r *Runs) Snapshot() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.byID)
+}
+
+// Count returns the runs of one id.
+func (r *Runs) Count(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.byID[id]
+}
+
+// Repeated returns how many ids ran more than once.
+func (r *Runs) Repeated() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	repeated := 0
+	for _, n := range r.byID {
+		if n > 1 {
+			repeated++
+		}
+	}
+	return repeated
+}
+
+func crossedID(serial uint64) string {
+	return "crossed-" + strconv.FormatUint(serial, 10)
+}
