Add the load tool: seeded open-loop load with checked answers

Times count from the planned arrival. Each streamed answer is checked for its id, offsets, length and digest.

Ruled out: a closed loop with N workers, which slows the load when the system is slow and hides its queueing; sending each request at random to the engine or the router, which would halve the router's load.

--- a/ctl/cmd/cuminrockctl/main.go
+++ b/ctl/cmd/cuminrockctl/main.go
@@ -12,6 +12,7 @@
 
 	"cuminrock.example/ctl/cli"
 	"cuminrock.example/ctl/emulatecmd"
+	"cuminrock.example/ctl/loadcmd"
 )
 
 func main() {
@@ -23,6 +24,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	register("stand-ins", emulatecmd.Commands(env))
+	register("load", loadcmd.Commands(env))
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
--- /dev/null
+++ b/ctl/loadgen/phase.go
@@ -0,0 +1,132 @@
+package loadgen
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+// phase is one load against one goal.
+type phase struct {
+	opts   *Options
+	goal   Goal
+	run    string
+	client *http.Client
+	tally  *tally
+	start  time.Time
+}
+
+// Run makes the load of opts against a goal and reports it. run names the
+// run in the request ids, which must be new to the system. It ends early when
+// ctx does.
+func Run(ctx context.Context, opts *Options, goal Goal, run string) *Phase {
+	p := &phase{
+		opts:   opts,
+		goal:   goal,
+		run:    run,
+		client: newClient(opts.Timeout),
+		tally:  newTally(),
+		start:  time.Now(),
+	}
+	defer p.client.CloseIdleConnections()
+	cpuBefore := ownCPU()
+	p.serveArrivals(ctx)
+	report := p.tally.report(time.Since(p.start))
+	report.Goal = goal
+	report.LoadCPUCores = (ownCPU() - cpuBefore).Seconds() / time.Since(p.start).Seconds()
+	return report
+}
+
+// serveArrivals sends each request at its time and waits for all answers.
+func (p *phase) serveArrivals(ctx context.Context) {
+	var requests conc.WaitGroup
+	defer requests.Wait()
+	plan := newSchedule(p.opts)
+	for {
+		a, ok := plan.draw()
+		if !ok || !sleepUntil(ctx, p.start.Add(a.at)) {
+			return
+		}
+		requests.Go(func() { p.request(ctx, a) })
+	}
+}
+
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	wait := time.Until(t)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// request makes one request and tallies what became of it.
+func (p *phase) request(ctx context.Context, a arrival) {
+	p.tally.opened()
+	defer p.tally.closed()
+	id := fmt.Sprintf("load-%s-%d", p.run, a.number)
+	out := outcome{call: a.call.Kind, timed: a.at >= p.opts.Warmup}
+	p.exchange(ctx, a, id, &out)
+	p.tally.add(&out)
+}
+
+// exchange sends one request and checks its answer.
+func (p *phase) exchange(ctx context.Context, a arrival, id string, out *outcome) {
+	planned := p.start.Add(a.at)
+	req, err := p.newRequest(ctx, a, id)
+	if err != nil {
+		out.verdict = Unreachable
+		out.kind = err.Error()
+		return
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		out.verdict = Unreachable
+		out.kind = "no_answer"
+		return
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		out.verdict = Refused
+		out.kind = refusalKind(resp)
+		return
+	}
+	if a.call.Kind != CallModel {
+		p.readPlain(resp, id, planned, out)
+		return
+	}
+	check := newAnswerCheck(id)
+	out.verdict, err = check.read(resp.Body)
+	if err != nil {
+		out.kind = "cut"
+	}
+	out.tokens = check.tokens
+	out.gaps = check.gaps
+	if check.tokens > 0 {
+		out.first = check.first.Sub(planned)
+	}
+}
+
+// readPlain reads the answer of a plain call to its end.
+func (p *phase) readPlain(resp *http.Response, id string, planned time.Time, out *outcome) {
+	_, err := io.Copy(io.Discard, resp.Body)
+	if err != nil {
+		out.verdict = Broken
+		return
+	}
+	out.first = time.Since(planned)
+	echoed := resp.Header.Get(headerRequestID)
+	if echoed != "" && echoed != id {
+		out.verdict = Crossed
+	}
+}
