--- a/router/node/node.go
+++ b/router/node/node.go
@@ -28,7 +28,6 @@
 	"google.golang.org/grpc"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
-	"cuminrock.example/fleet/retry"
 	"cuminrock.example/fleet/route"
 	"cuminrock.example/fleet/timeline"
 	"cuminrock.example/router/actions"
@@ -48,6 +47,9 @@
 	timelineEvents = 32768
 	// incarnationBytes is the size of the random name of one run.
 	incarnationBytes = 16
+	// configDuty names the reading of the change log among the duties that
+	// one router of a data centre has at a time.
+	configDuty = "config"
 	// balancerNotice is how long calls are served after the balancer is told
 	// to send no more.
 	balancerNotice = 3 * time.Second
@@ -58,6 +60,7 @@
 	settings *pb.RouterSettings
 	log      *zap.Logger
 	self     *pb.Member
+	clock    *timeline.Clock
 	recorder *timeline.Recorder
 	vars     *expvar.Map
 
@@ -149,7 +152,8 @@
 		OperatorAddress: n.OperatorAddr(),
 		VmInstance:      n.settings.VmInstance,
 	}
-	n.recorder = timeline.NewRecorder(n.settings.Name, timeline.NewClock(time.Now), timelineEvents)
+	n.clock = timeline.NewClock(time.Now)
+	n.recorder = timeline.NewRecorder(n.settings.Name, n.clock, timelineEvents)
 	n.platform, err = platform.Dial(n.settings.Platform.Address, n.settings.Platform.CallTimeout.AsDuration())
 	if err != nil {
 		return err
@@ -164,20 +168,27 @@
 // buildControl makes membership, configuration and ledger.
 func (n *Node) buildControl() {
 	n.membership = membership.New(membership.Options{
-		Self:     n.self,
-		Vms:      n.platform,
-		Seeds:    n.settings.PeerAddresses,
-		Call:     n.pool.Heartbeat,
+		Self:  n.self,
+		Vms:   n.platform,
+		Seeds: n.settings.PeerAddresses,
+		Call:  n.pool.Heartbeat,
+		OnVersion: func(m *pb.Member, version uint64) {
+			n.config.Offer(m, version)
+		},
 		Recorder: n.recorder,
+		Clock:    n.clock,
 		Log:      n.log,
 		Now:      time.Now,
 	})
 	n.config = configwatch.New(configwatch.Options{
-		Platform: n.platform,
-		Peers:    configPeers{n},
-		Recorder: n.recorder,
-		Log:      n.log,
-		Now:      time.Now,
+		Platform:  n.platform,
+		Peers:     configPeers{n},
+		Turn:      func(slot int64) bool { return n.membership.Duty(configDuty, slot) },
+		Settled:   n.membership.Settled,
+		OnVersion: n.membership.SetConfigVersion,
+		Recorder:  n.recorder,
+		Log:       n.log,
+		Now:       time.Now,
 	})
 	n.ledger = ledger.New(ledger.Options{
 		Self:            n.self,
@@ -203,14 +214,12 @@
 	n.targets = target.New(target.Options{
 		FirstByteTimeout: routing.FirstByteTimeout.AsDuration(),
 		TokenGapTimeout:  routing.TokenGapTimeout.AsDuration(),
-		MaxConnectionAge: routing.ConnectionMaxAge.AsDuration(),
+		ConnectionMaxAge: routing.ConnectionMaxAge.AsDuration(),
 		Log:              n.log,
-		Now:              time.Now,
 	})
-	n.actions = actions.New(actions.Options{
+	n.actions = actions.New(n.platform, actions.Options{
 		Incarnation: n.self.Incarnation,
-		Tables:      n.platform,
-		Recorder:    n.recorder,
+		Events:      n.recorder,
 		Log:         n.log,
 	})
 	n.server = serve.New(serve.Options{
@@ -221,7 +230,7 @@
 		Targets:     n.targets,
 		Actions:     n.actions,
 		Peers:       servePeers{n},
-		Retries:     retry.NewBudget(int(routing.RetryBudgetPermille)),
+		Retries:     newRetries(int(routing.RetryBudgetPermille)),
 		Recorder:    n.recorder,
 		Log:         n.log,
 		Grace:       n.settings.CallerLimits.ParkGrace.AsDuration(),
@@ -257,8 +266,8 @@
 	n.work.Go(func() { n.serveDoor("peer", n.peerGRPC.Serve(n.peerLis)) })
 	n.work.Go(func() { n.serveDoor("operator", n.operatorHTTP.Serve(n.operatorLis)) })
 	n.work.Go(func() { n.serveDoor("caller", n.callerHTTP.Serve(n.callerLis)) })
-	n.work.Go(func() { n.part("membership", n.membership.Run(ctx)) })
-	n.work.Go(func() { n.part("config", n.config.Run(ctx)) })
+	n.work.Go(func() { n.membership.Run(ctx) })
+	n.work.Go(func() { n.config.Run(ctx) })
 	n.work.Go(func() { n.part("ledger", n.ledger.Run(ledgerCtx)) })
 	n.work.Go(func() { n.keepRoutes(ctx) })
 	n.work.Go(func() { n.pollTargets(ctx) })
--- a/router/node/state.go
+++ b/router/node/state.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"expvar"
+	"slices"
 	"time"
 
+	"github.com/sourcegraph/conc/pool"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/config"
 	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/member"
 	"cuminrock.example/router/operatordoor"
-
-	pb "cuminrock.example/api/gen/cuminrockpb"
 )
 
 const (
@@ -18,6 +21,8 @@
 	routesInterval = 100 * time.Millisecond
 	// loadInterval is how often targets are asked for their load.
 	loadInterval = time.Second
+	// pollWorkers is how many targets are asked at the same time.
+	pollWorkers = 16
 )
 
 // Health implements operatordoor.Node.
@@ -62,14 +67,14 @@
 	ticker := time.NewTicker(routesInterval)
 	defer ticker.Stop()
 	var seen *config.View
-	var seenLeaving uint64
+	var seenLeaving []string
 	for {
 		view := n.config.Current()
 		leaving := n.membership.Leaving()
-		if view != nil && (view != seen || leaving.Version() != seenLeaving) {
-			seen, seenLeaving = view, leaving.Version()
-			n.routes.Update(view.AllTargets(), leaving.Contains)
-			n.membership.SetConfigVersion(view.Version())
+		names := leaving.Names()
+		if view != nil && (view != seen || !slices.Equal(names, seenLeaving)) {
+			seen, seenLeaving = view, names
+			n.updateRoutes(view, leaving)
 		}
 		select {
 		case <-ctx.Done():
@@ -79,6 +84,17 @@
 	}
 }
 
+func (n *Node) updateRoutes(view *config.View, set member.LeavingSet) {
+	targets := view.AllTargets()
+	var leaving []string
+	for _, t := range targets {
+		if set.Has(t) {
+			leaving = append(leaving, t.Name)
+		}
+	}
+	n.routes.Update(targets, leaving...)
+}
+
 // pollTargets asks the targets for their load, each once an interval.
 func (n *Node) pollTargets(ctx context.Context) {
 	ticker := time.NewTicker(loadInterval)
@@ -96,16 +112,24 @@
 	}
 }
 
+// pollOnce asks all targets, a few at a time.
 func (n *Node) pollOnce(ctx context.Context, targets []*pb.Target) {
+	ctx, cancel := context.WithTimeout(ctx, loadInterval)
+	defer cancel()
+	workers := pool.New().WithMaxGoroutines(pollWorkers)
 	for _, t := range targets {
-		n.targets.PollLoad(ctx, t, n.takeLoad)
+		workers.Go(func() { n.pollTarget(ctx, t) })
 	}
+	workers.Wait()
 }
 
-// takeLoad records a target's own report.
-func (n *Node) takeLoad(t *pb.Target, inFlight int, leaving bool) {
-	n.routes.Report(t.Name, inFlight, leaving)
-	if leaving {
+func (n *Node) pollTarget(ctx context.Context, t *pb.Target) {
+	load, err := n.targets.Load(ctx, t)
+	if err != nil {
+		return
+	}
+	n.routes.Report(t.Name, load.InFlight, load.Leaving)
+	if load.Leaving {
 		n.membership.MarkLeaving(t.Name)
 	}
 }
--- a/router/serve/park.go
+++ b/router/serve/park.go
@@ -10,7 +10,6 @@
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/errkind"
-	"cuminrock.example/fleet/retry"
 	"cuminrock.example/router/ledger"
 )
 
@@ -74,10 +73,10 @@
 		usage, err := s.Targets.Cancel(ctx, p.target, r.ID, p.stream)
 		cancel()
 		if err == nil {
-			s.settleUsage(r, p, usage.Total())
+			s.settleUsage(r, p, total(usage))
 			return
 		}
-		time.Sleep(retry.Backoff(attempt, 1))
+		time.Sleep(backoffBase << attempt)
 	}
 	p.res.Unknown()
 	s.record(r, pb.EventKind_EVENT_KIND_CUT, p.target.Name, 0, "usage unknown")
@@ -212,14 +211,14 @@
 }
 
 // requestDigest names what an action asks for.
-func requestDigest(r *Request) [sha256.Size]byte {
+func requestDigest(r *Request) []byte {
 	h := sha256.New()
 	h.Write([]byte(r.Service.Name))
 	h.Write([]byte{0})
 	h.Write([]byte(r.Call.Path))
 	h.Write([]byte{0})
 	h.Write(r.Body)
-	return [sha256.Size]byte(h.Sum(nil))
+	return h.Sum(nil)
 }
 
 func errField(err error) zap.Field { return zap.Error(err) }
--- a/router/serve/serve.go
+++ b/router/serve/serve.go
@@ -14,7 +14,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -25,7 +24,6 @@
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/config"
 	"cuminrock.example/fleet/errkind"
-	"cuminrock.example/fleet/retry"
 	"cuminrock.example/fleet/route"
 	"cuminrock.example/fleet/timeline"
 	"cuminrock.example/router/actions"
@@ -41,6 +39,14 @@
 	Takeover(ctx context.Context, m *pb.Member, req *pb.TakeoverRequest) (*pb.TakeoverResponse, error)
 }
 
+// Retries bounds how much work is sent again. It is safe for concurrent use.
+type Retries interface {
+	// Request counts a new request.
+	Request()
+	// Take asks for one retry.
+	Take() bool
+}
+
 // Options is what a Server works with. All fields are required.
 type Options struct {
 	// Incarnation names this run of the router.
@@ -52,7 +58,7 @@
 	Targets  *target.Client
 	Actions  *actions.Actions
 	Peers    Peers
-	Retries  *retry.Budget
+	Retries  Retries
 	Recorder *timeline.Recorder
 	Log      *zap.Logger
 	// Grace is how long a stream is parked.
@@ -113,12 +119,12 @@
 }
 
 // pick chooses a target for the request; tried ones are left out.
-func (s *Server) pick(r *Request, tried []string) (*route.Lease, error) {
+func (s *Server) pick(r *Request, tried []string) (route.Lease, error) {
 	view := s.Config()
 	if view == nil {
-		return nil, errkind.New(errkind.NotReady, "no configuration is in force").After(time.Second)
+		return route.Lease{}, errkind.New(errkind.NotReady, "no configuration is in force").After(time.Second)
 	}
-	return s.Routes.Pick(route.Request{
+	return s.Routes.Pick(&route.Request{
 		Service:         r.Service.Name,
 		RequestID:       r.ID,
 		Shares:          view.Shares(r.Workspace.Name, r.Service.Name),
@@ -150,7 +156,7 @@
 		return false
 	}
 	switch errkind.Of(err) {
-	case errkind.TargetRefused, errkind.TargetFailed, errkind.TargetSilent, errkind.AnswerMismatch:
+	case errkind.TargetRefused, errkind.TargetUnreachable, errkind.TargetFailed, errkind.TargetSilent, errkind.AnswerMismatch:
 	default:
 		return false
 	}
@@ -160,37 +166,29 @@
 	return s.Retries.Take()
 }
 
-// maxAttempts bounds the dispatches of one request.
-const maxAttempts = 3
+const (
+	// maxAttempts bounds the dispatches of one request.
+	maxAttempts = 3
+	// backoffBase is half of the longest wait before the first retry.
+	backoffBase = 10 * time.Millisecond
+)
 
 // pause waits before attempt number n, with jitter.
 func (s *Server) pause(ctx context.Context, n int) {
-	wait := retry.Backoff(n, rand.Float64())
+	wait := time.Duration(rand.Int64N(int64(backoffBase << n)))
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
 	}
 }
 
-// outcomeOf tells the balancer how an attempt ended.
-func outcomeOf(err error) route.Outcome {
-	switch {
-	case err == nil:
-		return route.OutcomeOK
-	case errors.Is(err, context.Canceled):
-		return route.OutcomeCancelled
-	}
-	switch errkind.Of(err) {
-	case errkind.TargetRefused:
-		return route.OutcomeRefused
-	case errkind.TargetSilent:
-		return route.OutcomeSilent
-	default:
-		return route.OutcomeFailed
-	}
+// outcome tells the balancer how an attempt ended that began at start.
+func (s *Server) outcome(err error, start time.Time) route.Outcome {
+	now := s.Now()
+	return route.Outcome{Result: route.ResultOf(err), FirstByte: now.Sub(start), Now: now}
 }
 
-// end finishes a reservation of an attempt that failed.
+// endReservation finishes a reservation of an attempt that failed.
 func endReservation(res *ledger.Reservation, run pb.RunState) {
 	if run == pb.RunState_RUN_STATE_NOT_RUN {
 		res.Release()
--- a/router/serve/stream.go
+++ b/router/serve/stream.go
@@ -19,13 +19,15 @@
 	server *Server
 	req    *Request
 	res    *ledger.Reservation
-	lease  *route.Lease
+	lease  route.Lease
 	up     *target.Stream
 	// next is the offset of the next event to pass on.
 	next    int64
 	resumes int
-	first   bool
-	ended   bool
+	// firstByte is the time from dispatch to the answer's header.
+	firstByte time.Duration
+	first     bool
+	ended     bool
 }
 
 // Event is one event for the caller.
@@ -45,6 +47,7 @@
 func (s *Server) OpenStream(ctx context.Context, r *Request) (*Stream, error) {
 	s.active.Add(1)
 	s.streams.Add(1)
+	s.Retries.Request()
 	st, err := s.open(ctx, r)
 	if err != nil {
 		s.streams.Add(-1)
@@ -112,14 +115,16 @@
 		}
 		t := lease.Target()
 		s.record(st.req, pb.EventKind_EVENT_KIND_DISPATCHED, t.Name, 0, "")
+		start := s.Now()
 		up, err := s.Targets.Stream(detach(ctx), s.call(st.req, t))
 		if err == nil {
 			st.lease = lease
+			st.firstByte = s.Now().Sub(start)
 			st.up = up
 			s.runs.dispatched(st.req.ID, t.Name, up.ID())
 			return nil
 		}
-		lease.Done(outcomeOf(err))
+		lease.Done(s.outcome(err, start))
 		sent = sent || target.RunState(err) != pb.RunState_RUN_STATE_NOT_RUN
 		if !s.mayRetry(st.req, err, attempt) {
 			return soften(err, sent)
@@ -162,7 +167,12 @@
 	if err != nil {
 		return errkind.Wrap(errkind.TargetFailed, err, "the stream can't be resumed")
 	}
-	st.lease = s.Routes.Attach(t.Name)
+	lease, ok := s.Routes.Attach(t.Name)
+	if !ok {
+		up.Close()
+		return errkind.New(errkind.UnknownRequest, "the target of this stream is not known")
+	}
+	st.lease = lease
 	st.up = up
 	st.first = st.next > 0
 	s.runs.dispatched(st.req.ID, t.Name, stream)
@@ -203,7 +213,7 @@
 		End:      ev.End,
 	}
 	if ev.End != nil {
-		st.finish(ev.End.Usage.Total())
+		st.finish(total(ev.End.Usage))
 	}
 	return out
 }
@@ -217,7 +227,7 @@
 	for st.resumes < maxResumes && s.Now().Before(st.req.Deadline) && s.Retries.Take() {
 		st.resumes++
 		s.pause(ctx, st.resumes)
-		up, err := s.Targets.Resume(detach(ctx), s.call(st.req, st.lease.Target()), st.up.ID(), st.next)
+		up, err := st.up.Continue(detach(ctx))
 		if err == nil {
 			st.up = up
 			s.record(st.req, pb.EventKind_EVENT_KIND_RESUMED, name, st.next, "")
@@ -225,7 +235,7 @@
 		}
 		cause = err
 	}
-	st.lease.Done(outcomeOf(cause))
+	st.lease.Done(route.Outcome{Result: route.ResultOf(cause), Now: s.Now()})
 	t := st.lease.Target()
 	s.finishInBackground(st.req, &parked{target: t, stream: st.up.ID(), res: st.res})
 	st.close()
@@ -241,7 +251,7 @@
 	}
 	s.record(st.req, pb.EventKind_EVENT_KIND_ANSWERED, st.lease.Target().Name, tokens, "")
 	st.up.Close()
-	st.lease.Done(route.OutcomeOK)
+	st.lease.Done(route.Outcome{Result: route.OK, FirstByte: st.firstByte, Now: s.Now()})
 	s.runs.remove(st.req.ID)
 	st.close()
 }
@@ -255,7 +265,7 @@
 	s := st.server
 	st.up.Close()
 	t := st.lease.Target()
-	st.lease.Done(route.OutcomeCancelled)
+	st.lease.Done(route.Outcome{Result: route.Neutral, Now: s.Now()})
 	s.record(st.req, pb.EventKind_EVENT_KIND_CUT, t.Name, st.next, "the caller went away")
 	s.park(st.req, &parked{target: t, stream: st.up.ID(), res: st.res})
 	st.close()
--- a/router/serve/whole.go
+++ b/router/serve/whole.go
@@ -31,6 +31,7 @@
 func (s *Server) Whole(ctx context.Context, r *Request) (*Answer, error) {
 	s.active.Add(1)
 	defer s.active.Done()
+	s.Retries.Request()
 	if r.Call.Kind == pb.CallKind_CALL_KIND_ACTION {
 		return s.action(ctx, r)
 	}
@@ -50,7 +51,7 @@
 func (s *Server) settle(r *Request, res *ledger.Reservation, a *target.Answer) (*Answer, error) {
 	tokens := r.Call.CostTokens
 	if r.Call.Kind == pb.CallKind_CALL_KIND_MODEL {
-		tokens = a.Usage.Total()
+		tokens = total(a.Usage)
 	}
 	err := res.Settle(tokens)
 	if err != nil {
@@ -72,8 +73,9 @@
 		}
 		t := lease.Target()
 		s.record(r, pb.EventKind_EVENT_KIND_DISPATCHED, t.Name, 0, "")
+		start := s.Now()
 		answer, err := s.Targets.Do(ctx, s.call(r, t))
-		lease.Done(outcomeOf(err))
+		lease.Done(s.outcome(err, start))
 		if err == nil {
 			return answer, nil
 		}
@@ -131,11 +133,15 @@
 	}
 	t := lease.Target()
 	s.record(r, pb.EventKind_EVENT_KIND_DISPATCHED, t.Name, 0, "")
+	start := s.Now()
 	answer, err := s.Targets.Action(ctx, s.call(r, t))
-	lease.Done(outcomeOf(err))
+	lease.Done(s.outcome(err, start))
 	return answer, err
 }
 
+// total is what a usage is billed as.
+func total(u target.Usage) int64 { return u.PromptTokens + u.CompletionTokens }
+
 func replayed(a *target.Answer) *Answer {
 	return &Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body, Replayed: true}
 }
