--- a/router/node/node.go
+++ b/router/node/node.go
@@ -16,7 +16,7 @@
 	"encoding/hex"
 	"expvar"
 	"fmt"
-	mathrand "math/rand/v2"
+	mathrand "math/rand"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -193,13 +193,14 @@
 	n.ledger = ledger.New(ledger.Options{
 		Self:            n.self,
 		Tables:          n.platform,
+		Vms:             n.platform,
 		Peers:           ledgerPeers{n},
 		Policy:          n.settings.Budget,
 		WritesPerSecond: int(n.settings.Platform.WritesPerSecond),
 		Recorder:        n.recorder,
 		Log:             n.log,
 		Now:             time.Now,
-		Rand:            mathrand.New(mathrand.NewPCG(seed(), seed())),
+		Rand:            mathrand.New(mathrand.NewSource(int64(seed()))),
 	})
 }
 
--- a/router/serve/park.go
+++ b/router/serve/park.go
@@ -108,15 +108,23 @@
 	return resp, nil
 }
 
-// HandleTakeover lets go of a parked stream. The taker holds a reservation of
-// its own for the same request, so this one's is released.
+// HandleTakeover hands a parked stream and its reservation to a peer.
 func (s *Server) HandleTakeover(_ context.Context, req *pb.TakeoverRequest) (*pb.TakeoverResponse, error) {
 	p := s.runs.handOver(req.RequestId)
 	if p == nil {
 		return &pb.TakeoverResponse{}, nil
 	}
-	p.res.Release()
-	return &pb.TakeoverResponse{Granted: true, Target: p.target.Name, Stream: p.stream}, nil
+	reserved, totals, ok := p.res.HandOver(req.Taker)
+	if !ok {
+		return &pb.TakeoverResponse{}, nil
+	}
+	return &pb.TakeoverResponse{
+		Granted:  true,
+		Target:   p.target.Name,
+		Stream:   p.stream,
+		Reserved: reserved,
+		Totals:   totals,
+	}, nil
 }
 
 // run is what this router knows of one streamed request.
--- a/router/serve/stream.go
+++ b/router/serve/stream.go
@@ -72,14 +72,14 @@
 	if p != nil {
 		return s.unpark(ctx, r, p)
 	}
+	if r.Resume != nil {
+		return s.resume(ctx, r)
+	}
 	res, err := s.reserve(ctx, r)
 	if err != nil {
 		return nil, err
 	}
 	st := &Stream{server: s, req: r, res: res}
-	if r.Resume != nil {
-		return st, st.openResumed(ctx)
-	}
 	err = st.openNew(ctx)
 	if err != nil {
 		endReservation(res, target.RunState(err))
@@ -119,6 +119,7 @@
 		up, err := s.Targets.Stream(detach(ctx), s.call(st.req, t))
 		if err == nil {
 			st.lease = lease
+			st.res.SetRun(runName(t.Name, up.ID()))
 			st.firstByte = s.Now().Sub(start)
 			st.up = up
 			s.runs.dispatched(st.req.ID, t.Name, up.ID())
@@ -134,30 +135,35 @@
 	}
 }
 
-// openResumed goes on with a stream that another router dispatched. That
-// router is asked to let go of it; one that can't be reached bills what it
-// knows, and the request still has one bill. When the engine can't be asked,
-// the reservation is kept only if the other router let go of its own.
-func (st *Stream) openResumed(ctx context.Context) error {
-	s := st.server
-	p := st.req.Resume
-	t, ok := s.findTarget(st.req.Service.Name, p.Target)
+// resume goes on with a stream that another router dispatched. That router is
+// asked to hand over its reservation. Where none does, because it is dead or
+// cut off, the bound is reserved here as well; the bill is still one, since
+// both name the same run.
+func (s *Server) resume(ctx context.Context, r *Request) (*Stream, error) {
+	p := r.Resume
+	t, ok := s.findTarget(r.Service.Name, p.Target)
 	if !ok {
-		st.res.Release()
-		return errkind.New(errkind.UnknownRequest, "the target of this stream is not known")
+		return nil, errkind.New(errkind.UnknownRequest, "the target of this stream is not known")
 	}
-	st.next = p.Offset + 1
-	taken := s.takeover(ctx, st.req)
+	res, handed := s.takeover(ctx, r)
+	if !handed {
+		var err error
+		res, err = s.reserve(ctx, r)
+		if err != nil {
+			return nil, err
+		}
+	}
+	st := &Stream{server: s, req: r, res: res, next: p.Offset + 1}
 	err := st.attach(ctx, t, p.Stream)
 	if err == nil {
-		return nil
+		return st, nil
 	}
-	if taken {
-		s.finishInBackground(st.req, &parked{target: t, stream: p.Stream, res: st.res})
-		return err
+	if handed {
+		s.finishInBackground(r, &parked{target: t, stream: p.Stream, res: res})
+	} else {
+		res.Release()
 	}
-	st.res.Release()
-	return err
+	return nil, err
 }
 
 // attach resumes an engine's stream at the next offset.
@@ -172,6 +178,7 @@
 		up.Close()
 		return errkind.New(errkind.UnknownRequest, "the target of this stream is not known")
 	}
+	st.res.SetRun(runName(t.Name, stream))
 	st.lease = lease
 	st.up = up
 	st.first = st.next > 0
@@ -187,6 +194,9 @@
 func (st *Stream) Next(ctx context.Context) (Event, error) {
 	for {
 		ev, err := st.up.Next(ctx)
+		if err == nil && st.overruns(ev) {
+			return Event{}, st.cutOverrun()
+		}
 		if err == nil {
 			return st.passOn(ev), nil
 		}
@@ -218,6 +228,23 @@
 	return out
 }
 
+// overruns tells whether an engine went past the tokens reserved.
+func (st *Stream) overruns(ev target.Event) bool {
+	return ev.End == nil && ev.Offset >= st.req.MaxTokens
+}
+
+// cutOverrun cancels an engine that doesn't keep to its bound.
+func (st *Stream) cutOverrun() error {
+	s := st.server
+	t := st.lease.Target()
+	s.record(st.req, pb.EventKind_EVENT_KIND_CUT, t.Name, st.next, "past the token bound")
+	st.up.Close()
+	st.lease.Done(route.Outcome{Result: route.Failed, Now: s.Now()})
+	s.finishInBackground(st.req, &parked{target: t, stream: st.up.ID(), res: st.res})
+	st.close()
+	return errkind.New(errkind.TargetFailed, "the target went past the tokens reserved and was cancelled")
+}
+
 // recover resumes a broken stream at its engine, or ends it.
 func (st *Stream) recover(ctx context.Context, cause error) error {
 	s := st.server
@@ -299,19 +326,30 @@
 // takeoverTimeout bounds the search for the router that has parked a stream.
 const takeoverTimeout = 300 * time.Millisecond
 
-// takeover asks the other routers to let go of the request's stream, and
-// tells whether one did.
-func (s *Server) takeover(ctx context.Context, r *Request) bool {
+// takeover asks the other routers to hand over the request's stream, and
+// returns the reservation that came with it.
+func (s *Server) takeover(ctx context.Context, r *Request) (*ledger.Reservation, bool) {
 	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
 	defer cancel()
+	req := &pb.TakeoverRequest{RequestId: r.ID, Taker: s.Incarnation}
 	for _, m := range s.Peers.Members() {
 		if ctx.Err() != nil {
-			return false
+			return nil, false
+		}
+		resp, err := s.Peers.Takeover(ctx, m, req)
+		if err != nil || !resp.Granted {
+			continue
 		}
-		resp, err := s.Peers.Takeover(ctx, m, &pb.TakeoverRequest{RequestId: r.ID, Taker: s.Incarnation})
-		if err == nil && resp.Granted {
-			return true
+		run := runName(resp.Target, resp.Stream)
+		res, err := s.Ledger.TakeUp(ctx, r.Budget, r.Workspace.Name, r.ID, run, resp.Reserved, resp.Totals)
+		if err == nil {
+			return res, true
 		}
+		s.Log.Warn("serve: a handed over reservation can't be taken up.", errField(err))
+		return nil, false
 	}
-	return false
+	return nil, false
 }
+
+// runName names one run of a request by its engine's stream.
+func runName(targetName, stream string) string { return targetName + "/" + stream }
