Add the budget core and the ledger around it

Budgets are escrow: grants are drawn from the platform's row, lent on by cumulative totals and settled by bill entries that take effect once per id.

--- /dev/null
+++ b/fleet/budget/budgetsim/store.go
@@ -0,0 +1,74 @@
+package budgetsim
+
+import (
+	"slices"
+	"strings"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+)
+
+// Store is a table service in memory without faults. It is not safe for
+// concurrent use.
+type Store struct {
+	rows    map[string]*pb.Row
+	version uint64
+	// Commits counts committed transactions and Writes their rows.
+	Commits int
+	Writes  int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store { return &Store{rows: make(map[string]*pb.Row)} }
+
+// Read returns the rows that exist among the keys.
+func (s *Store) Read(keys []string) []*pb.Row {
+	var rows []*pb.Row
+	for _, key := range keys {
+		if row, ok := s.rows[key]; ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+// Scan returns the rows of a prefix after a key, in key order.
+func (s *Store) Scan(prefix, after string) []*pb.Row {
+	var rows []*pb.Row
+	for key, row := range s.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b *pb.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows
+}
+
+// Commit applies all writes if all conditions hold.
+func (s *Store) Commit(req *pb.CommitRequest) *pb.CommitResponse {
+	resp := &pb.CommitResponse{Committed: true}
+	for _, c := range req.Conditions {
+		row := s.rows[c.Key]
+		if row.GetVersion() == c.Version {
+			continue
+		}
+		resp.Committed = false
+		if row != nil {
+			resp.Conflicts = append(resp.Conflicts, row)
+		}
+	}
+	if !resp.Committed {
+		return resp
+	}
+	s.version++
+	s.Commits++
+	s.Writes += len(req.Writes)
+	resp.Version = s.version
+	for _, w := range req.Writes {
+		if w.Delete {
+			delete(s.rows, w.Key)
+			continue
+		}
+		s.rows[w.Key] = &pb.Row{Key: w.Key, Value: w.Value, Version: s.version}
+	}
+	return resp
+}
--- /dev/null
+++ b/fleet/budget/copies.go
@@ -0,0 +1,83 @@
+package budget
+
+import pb "cuminrock.example/api/gen/cuminrockpb"
+
+// Copies keeps other routers' bill entries at their budget's home, oldest
+// first, and remembers the ids of the newest settled ones, so that it can
+// tell their origins.
+type Copies struct {
+	kept    map[string]*pb.BillEntry
+	order   []string
+	most    int
+	settled map[string]struct{}
+	ring    []string
+	next    int
+}
+
+// NewCopies returns an empty store for at most entries that remembers as many
+// settled ids as ids says.
+func NewCopies(most, ids int) *Copies {
+	return &Copies{
+		kept:    make(map[string]*pb.BillEntry),
+		most:    most,
+		settled: make(map[string]struct{}),
+		ring:    make([]string, ids),
+	}
+}
+
+// Len returns the number of entries kept.
+func (c *Copies) Len() int { return len(c.kept) }
+
+// Take keeps an entry where there is room. It reports whether the platform
+// already holds it. A copy that finds no room stays with its origin alone.
+func (c *Copies) Take(e *pb.BillEntry) (settled bool) {
+	if _, ok := c.settled[e.Id]; ok {
+		return true
+	}
+	if _, ok := c.kept[e.Id]; ok || len(c.kept) >= c.most {
+		return false
+	}
+	c.kept[e.Id] = e
+	c.order = append(c.order, e.Id)
+	return false
+}
+
+// Oldest returns up to n entries.
+func (c *Copies) Oldest(n int) []*pb.BillEntry {
+	var oldest []*pb.BillEntry
+	live := c.order[:0:0]
+	for i, id := range c.order {
+		if len(oldest) >= n {
+			live = append(live, c.order[i:]...)
+			break
+		}
+		if e, ok := c.kept[id]; ok {
+			oldest = append(oldest, e)
+			live = append(live, id)
+		}
+	}
+	c.order = live
+	return oldest
+}
+
+// Find returns the entries kept for a request.
+func (c *Copies) Find(requestID string) (*pb.BillEntry, bool) {
+	for _, e := range c.kept {
+		if e.RequestId == requestID {
+			return e, true
+		}
+	}
+	return nil, false
+}
+
+// Done drops an entry that the platform holds and remembers its id.
+func (c *Copies) Done(id string) {
+	if _, ok := c.kept[id]; !ok {
+		return
+	}
+	delete(c.kept, id)
+	delete(c.settled, c.ring[c.next])
+	c.ring[c.next] = id
+	c.settled[id] = struct{}{}
+	c.next = (c.next + 1) % len(c.ring)
+}
--- /dev/null
+++ b/fleet/budget/fence.go
@@ -0,0 +1,75 @@
+package budget
+
+import pb "cuminrock.example/api/gen/cuminrockpb"
+
+// Fence records that a router gave up its tokens of a grant and what it may
+// still bill of it. Tokens given up return to free once per budget; a repeat
+// only lowers what is outstanding.
+func (t *Txn) Fence(want *pb.FenceRow) error {
+	f, ok := open(t, FenceKey(want.Grant, want.Incarnation), &pb.FenceRow{})
+	if !ok {
+		return nil
+	}
+	changed := !f.exists
+	f.row.Grant, f.row.Incarnation = want.Grant, want.Incarnation
+	for _, part := range want.Parts {
+		had := fencePart(f.row, part.Budget)
+		if had == nil {
+			if err := t.giveUp(want.Grant, part); err != nil {
+				return err
+			}
+			f.row.Parts = append(f.row.Parts, part)
+			changed = true
+			continue
+		}
+		if part.Outstanding < had.Outstanding {
+			had.Outstanding = part.Outstanding
+			changed = true
+		}
+	}
+	if changed {
+		f.save()
+	}
+	return nil
+}
+
+func fencePart(f *pb.FenceRow, budget string) *pb.FencePart {
+	for _, part := range f.Parts {
+		if part.Budget == budget {
+			return part
+		}
+	}
+	return nil
+}
+
+func (t *Txn) giveUp(grant string, part *pb.FencePart) error {
+	if part.GivenUp == 0 {
+		return nil
+	}
+	return t.move(part.Budget, grant, part.GivenUp, toFree)
+}
+
+// MayBill returns what the router of a fence may still bill of a budget.
+func MayBill(f *pb.FenceRow, budget string) int64 {
+	return fencePart(f, budget).GetOutstanding()
+}
+
+// Register records a router before it holds tokens. It returns nothing to do
+// where the row says the same already.
+func (t *Txn) Register(r *pb.RouterRow) {
+	row, ok := open(t, RouterKey(r.Incarnation), &pb.RouterRow{})
+	if !ok || (row.exists && row.row.Listed == r.Listed) {
+		return
+	}
+	row.row.Incarnation, row.row.Name = r.Incarnation, r.Name
+	row.row.VmInstance, row.row.Listed = r.VmInstance, r.Listed
+	row.save()
+}
+
+// Deregister removes a router that holds no tokens and owes no bills.
+func (t *Txn) Deregister(incarnation string) {
+	row, ok := open(t, RouterKey(incarnation), &pb.RouterRow{})
+	if ok && row.exists {
+		row.remove()
+	}
+}
--- /dev/null
+++ b/fleet/budget/policy.go
@@ -0,0 +1,125 @@
+package budget
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+)
+
+// Policy sizes grants and loans. It affects refusals and writes, never
+// safety.
+type Policy struct {
+	// GrantHorizon is the time that a home's free tokens should last.
+	GrantHorizon time.Duration
+	// LoanHorizon is the time that a borrower's free tokens should last.
+	LoanHorizon time.Duration
+	// DrawPermille bounds a draw beyond the need to a part of free.
+	DrawPermille int64
+}
+
+// Defaults of a policy.
+const (
+	defaultGrantHorizon = 10 * time.Second
+	defaultLoanHorizon  = 2 * time.Second
+	defaultDrawPermille = 250
+)
+
+// PolicyOf returns the policy of the settings, with defaults.
+func PolicyOf(s *pb.BudgetPolicy) Policy {
+	p := Policy{defaultGrantHorizon, defaultLoanHorizon, defaultDrawPermille}
+	if d := s.GetGrantHorizon().AsDuration(); d > 0 {
+		p.GrantHorizon = d
+	}
+	if d := s.GetLoanHorizon().AsDuration(); d > 0 {
+		p.LoanHorizon = d
+	}
+	if n := s.GetDrawPermille(); n > 0 {
+		p.DrawPermille = int64(n)
+	}
+	return p
+}
+
+// lowWater is the part of a horizon below which tokens are fetched ahead.
+const lowWater = 0.5
+
+// Low reports whether free tokens should be fetched ahead of need.
+func (p Policy) Low(free int64, rate float64, horizon time.Duration) bool {
+	return float64(free) < rate*horizon.Seconds()*lowWater
+}
+
+// Want returns the tokens to ask for: the need, and what lasts a horizon.
+func (p Policy) Want(need, free int64, rate float64, horizon time.Duration) int64 {
+	target := int64(rate * horizon.Seconds())
+	return max(need, target-free, 1)
+}
+
+// maxLoanPart bounds a loan beyond the need to this part of what is free.
+const maxLoanPart = 4
+
+// LoanSize returns what a holder with free tokens lends: the need if it has
+// that, up to a part of what is free towards the want, all where it has less.
+func LoanSize(free, need, want int64) int64 {
+	return min(free, max(need, min(want, free/maxLoanPart)))
+}
+
+// Rate is an exponentially weighted rate of tokens a second.
+type Rate struct {
+	last  time.Time
+	value float64
+}
+
+// rateWindow is the time constant of a Rate.
+const rateWindow = 10 * time.Second
+
+// Add counts tokens at a time.
+func (r *Rate) Add(now time.Time, tokens int64) {
+	r.value = r.At(now) + float64(tokens)/rateWindow.Seconds()
+	if now.After(r.last) {
+		r.last = now
+	}
+}
+
+// At returns the rate at a time.
+func (r *Rate) At(now time.Time) float64 {
+	passed := now.Sub(r.last)
+	if passed <= 0 {
+		return r.value
+	}
+	x := float64(passed) / float64(rateWindow)
+	// A rational bound of exp(-x) that needs no table: it decays slower.
+	return r.value / (1 + x + x*x/2)
+}
+
+// Home returns the index of the member that is home of a budget by rendezvous
+// hashing (Thaler and Ravishankar, 1998), or -1 for no members.
+func Home(budget string, members []*pb.Member) int {
+	best, bestScore := -1, uint64(0)
+	var d xxhash.Digest
+	for i, m := range members {
+		d.Reset()
+		_, _ = d.WriteString(budget)
+		_, _ = d.WriteString("\x00")
+		_, _ = d.WriteString(m.Incarnation)
+		score := d.Sum64()
+		if best < 0 || score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+// HomesByDataCentre returns a budget's home among the members of each data
+// centre.
+func HomesByDataCentre(budget string, members []*pb.Member) map[string]*pb.Member {
+	byCentre := make(map[string][]*pb.Member)
+	for _, m := range members {
+		byCentre[m.DataCentre] = append(byCentre[m.DataCentre], m)
+	}
+	homes := make(map[string]*pb.Member, len(byCentre))
+	for centre, list := range byCentre {
+		homes[centre] = list[Home(budget, list)]
+	}
+	return homes
+}
--- /dev/null
+++ b/router/ledger/box.go
@@ -0,0 +1,123 @@
+package ledger
+
+import (
+	"sync"
+	"sync/atomic"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/budget"
+)
+
+// box keeps the bills that the platform doesn't hold yet: this router's own
+// and copies of others'.
+type box struct {
+	mu     sync.Mutex
+	own    *budget.Outbox
+	copies *budget.Copies
+	// full is true while no further request may start.
+	full atomic.Bool
+}
+
+// sendsBeforeOwn is how often an entry goes to its home before this router
+// settles it itself.
+const sendsBeforeOwn = 4
+
+func (b *box) add(e budget.Entry) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := b.own.Add(e)
+	if e.Run == "" {
+		kept, _ := b.own.Get(n)
+		kept.Run = b.own.EntryID(n)
+	}
+	b.full.Store(b.own.Full())
+}
+
+// done drops entries that the platform holds.
+func (b *box) done(ids []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, id := range ids {
+		if n, ok := b.own.Number(id); ok {
+			b.own.Done(n)
+			continue
+		}
+		b.copies.Done(id)
+	}
+	b.full.Store(b.own.Full())
+}
+
+func (b *box) len() (own, copies int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.own.Len(), b.copies.Len()
+}
+
+// settleable returns up to most entries for this router to settle: copies,
+// own ones of budgets that it is home of, and own ones whose home is slow.
+func (b *box) settleable(most int, all bool, isHome func(budget string) bool) []*pb.BillEntry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	entries := b.copies.Oldest(most)
+	b.own.Each(0, func(n uint64, e *budget.Entry) bool {
+		if all || e.Sends >= sendsBeforeOwn || isHome(e.Budget) {
+			entries = append(entries, b.own.Proto(n, e))
+		}
+		return len(entries) < 2*most
+	})
+	return entries
+}
+
+// sendable returns up to most entries by home, for entries of other homes.
+func (b *box) sendable(most int, home func(budget string) (*pb.Member, bool)) map[*pb.Member][]*pb.BillEntry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	byHome := make(map[*pb.Member][]*pb.BillEntry)
+	count := 0
+	b.own.Each(0, func(n uint64, e *budget.Entry) bool {
+		member, self := home(e.Budget)
+		if self || member == nil {
+			return true
+		}
+		if e.Sends < sendsBeforeOwn {
+			e.Sends++
+		}
+		byHome[member] = append(byHome[member], b.own.Proto(n, e))
+		count++
+		return count < most
+	})
+	return byHome
+}
+
+// outstanding returns the tokens of a grant in own entries, by budget.
+func (b *box) outstanding(grant string) map[string]int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sums := make(map[string]int64)
+	b.own.Each(0, func(_ uint64, e *budget.Entry) bool {
+		for i := range e.Parts.Len() {
+			if part := e.Parts.At(i); part.Grant == grant {
+				sums[e.Budget] += part.Tokens
+			}
+		}
+		return true
+	})
+	return sums
+}
+
+// find returns an entry of a request that waits here.
+func (b *box) find(requestID string) (*pb.BillEntry, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var found *pb.BillEntry
+	b.own.Each(0, func(n uint64, e *budget.Entry) bool {
+		if e.Request == requestID {
+			found = b.own.Proto(n, e)
+		}
+		return found == nil
+	})
+	if found != nil {
+		return found, true
+	}
+	return b.copies.Find(requestID)
+}
--- /dev/null
+++ b/router/ledger/scan.go
@@ -0,0 +1,25 @@
+package ledger
+
+import (
+	"context"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/router/platform"
+)
+
+// scanAll returns all rows of a prefix.
+func scanAll(ctx context.Context, tables platform.Tables, prefix string) ([]*pb.Row, error) {
+	var all []*pb.Row
+	after := ""
+	for {
+		rows, more, err := tables.Scan(ctx, prefix, after, scanRows)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, rows...)
+		if !more || len(rows) == 0 {
+			return all, nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
--- /dev/null
+++ b/router/ledger/writer.go
@@ -0,0 +1,435 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/budget"
+	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/router/platform"
+)
+
+const (
+	// mostBills and mostDraws bound one transaction.
+	mostBills = 200
+	mostDraws = 100
+	// mostTries is how often one batch is tried before the writer backs off.
+	mostTries = 6
+	// slowCommit is the duration from which the platform counts as slow.
+	slowCommit = 300 * time.Millisecond
+	// firstBackoff and lastBackoff bound the delay after failures.
+	firstBackoff = 50 * time.Millisecond
+	lastBackoff  = 5 * time.Second
+	// mostCachedRows bounds the rows kept between transactions.
+	mostCachedRows = 20_000
+)
+
+// drawResult is how a draw ended.
+type drawResult uint8
+
+const (
+	// drawFailed means that the platform didn't answer in time.
+	drawFailed drawResult = iota
+	drawDone
+	drawExhausted
+	drawUnknownBudget
+)
+
+// wish is a draw that waits for the writer.
+type wish struct {
+	account    *account
+	need, want int64
+	// known is the grant's total when the wish was made.
+	known  int64
+	result drawResult
+	done   chan struct{}
+}
+
+// operation is a rarer change, such as a return or a fence. It runs against
+// the transaction as often as needed and reports after its commit.
+type operation struct {
+	apply func(t *budget.Txn) error
+	done  chan error
+}
+
+// writer makes all of a router's transactions, one at a time.
+type writer struct {
+	l       *Ledger
+	limiter *rate.Limiter
+	cache   *budget.Cache
+	kick    chan struct{}
+	backoff time.Duration
+	slow    bool
+	turn    uint64
+
+	mu         sync.Mutex
+	wishes     []*wish
+	operations []*operation
+	audit      budget.Audit
+}
+
+func newWriter(l *Ledger, writesPerSecond int) *writer {
+	if writesPerSecond <= 0 {
+		writesPerSecond = defaultWritesPerSecond
+	}
+	return &writer{
+		l:       l,
+		limiter: rate.NewLimiter(rate.Limit(writesPerSecond), 1),
+		cache:   budget.NewCache(),
+		kick:    make(chan struct{}, 1),
+	}
+}
+
+// draw asks for tokens and waits for the outcome or the context's end.
+func (w *writer) draw(ctx context.Context, a *account, need, want int64) drawResult {
+	a.mu.Lock()
+	known := a.holder.DrawnTotal(*w.l.grant.Load())
+	a.mu.Unlock()
+	wish := &wish{account: a, need: need, want: want, known: known, done: make(chan struct{})}
+	w.mu.Lock()
+	w.wishes = append(w.wishes, wish)
+	w.mu.Unlock()
+	w.wake()
+	select {
+	case <-wish.done:
+		return wish.result
+	case <-ctx.Done():
+		w.drop(wish)
+		return drawFailed
+	}
+}
+
+func (w *writer) drop(gone *wish) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, wish := range w.wishes {
+		if wish == gone {
+			w.wishes = append(w.wishes[:i], w.wishes[i+1:]...)
+			return
+		}
+	}
+}
+
+// do runs an operation in the next transaction and waits for its commit.
+func (w *writer) do(ctx context.Context, apply func(t *budget.Txn) error) error {
+	op := &operation{apply: apply, done: make(chan error, 1)}
+	w.mu.Lock()
+	w.operations = append(w.operations, op)
+	w.mu.Unlock()
+	w.wake()
+	select {
+	case err := <-op.done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (w *writer) wake() {
+	select {
+	case w.kick <- struct{}{}:
+	default:
+	}
+}
+
+// run makes transactions until the context ends: at once where a draw or an
+// operation waits, and for bills once per settle interval.
+func (w *writer) run(ctx context.Context) {
+	w.register(ctx)
+	for ctx.Err() == nil {
+		w.wait(ctx)
+		if err := w.limiter.Wait(ctx); err != nil {
+			return
+		}
+		b := w.collect()
+		if b.empty() {
+			continue
+		}
+		w.after(ctx, w.commit(ctx, b))
+	}
+}
+
+func (w *writer) wait(ctx context.Context) {
+	timer := time.NewTimer(w.l.jittered(w.l.settle))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-w.kick:
+	case <-timer.C:
+	}
+}
+
+// after backs off with jitter while the platform fails.
+func (w *writer) after(ctx context.Context, err error) {
+	if err == nil {
+		w.backoff = 0
+		return
+	}
+	w.l.counters.commitErrors.Add(1)
+	if w.backoff == 0 {
+		w.l.log.Warn("ledger: platform doesn't take transactions", zap.Error(err))
+		w.l.record(pb.EventKind_EVENT_KIND_PLATFORM_DOWN, "", "", err.Error(), 0)
+	}
+	w.backoff = min(max(2*w.backoff, firstBackoff), lastBackoff)
+	w.failWishes()
+	pause(ctx, w.l.jittered(w.backoff))
+}
+
+// failWishes ends all waiting draws, so that their requests are refused now
+// rather than at their timeout.
+func (w *writer) failWishes() {
+	w.mu.Lock()
+	wishes := w.wishes
+	w.wishes = nil
+	w.mu.Unlock()
+	for _, wish := range wishes {
+		close(wish.done)
+	}
+}
+
+// batch is the content of one transaction.
+type batch struct {
+	entries    []*pb.BillEntry
+	wishes     []*wish
+	operations []*operation
+}
+
+func (b *batch) empty() bool {
+	return len(b.entries) == 0 && len(b.wishes) == 0 && len(b.operations) == 0
+}
+
+// collect takes what waits. While the platform is slow every other
+// transaction is for bills alone.
+func (w *writer) collect() *batch {
+	b := &batch{entries: w.l.box.settleable(mostBills, w.l.draining.Load(), w.isHome)}
+	w.turn++
+	if w.slow && len(b.entries) > 0 && w.turn%2 == 0 {
+		return b
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := min(len(w.wishes), mostDraws)
+	b.wishes = append(b.wishes, w.wishes[:n]...)
+	w.wishes = append(w.wishes[:0:0], w.wishes[n:]...)
+	b.operations = w.operations
+	w.operations = nil
+	if len(w.wishes) > 0 {
+		w.wake()
+	}
+	return b
+}
+
+func (w *writer) isHome(name string) bool {
+	member, self := w.l.peers.Home(name)
+	return self || member == nil
+}
+
+// commit makes one transaction of a batch. What failed stays queued: bills in
+// the box, operations in the writer; draws fail.
+func (w *writer) commit(ctx context.Context, b *batch) error {
+	started := w.l.now()
+	err := w.tryCommit(ctx, b)
+	w.slow = err != nil || w.l.now().Sub(started) > slowCommit
+	w.mu.Lock()
+	w.audit = w.cache.Audit
+	if err != nil {
+		w.operations = append(b.operations, w.operations...)
+	}
+	w.mu.Unlock()
+	if err != nil {
+		for _, wish := range b.wishes {
+			close(wish.done)
+		}
+		return err
+	}
+	w.finish(b)
+	return nil
+}
+
+func (w *writer) tryCommit(ctx context.Context, b *batch) error {
+	last := errConflicts
+	for range mostTries {
+		t, err := w.build(ctx, b)
+		if err != nil {
+			return err
+		}
+		req, err := t.Request()
+		if err != nil {
+			w.l.log.Error("ledger: a transaction breaks conservation and is not sent", zap.Error(err))
+			return err
+		}
+		if req == nil {
+			t.Done()
+			w.learn(t, b)
+			return nil
+		}
+		resp, err := w.l.tables.Commit(ctx, req)
+		w.l.counters.commits.Add(1)
+		if err != nil {
+			// Committed or not: the rows tell, once they are read again.
+			w.cache.Forget(t.Keys()...)
+			last = err
+			if errors.Is(err, platform.ErrUnknown) {
+				continue
+			}
+			return err
+		}
+		if resp.Committed {
+			t.Committed(req, resp.Version)
+			w.learn(t, b)
+			w.trim()
+			return nil
+		}
+		w.l.counters.conflicts.Add(1)
+		t.Refused(resp.Conflicts)
+	}
+	return last
+}
+
+var errConflicts = errors.New("too many conflicts")
+
+func (w *writer) trim() {
+	if w.cache.Len() <= mostCachedRows {
+		return
+	}
+	fresh := budget.NewCache()
+	fresh.Audit = w.cache.Audit
+	w.cache = fresh
+}
+
+// build applies the batch to a transaction, reading rows until none lacks.
+func (w *writer) build(ctx context.Context, b *batch) (*budget.Txn, error) {
+	for {
+		t := budget.NewTxn(w.cache)
+		refused := w.apply(t, b)
+		if refused {
+			continue
+		}
+		missing := t.Missing()
+		if len(missing) == 0 {
+			return t, nil
+		}
+		rows, err := w.l.tables.Read(ctx, missing...)
+		if err != nil {
+			return nil, err
+		}
+		w.cache.Load(missing, rows)
+	}
+}
+
+// apply runs the batch against the transaction. An item that is refused is
+// taken out of the batch; the transaction then has to be built anew.
+func (w *writer) apply(t *budget.Txn, b *batch) (refused bool) {
+	for i, e := range b.entries {
+		if err := t.Settle(e); err != nil {
+			w.reject(e, err)
+			b.entries = append(b.entries[:i:i], b.entries[i+1:]...)
+			return true
+		}
+	}
+	for i, op := range b.operations {
+		if err := op.apply(t); err != nil {
+			op.done <- err
+			b.operations = append(b.operations[:i:i], b.operations[i+1:]...)
+			return true
+		}
+	}
+	for _, wish := range b.wishes {
+		wish.result = w.applyWish(t, wish)
+	}
+	return false
+}
+
+// reject drops an entry that can never be settled. Its tokens stay granted.
+func (w *writer) reject(e *pb.BillEntry, err error) {
+	w.l.counters.rejected.Add(1)
+	w.l.log.Error("ledger: bill entry can't be settled", zap.String("entry", e.Id), zap.String("request", e.RequestId), zap.Error(err))
+	w.l.box.done([]string{e.Id})
+}
+
+func (w *writer) applyWish(t *budget.Txn, wish *wish) drawResult {
+	name := wish.account.name
+	id := *w.l.grant.Load()
+	g, ok := t.Grant(name, id)
+	if ok && g.Closed {
+		w.l.grantClosed(id)
+		id = *w.l.grant.Load()
+		g, ok = t.Grant(name, id)
+	}
+	if ok && g.Granted > wish.known {
+		// An earlier draw took effect although its answer was lost.
+		return drawDone
+	}
+	tokens, err := t.Draw(budget.DrawWish{
+		Grant:    w.grantRow(name, id),
+		Need:     wish.need,
+		Want:     wish.want,
+		Permille: w.l.policy.DrawPermille,
+	})
+	if errkind.Of(err) == errkind.UnknownBudget {
+		return drawUnknownBudget
+	}
+	if tokens == 0 {
+		return drawExhausted
+	}
+	return drawDone
+}
+
+func (w *writer) grantRow(name, id string) *pb.GrantRow {
+	return &pb.GrantRow{
+		Id:         id,
+		Budget:     name,
+		Holder:     w.l.self.Incarnation,
+		VmName:     w.l.self.Name,
+		VmInstance: w.l.self.VmInstance,
+		DataCentre: w.l.self.DataCentre,
+	}
+}
+
+// learn gives the holders the grant rows as committed.
+func (w *writer) learn(t *budget.Txn, b *batch) {
+	id := *w.l.grant.Load()
+	for _, wish := range b.wishes {
+		g, ok := t.Grant(wish.account.name, id)
+		if !ok {
+			continue
+		}
+		wish.account.mu.Lock()
+		wish.account.holder.Granted(g)
+		wish.account.mu.Unlock()
+		if g.Closed {
+			w.l.grantClosed(id)
+		}
+	}
+}
+
+// finish reports a committed batch.
+func (w *writer) finish(b *batch) {
+	if w.backoff > 0 {
+		w.l.log.Info("ledger: platform takes transactions again")
+		w.l.record(pb.EventKind_EVENT_KIND_PLATFORM_UP, "", "", "", 0)
+	}
+	ids := make([]string, len(b.entries))
+	for i, e := range b.entries {
+		ids[i] = e.Id
+		w.l.record(pb.EventKind_EVENT_KIND_SETTLED, e.Budget, e.RequestId, "", e.Tokens)
+	}
+	w.l.box.done(ids)
+	w.l.counters.settled.Add(int64(len(ids)))
+	for _, wish := range b.wishes {
+		if wish.result == drawDone {
+			w.l.counters.draws.Add(1)
+			w.l.record(pb.EventKind_EVENT_KIND_GRANT_DRAWN, wish.account.name, "", "", wish.want)
+		}
+		close(wish.done)
+	}
+	for _, op := range b.operations {
+		op.done <- nil
+	}
+}
