Add status, timeline and drain to the command line

Cause: operators need the state and the events of all routers in one place, and a planned stop that can be waited for.

Ruled out: finding the routers through the platform's VM list, which would need the platform just when it is out; the routers are named by flag or environment.

--- a/ctl/cmd/cuminrockctl/main.go
+++ b/ctl/cmd/cuminrockctl/main.go
@@ -13,6 +13,7 @@
 	"cuminrock.example/ctl/cli"
 	"cuminrock.example/ctl/emulatecmd"
 	"cuminrock.example/ctl/loadcmd"
+	"cuminrock.example/ctl/operatorcmd"
 )
 
 func main() {
@@ -25,6 +26,7 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	register("stand-ins", emulatecmd.Commands(env))
 	register("load", loadcmd.Commands(env))
+	register("fleet", operatorcmd.Commands(env))
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
--- /dev/null
+++ b/ctl/operator/client.go
@@ -0,0 +1,155 @@
+// Package operator is a client of the routers' operator doors.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+)
+
+// maxAnswerBytes bounds one answer of an operator door.
+const maxAnswerBytes = 256 << 20
+
+// Member is one router as another one sees it.
+type Member struct {
+	Name            string `json:"name"`
+	Incarnation     string `json:"incarnation"`
+	DataCentre      string `json:"data_centre"`
+	OperatorAddress string `json:"operator_address"`
+	Draining        bool   `json:"draining"`
+	ConfigVersion   uint64 `json:"config_version"`
+}
+
+// Status is what a router tells of itself.
+type Status struct {
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+	DataCentre  string `json:"data_centre"`
+	Ready       bool   `json:"ready"`
+	// Reason tells why it isn't ready.
+	Reason        string   `json:"reason"`
+	Draining      bool     `json:"draining"`
+	ConfigVersion uint64   `json:"config_version"`
+	Streams       int      `json:"streams"`
+	Members       []Member `json:"members"`
+}
+
+// Client speaks to one operator door.
+type Client struct {
+	address string
+	token   string
+	http    *http.Client
+}
+
+// New returns a client of the operator door at host:port. The token may be
+// empty. Each call ends after timeout.
+func New(address, token string, timeout time.Duration) *Client {
+	return &Client{address: address, token: token, http: &http.Client{Timeout: timeout}}
+}
+
+// Address returns host:port of the door.
+func (c *Client) Address() string { return c.address }
+
+// Status asks the router for its status.
+func (c *Client) Status(ctx context.Context) (*Status, error) {
+	body, err := c.call(ctx, http.MethodGet, "/status", nil)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	status := &Status{}
+	err = json.Unmarshal(body, status)
+	if err != nil {
+		return nil, trace.Wrap(err, "status of %s", c.address)
+	}
+	return status, nil
+}
+
+// Timeline asks the router for its events. The end of the filter's time is
+// applied by the caller of timeline.Matches.
+func (c *Client) Timeline(ctx context.Context, filter *pb.EventFilter) ([]*pb.Event, error) {
+	body, err := c.call(ctx, http.MethodGet, "/timeline", timelineQuery(filter))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	list := &pb.EventList{}
+	err = protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(body, list)
+	if err != nil {
+		return nil, trace.Wrap(err, "time line of %s", c.address)
+	}
+	return list.Events, nil
+}
+
+func timelineQuery(filter *pb.EventFilter) url.Values {
+	query := url.Values{}
+	if filter.GetRequestId() != "" {
+		query.Set("request_id", filter.RequestId)
+	}
+	if filter.GetBudget() != "" {
+		query.Set("budget", filter.Budget)
+	}
+	if filter.GetSince() != nil {
+		since := time.Duration(filter.Since.WallNs)
+		query.Set("since_ms", strconv.FormatInt(since.Milliseconds(), 10))
+	}
+	if filter.GetLimit() > 0 {
+		query.Set("limit", strconv.FormatUint(uint64(filter.Limit), 10))
+	}
+	return query
+}
+
+// Drain orders a planned stop.
+func (c *Client) Drain(ctx context.Context) error {
+	_, err := c.call(ctx, http.MethodPost, "/drain", nil)
+	return trace.Wrap(err)
+}
+
+// call makes one call and returns the body of a successful answer.
+func (c *Client) call(ctx context.Context, method, path string, query url.Values) ([]byte, error) {
+	address := url.URL{Scheme: "http", Host: c.address, Path: path, RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, method, address.String(), nil)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "router %s did not answer", c.address)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return nil, trace.Errorf("router %s answered %s", c.address, refusalText(resp.StatusCode, body))
+	}
+	return body, nil
+}
+
+// refusalText is the kind and sentence of an error body, or its beginning.
+func refusalText(status int, body []byte) string {
+	var refusal struct {
+		Error struct {
+			Kind    string `json:"kind"`
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	err := json.Unmarshal(body, &refusal)
+	if err != nil || refusal.Error.Kind == "" {
+		return fmt.Sprintf("%d: %.200s", status, strings.TrimSpace(string(body)))
+	}
+	return fmt.Sprintf("%d %s: %s", status, refusal.Error.Kind, refusal.Error.Message)
+}
