--- a/ctl/loadcmd/load.go
+++ b/ctl/loadcmd/load.go
@@ -16,6 +16,7 @@
 
 	"cuminrock.example/ctl/cli"
 	"cuminrock.example/ctl/loadgen"
+	"cuminrock.example/ctl/operator"
 )
 
 // Commands returns the command `load`.
@@ -30,7 +31,7 @@
 	direct  cli.List
 	calls   cli.List
 	keys    cli.List
-	pids    cli.List
+	fleet   operator.Flags
 	lengths string
 	rounds  int
 	json    bool
@@ -59,8 +60,9 @@
 func (l *load) Usage() string {
 	return `load --doors host:port,... --key KEY [flags]: make seeded open-loop load.
 With --direct host:port,... each round runs the same load first straight at
-the engines, then at the doors, and the difference is told. Exits 1 when an
-answer was broken, crossed or altered or a door was unreachable.
+the engines, then at the doors, and the difference is told. With --routers the
+routers' processor time is told too; no two of them may be one process. Exits 1
+when an answer was broken, crossed or altered or a door was unreachable.
 `
 }
 
@@ -70,13 +72,13 @@
 	f.Var(&l.direct, "direct", "engines to compare with, `host:port,...`; model calls only")
 	f.Var(&l.keys, "key", "bearer `key` of a workspace; may be repeated")
 	f.Var(&l.calls, "call", "part of the mix, `weight:kind:service/path`; may be repeated (default 1:model:model-pool/v1/chat/completions)")
-	f.Var(&l.pids, "router-pids", "process `ids` of the routers, to measure their processor time")
+	l.fleet.SetFlags(f)
 	f.Float64Var(&l.opts.RequestsPerSecond, "rate", defaultRate, "requests a second")
 	f.DurationVar(&l.opts.Duration, "duration", defaultDuration, "time over which requests arrive")
 	f.DurationVar(&l.opts.Warmup, "warmup", defaultWarmup, "time at the start that is not timed")
 	f.StringVar(&l.lengths, "tokens", defaultLengths, "least and largest length of an answer in tokens, `min-max`")
 	f.IntVar(&l.opts.PromptBytes, "prompt-bytes", defaultPrompt, "length of a prompt")
-	f.DurationVar(&l.opts.Timeout, "timeout", defaultTimeout, "longest time of one request")
+	f.DurationVar(&l.opts.Timeout, "request-timeout", defaultTimeout, "longest time of one request")
 	f.Uint64Var(&l.opts.Seed, "seed", 1, "seed of arrivals, lengths and prompts")
 	f.IntVar(&l.rounds, "rounds", 1, "how often the load is made")
 	f.BoolVar(&l.json, "json", false, "print JSON lines")
@@ -166,9 +168,9 @@
 		clean = l.print(direct)
 	}
 	if len(l.doors) > 0 {
-		before := processorTime(l.pids)
+		before := l.processorTime(ctx)
 		routed = loadgen.Run(ctx, &l.opts, loadgen.Goal{Name: "routed", Addresses: l.doors}, run+"-routed")
-		routed.RouterCPUCores = (processorTime(l.pids) - before).Seconds() / routed.Seconds
+		routed.RouterCPUCores = (l.processorTime(ctx) - before).Seconds() / routed.Seconds
 		clean = l.print(routed) && clean
 	}
 	if direct != nil && routed != nil {
@@ -177,6 +179,25 @@
 	return clean
 }
 
+// processorTime returns what the routers have used so far; 0 where no
+// operator doors are given or one doesn't tell.
+func (l *load) processorTime(ctx context.Context) time.Duration {
+	routers, err := l.fleet.Clients()
+	if err != nil {
+		return 0
+	}
+	var total time.Duration
+	for _, router := range routers {
+		used, err := router.ProcessorTime(ctx)
+		if err != nil {
+			l.env.Fail("load", err)
+			return 0
+		}
+		total += used
+	}
+	return total
+}
+
 // directOptions keeps the model calls of the mix.
 func (l *load) directOptions() *loadgen.Options {
 	opts := l.opts
--- a/ctl/loadgen/answer.go
+++ b/ctl/loadgen/answer.go
@@ -8,6 +8,7 @@
 	"hash"
 	"io"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -106,7 +107,7 @@
 	if string(e.name) == errorEvent {
 		return Broken
 	}
-	if c.ID != a.id {
+	if !sameRequest(c.ID, a.id) {
 		return Crossed
 	}
 	if !a.nextOffset(e.id) {
@@ -123,6 +124,12 @@
 	return Whole
 }
 
+// sameRequest tells whether an answer carries the id of a request: the id
+// itself, or at a caller door the workspace, a colon and the id.
+func sameRequest(carried, id string) bool {
+	return carried == id || strings.HasSuffix(carried, ":"+id)
+}
+
 // Names of events that are not tokens.
 const (
 	endEvent   = "end"
--- a/ctl/loadgen/phase.go
+++ b/ctl/loadgen/phase.go
@@ -126,7 +126,7 @@
 	}
 	out.first = time.Since(planned)
 	echoed := resp.Header.Get(headerRequestID)
-	if echoed != "" && echoed != id {
+	if echoed != "" && !sameRequest(echoed, id) {
 		out.verdict = Crossed
 	}
 }
--- a/ctl/operator/client.go
+++ b/ctl/operator/client.go
@@ -114,6 +114,25 @@
 	return trace.Wrap(err)
 }
 
+// vars is the metrics that this client reads.
+type vars struct {
+	CPUSeconds float64 `json:"cpu_seconds"`
+}
+
+// ProcessorTime returns the processor time that the router has used.
+func (c *Client) ProcessorTime(ctx context.Context) (time.Duration, error) {
+	body, err := c.call(ctx, http.MethodGet, "/debug/vars", nil)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	var v vars
+	err = json.Unmarshal(body, &v)
+	if err != nil {
+		return 0, trace.Wrap(err, "metrics of %s", c.address)
+	}
+	return time.Duration(v.CPUSeconds * float64(time.Second)), nil
+}
+
 // call makes one call and returns the body of a successful answer.
 func (c *Client) call(ctx context.Context, method, path string, query url.Values) ([]byte, error) {
 	address := url.URL{Scheme: "http", Host: c.address, Path: path, RawQuery: query.Encode()}
--- a/ctl/operatorcmd/drain.go
+++ b/ctl/operatorcmd/drain.go
@@ -18,7 +18,7 @@
 // drain orders a planned stop of routers.
 type drain struct {
 	env   cli.Env
-	fleet fleet
+	fleet operator.Flags
 	wait  time.Duration
 	json  bool
 }
@@ -39,7 +39,7 @@
 
 // SetFlags implements subcommands.Command.
 func (d *drain) SetFlags(f *flag.FlagSet) {
-	d.fleet.set(f)
+	d.fleet.SetFlags(f)
 	f.DurationVar(&d.wait, "wait", 0, "longest `time` to wait until the routers have stopped (default not at all)")
 	f.BoolVar(&d.json, "json", false, "print a JSON line a router")
 }
@@ -61,7 +61,7 @@
 
 // Execute implements subcommands.Command.
 func (d *drain) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	clients, err := d.fleet.clients()
+	clients, err := d.fleet.Clients()
 	if err != nil || f.NArg() > 0 {
 		return d.env.Misused("drain", "%v", firstFault(err, f))
 	}
--- a/ctl/operatorcmd/status.go
+++ b/ctl/operatorcmd/status.go
@@ -15,7 +15,7 @@
 // status tells the state of each router.
 type status struct {
 	env   cli.Env
-	fleet fleet
+	fleet operator.Flags
 	json  bool
 }
 
@@ -35,7 +35,7 @@
 
 // SetFlags implements subcommands.Command.
 func (s *status) SetFlags(f *flag.FlagSet) {
-	s.fleet.set(f)
+	s.fleet.SetFlags(f)
 	f.BoolVar(&s.json, "json", false, "print a JSON line a router")
 }
 
@@ -48,7 +48,7 @@
 
 // Execute implements subcommands.Command.
 func (s *status) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	clients, err := s.fleet.clients()
+	clients, err := s.fleet.Clients()
 	if err != nil || f.NArg() > 0 {
 		return s.env.Misused("status", "%v", firstFault(err, f))
 	}
--- a/ctl/operatorcmd/timeline.go
+++ b/ctl/operatorcmd/timeline.go
@@ -18,7 +18,7 @@
 // timelineCommand merges the events of all routers.
 type timelineCommand struct {
 	env     cli.Env
-	fleet   fleet
+	fleet   operator.Flags
 	request string
 	budget  string
 	since   string
@@ -43,7 +43,7 @@
 
 // SetFlags implements subcommands.Command.
 func (t *timelineCommand) SetFlags(f *flag.FlagSet) {
-	t.fleet.set(f)
+	t.fleet.SetFlags(f)
 	f.StringVar(&t.request, "request", "", "only events of this request `id`")
 	f.StringVar(&t.budget, "budget", "", "only events of this budget")
 	f.StringVar(&t.since, "since", "", "only events from this `time` on")
@@ -54,7 +54,7 @@
 
 // Execute implements subcommands.Command.
 func (t *timelineCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	clients, err := t.fleet.clients()
+	clients, err := t.fleet.Clients()
 	var filter *pb.EventFilter
 	if err == nil {
 		filter, err = t.filter(time.Now())
