--- /dev/null
+++ b/ctl/sheetcmd/plan.go
@@ -0,0 +1,124 @@
+package sheetcmd
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+	"google.golang.org/protobuf/proto"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/sheet"
+	"cuminrock.example/router/configlog"
+	"cuminrock.example/router/platform"
+)
+
+// topUpsPerRead is how many top-up rows are asked for at once.
+const topUpsPerRead = 100
+
+// sheetPlan shows what a sheet changes.
+type sheetPlan struct {
+	shared
+}
+
+// Name implements subcommands.Command.
+func (*sheetPlan) Name() string { return "sheet-plan" }
+
+// Synopsis implements subcommands.Command.
+func (*sheetPlan) Synopsis() string { return "show what a sheet would change" }
+
+// Usage implements subcommands.Command.
+func (*sheetPlan) Usage() string {
+	return `sheet-plan --platform host:port [--json] FILE
+Shows the difference between the configuration in force and a sheet: + added,
+~ changed, - removed, ^ top-up. Changes nothing. Exits 1 on faults.
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *sheetPlan) SetFlags(f *flag.FlagSet) {
+	c.outputFlags(f)
+	c.platformFlags(f, "`host:port` of the platform; required")
+}
+
+// Execute implements subcommands.Command.
+func (c *sheetPlan) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 || c.address == "" {
+		return c.misuse("sheet-plan needs --platform and one FILE")
+	}
+	s, err := readSheet(f.Arg(0))
+	if err != nil {
+		return c.fail(err)
+	}
+	plan, err := c.planOn(ctx, s)
+	if err != nil {
+		return c.fail(err)
+	}
+	if c.json {
+		c.print(plan.Report())
+	} else {
+		c.printf("%s", plan.Report().Text())
+	}
+	return done
+}
+
+func readSheet(path string) (*sheet.Sheet, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.BadSheet, err, "the sheet can't be read")
+	}
+	s, err := sheet.Parse(data)
+	if err == nil || !s.Whole() {
+		return s, err
+	}
+	return s, sheet.WithReferences(s, err)
+}
+
+// planOn plans a sheet on the configuration in the platform.
+func (s *shared) planOn(ctx context.Context, wanted *sheet.Sheet) (*sheet.Plan, error) {
+	p, err := platform.Dial(s.address, s.timeout)
+	if err != nil {
+		return nil, err
+	}
+	defer p.Close()
+	return s.plan(ctx, p, wanted)
+}
+
+func (s *shared) plan(ctx context.Context, p platform.Platform, wanted *sheet.Sheet) (*sheet.Plan, error) {
+	view, err := configlog.Load(ctx, p)
+	if err != nil {
+		return nil, err
+	}
+	applied, err := s.appliedTopUps(ctx, p, wanted.TopUps)
+	if err != nil {
+		return nil, err
+	}
+	return sheet.NewPlan(view, wanted, applied)
+}
+
+// appliedTopUps reads which top-ups of the sheet have taken effect.
+func (s *shared) appliedTopUps(ctx context.Context, tables platform.Tables, wanted []sheet.TopUp) (sheet.TopUpIndex, error) {
+	applied := make(sheet.TopUpIndex)
+	for len(wanted) > 0 {
+		batch := wanted[:min(len(wanted), topUpsPerRead)]
+		wanted = wanted[len(batch):]
+		keys := make([]string, len(batch))
+		for i, t := range batch {
+			keys[i] = s.TopUps.Key(t.ID)
+		}
+		rows, err := tables.Read(ctx, keys...)
+		if err != nil {
+			return nil, errkind.Wrap(errkind.PlatformDown, err, "the top-ups can't be read")
+		}
+		for _, row := range rows {
+			t := &pb.TopUpRow{}
+			if err := proto.Unmarshal(row.Value, t); err != nil {
+				return nil, errkind.Wrap(errkind.Internal, err, row.Key+" can't be decoded")
+			}
+			applied[t.Id] = t
+		}
+	}
+	return applied, nil
+}
--- a/fleet/sheet/plan.go
+++ b/fleet/sheet/plan.go
@@ -1,6 +1,8 @@
 package sheet
 
 import (
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
@@ -123,3 +125,42 @@
 		p.Change = change
 	}
 }
+
+// WithReferences adds to the faults of a sheet's lines those of names that it
+// refers to, so that all are told at once. The sheet must be Whole. What only
+// follows from a bad line is left out.
+func WithReferences(s *Sheet, lineFaults error) error {
+	faults, ok := lineFaults.(Faults)
+	if !ok {
+		return lineFaults
+	}
+	bad := badLines(s, faults)
+	all := slices.Clone(faults)
+	for _, f := range merge(config.Empty(), s).check(s) {
+		if !bad[f.Line] {
+			all = append(all, f)
+		}
+	}
+	return all.sorted()
+}
+
+// badLines returns the lines with faults, and the shift lines that divide the
+// same traffic as one of them.
+func badLines(s *Sheet, faults Faults) map[int]bool {
+	bad := make(map[int]bool, len(faults))
+	for _, f := range faults {
+		bad[f.Line] = true
+	}
+	divided := make(map[division]bool)
+	for _, shift := range s.Shifts {
+		if bad[shift.Line] {
+			divided[division{shift.Workspace, shift.Service}] = true
+		}
+	}
+	for _, shift := range s.Shifts {
+		if divided[division{shift.Workspace, shift.Service}] {
+			bad[shift.Line] = true
+		}
+	}
+	return bad
+}
--- /dev/null
+++ b/router/configlog/configlog_test.go
@@ -0,0 +1,163 @@
+package configlog
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/config"
+	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/router/platform/platformfake"
+)
+
+func budgetChange(version uint64, names ...string) *pb.Change {
+	c := &pb.Change{Version: version}
+	for _, name := range names {
+		c.Upserts = append(c.Upserts, config.BudgetRecord(&pb.Budget{Name: name, Workspace: "schools"}))
+	}
+	return c
+}
+
+// appendAt runs an Append in simulated time.
+func appendAt(t *testing.T, p *platformfake.Fake, author string, c *pb.Change) (version uint64, err error) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		version, err = Append(t.Context(), p, author, c)
+	})
+	return version, err
+}
+
+func TestOneOfRacingOperatorsWins(t *testing.T) {
+	is := is.New(t)
+	p := &platformfake.Fake{}
+	_, err := appendAt(t, p, "ana", budgetChange(1, "daily"))
+	is.NoErr(err)
+
+	_, err = appendAt(t, p, "bela", budgetChange(1, "reserve"))
+
+	is.Equal(errkind.Of(err), errkind.Conflict)
+	var conflict *ConflictError
+	is.True(errors.As(err, &conflict))
+	is.Equal(conflict.Head, uint64(1))
+	is.True(strings.Contains(err.Error(), "ana made version 1"))
+	is.True(strings.Contains(err.Error(), "budget daily"))
+	view, err := Load(t.Context(), p)
+	is.NoErr(err)
+	_, found := view.Budget("reserve")
+	is.True(!found)
+}
+
+func TestLostAnswerIsReadBack(t *testing.T) {
+	is := is.New(t)
+	p := &platformfake.Fake{}
+	p.SetFates(platformfake.AnswerLost)
+
+	version, err := appendAt(t, p, "ana", budgetChange(1, "daily"))
+
+	is.NoErr(err)
+	is.Equal(version, uint64(1))
+}
+
+func TestLostRequestIsSentAgain(t *testing.T) {
+	is := is.New(t)
+	p := &platformfake.Fake{}
+	p.SetFates(platformfake.RequestLost, platformfake.RequestLost)
+
+	version, err := appendAt(t, p, "ana", budgetChange(1, "daily"))
+
+	is.NoErr(err)
+	is.Equal(version, uint64(1))
+}
+
+func TestLateCommitTakesEffectOnce(t *testing.T) {
+	is := is.New(t)
+	p := &platformfake.Fake{}
+	p.SetFates(platformfake.Late)
+	_, err := appendAt(t, p, "ana", budgetChange(1, "daily"))
+	is.NoErr(err)
+	_, err = appendAt(t, p, "bela", budgetChange(2, "reserve"))
+	is.NoErr(err)
+
+	p.Deliver()
+
+	view, err := Load(t.Context(), p)
+	is.NoErr(err)
+	is.Equal(view.Version(), uint64(2))
+	_, found := view.Budget("reserve")
+	is.True(found)
+}
+
+func TestUnansweredAppendSaysSo(t *testing.T) {
+	is := is.New(t)
+	p := &platformfake.Fake{}
+	p.SetDown(true)
+	_, err := appendAt(t, p, "ana", budgetChange(1, "daily"))
+	is.Equal(errkind.Of(err), errkind.PlatformDown)
+
+	p.SetDown(false)
+	fates := make([]platformfake.Fate, appendAttempts)
+	for i := range fates {
+		fates[i] = platformfake.RequestLost
+	}
+	p.SetFates(fates...)
+	_, err = appendAt(t, p, "ana", budgetChange(1, "daily"))
+	is.Equal(errkind.Of(err), errkind.OutcomeUnknown)
+}
+
+func TestLargeChangeStandsInObject(t *testing.T) {
+	is := is.New(t)
+	p := &platformfake.Fake{}
+	names := make([]string, 5000)
+	for i := range names {
+		names[i] = fmt.Sprintf("budget-%05d", i)
+	}
+	_, err := appendAt(t, p, "ana", budgetChange(1, names...))
+	is.NoErr(err)
+
+	rows, err := p.Read(t.Context(), changeKey(1))
+	is.NoErr(err)
+	is.True(len(rows[0].Value) <= changeRowBytes)
+	changes, err := Since(t.Context(), p, 0)
+	is.NoErr(err)
+	is.Equal(len(changes[0].Upserts), len(names))
+}
+
+func TestSnapshotAndChangesGiveTheSameView(t *testing.T) {
+	is := is.New(t)
+	p := &platformfake.Fake{}
+	for v := range uint64(SnapshotEvery + 3) {
+		_, err := appendAt(t, p, "ana", budgetChange(v+1, fmt.Sprintf("budget-%d", v%7)))
+		is.NoErr(err)
+		writeSnapshotIfDue(t, p)
+	}
+	view, err := Load(t.Context(), p)
+	is.NoErr(err)
+	is.Equal(view.Version(), uint64(SnapshotEvery+3))
+
+	changes, err := Since(t.Context(), p, 0)
+	is.NoErr(err)
+	replayed, err := applyAll(config.Empty(), changes)
+	is.NoErr(err)
+	is.True(proto.Equal(view.Snapshot(), replayed.Snapshot()))
+}
+
+func writeSnapshotIfDue(t *testing.T, p *platformfake.Fake) {
+	t.Helper()
+	is := is.New(t)
+	ctx := context.Background()
+	due, err := SnapshotDue(ctx, p)
+	is.NoErr(err)
+	if !due {
+		return
+	}
+	view, err := Load(ctx, p)
+	is.NoErr(err)
+	is.NoErr(WriteSnapshot(ctx, p, view))
+}
--- a/router/configwatch/watch.go
+++ b/router/configwatch/watch.go
@@ -61,9 +61,9 @@
 	// Settled tells whether Members shows all routers that can be reached. Nil
 	// means that it always does.
 	Settled func() bool
-	// OnVersion is told each version that the router takes, ready or not; may be
-	// nil. It must not block.
-	OnVersion func(version uint64)
+	// InForce is told each version that comes into force; may be nil. It must
+	// not block.
+	InForce func(version uint64)
 	// Recorder takes time line events; may be nil.
 	Recorder *timeline.Recorder
 	// Log may be nil.
@@ -111,8 +111,8 @@
 	if o.Settled == nil {
 		o.Settled = func() bool { return true }
 	}
-	if o.OnVersion == nil {
-		o.OnVersion = func(uint64) {}
+	if o.InForce == nil {
+		o.InForce = func(uint64) {}
 	}
 	w := &Watch{options: o, offers: make(chan *pb.Member, 1)}
 	w.held.Store(config.Empty())
@@ -224,7 +224,6 @@
 	if w.current.Load() != nil {
 		w.force()
 	}
-	w.options.OnVersion(version)
 }
 
 // force puts the view held into force. The caller holds the lock.
@@ -232,6 +231,7 @@
 	view := w.held.Load()
 	w.current.Store(view)
 	w.record(&pb.Event{Kind: pb.EventKind_EVENT_KIND_CONFIG_IN_FORCE, Detail: fmt.Sprintf("version %d", view.Version())})
+	w.options.InForce(view.Version())
 }
 
 // becomeReady puts the first view into force once nothing is missing.
--- a/router/membership/heartbeat.go
+++ b/router/membership/heartbeat.go
@@ -70,9 +70,14 @@
 	}
 }
 
-// HandleHeartbeat answers a peer's heartbeat.
+// HandleHeartbeat answers a peer's heartbeat. A request without a sender is a
+// question of an operator's tool, which learns of this router and is not a
+// member.
 func (m *Membership) HandleHeartbeat(_ context.Context, req *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
 	sender := req.GetSender()
+	if sender == nil {
+		return &pb.HeartbeatResponse{Receiver: m.Self(), Time: m.time()}, nil
+	}
 	if sender.GetName() == "" || sender.GetPeerAddress() == "" {
 		return nil, errkind.New(errkind.BadRequest, "the heartbeat names no sender")
 	}
--- /dev/null
+++ b/router/platform/platformfake/fake.go
@@ -0,0 +1,221 @@
+// Package platformfake is the platform in memory, for tests of packages that
+// use platform.Platform. It loses answers and goes down as a test says.
+package platformfake
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/router/platform"
+)
+
+// Fate is what happens to one commit.
+type Fate int
+
+// The fates.
+const (
+	// Answered is a commit without a fault.
+	Answered Fate = iota
+	// AnswerLost takes effect; its answer doesn't come.
+	AnswerLost
+	// RequestLost has no effect and no answer.
+	RequestLost
+	// Late has no answer and waits until Deliver.
+	Late
+)
+
+// Fake is a platform. The zero value is empty and up. It is safe for
+// concurrent use.
+type Fake struct {
+	mu      sync.Mutex
+	rows    map[string]*pb.Row
+	objects map[string][]byte
+	vms     []*pb.Vm
+	version uint64
+	down    bool
+	fates   []Fate
+	late    []*pb.CommitRequest
+	calls   int
+}
+
+var _ platform.Platform = (*Fake)(nil)
+
+// SetDown makes all calls fail, or work again.
+func (f *Fake) SetDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+// SetFates sets what happens to the next commits, in order.
+func (f *Fake) SetFates(fates ...Fate) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fates = fates
+}
+
+// SetVms sets the VM list.
+func (f *Fake) SetVms(vms []*pb.Vm) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.vms = vms
+}
+
+// Deliver lets the late commits arrive.
+func (f *Fake) Deliver() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, txn := range f.late {
+		f.apply(txn)
+	}
+	f.late = nil
+}
+
+// Calls returns the number of calls so far.
+func (f *Fake) Calls() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+// enter counts a call. The caller holds the lock.
+func (f *Fake) enter() error {
+	f.calls++
+	if f.down {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+// Read implements platform.Tables.
+func (f *Fake) Read(_ context.Context, keys ...string) ([]*pb.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.enter(); err != nil {
+		return nil, err
+	}
+	var rows []*pb.Row
+	for _, key := range keys {
+		if row := f.rows[key]; row != nil {
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
+// Scan implements platform.Tables.
+func (f *Fake) Scan(_ context.Context, prefix, after string, limit int) ([]*pb.Row, bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.enter(); err != nil {
+		return nil, false, err
+	}
+	var rows []*pb.Row
+	for key, row := range f.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b *pb.Row) int { return strings.Compare(a.Key, b.Key) })
+	if limit > 0 && len(rows) > limit {
+		return rows[:limit], true, nil
+	}
+	return rows, false, nil
+}
+
+// Commit implements platform.Tables.
+func (f *Fake) Commit(_ context.Context, txn *pb.CommitRequest) (*pb.CommitResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.enter(); err != nil {
+		return nil, err
+	}
+	fate := Answered
+	if len(f.fates) > 0 {
+		fate = f.fates[0]
+		f.fates = f.fates[1:]
+	}
+	switch fate {
+	case RequestLost:
+		return nil, platform.ErrUnknown
+	case Late:
+		f.late = append(f.late, txn)
+		return nil, platform.ErrUnknown
+	case AnswerLost:
+		f.apply(txn)
+		return nil, platform.ErrUnknown
+	}
+	return f.apply(txn), nil
+}
+
+func (f *Fake) apply(txn *pb.CommitRequest) *pb.CommitResponse {
+	resp := &pb.CommitResponse{Committed: true}
+	for _, c := range txn.Conditions {
+		row := f.rows[c.Key]
+		if row.GetVersion() == c.Version {
+			continue
+		}
+		resp.Committed = false
+		if row != nil {
+			resp.Conflicts = append(resp.Conflicts, row)
+		}
+	}
+	if !resp.Committed {
+		return resp
+	}
+	f.version++
+	resp.Version = f.version
+	for _, w := range txn.Writes {
+		f.write(w)
+	}
+	return resp
+}
+
+func (f *Fake) write(w *pb.Write) {
+	if f.rows == nil {
+		f.rows = make(map[string]*pb.Row)
+	}
+	if w.Delete {
+		delete(f.rows, w.Key)
+		return
+	}
+	f.rows[w.Key] = &pb.Row{Key: w.Key, Value: w.Value, Version: f.version}
+}
+
+// Put implements platform.Objects.
+func (f *Fake) Put(_ context.Context, name string, data []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.enter(); err != nil {
+		return err
+	}
+	if f.objects == nil {
+		f.objects = make(map[string][]byte)
+	}
+	f.objects[name] = data
+	return nil
+}
+
+// Get implements platform.Objects.
+func (f *Fake) Get(_ context.Context, name string) ([]byte, bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.enter(); err != nil {
+		return nil, false, err
+	}
+	data, found := f.objects[name]
+	return data, found, nil
+}
+
+// List implements platform.Vms.
+func (f *Fake) List(context.Context) ([]*pb.Vm, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.enter(); err != nil {
+		return nil, err
+	}
+	return f.vms, nil
+}
