Give the stand-ins rate limits and a prefix cache

Cause: the platform carries several hundred writes and two thousand reads a second, and engines cache prompt prefixes in limited memory; both decide what the router's settling and its prefix affinity are worth, so the stand-ins need them to be measured against.

Ruled out: refusing calls beyond the rate, which would be an outage; they wait their turn, as at a loaded store.

Conclusion: unit tests with fixed times and texts pass with -race.

--- a/ctl/emulatecmd/emulate.go
+++ b/ctl/emulatecmd/emulate.go
@@ -144,12 +144,18 @@
 	return doors, nil
 }
 
-type platformFlags struct{}
+type platformFlags struct {
+	limits platform.Limits
+}
 
-func (p *platformFlags) set(*flag.FlagSet) {}
+func (p *platformFlags) set(f *flag.FlagSet) {
+	f.Float64Var(&p.limits.ReadsPerSecond, "reads", 0, "reads and scans a second; those beyond wait (default no limit)")
+	f.Float64Var(&p.limits.WritesPerSecond, "writes", 0, "transactions a second; those beyond wait (default no limit)")
+	f.Float64Var(&p.limits.RowsPerSecond, "rows", 0, "rows written a second; those beyond wait (default no limit)")
+}
 
 func (p *platformFlags) build(seed uint64) standIn {
-	return platform.New(platform.Options{Seed: seed})
+	return platform.New(platform.Options{Seed: seed, Limits: p.limits})
 }
 
 type engineFlags struct {
@@ -161,6 +167,8 @@
 	f.DurationVar(&e.opts.FirstToken, "first-token", 0, "time to the first token (default 20ms)")
 	f.IntVar(&e.opts.Slots, "slots", 0, "streams that run at once (default 256)")
 	f.IntVar(&e.opts.Queue, "queue", 0, "requests that wait for a slot (default 1024)")
+	f.DurationVar(&e.opts.PrefillPerToken, "prefill", 0, "time added to the first token for each prompt token that isn't cached")
+	f.IntVar(&e.opts.CacheTokens, "cache", 0, "size of the prefix cache in tokens")
 	f.DurationVar(&e.opts.Keep, "keep", 0, "how long a finished stream can be resumed (default 1m)")
 }
 
--- a/standin/engine/counts.go
+++ b/standin/engine/counts.go
@@ -13,6 +13,10 @@
 	RunsWhileLeaving uint64 `json:"runs_while_leaving"`
 	// Tokens is generated tokens, without prompts.
 	Tokens uint64 `json:"tokens"`
+	// PromptTokens is the prompts of all runs; CachedTokens those of them that
+	// the prefix cache had.
+	PromptTokens uint64 `json:"prompt_tokens"`
+	CachedTokens uint64 `json:"cached_tokens"`
 	// Refused is requests answered not_run.
 	Refused uint64 `json:"refused"`
 	// Resumed and Cancelled are calls on known streams.
@@ -22,7 +26,8 @@
 
 // counters is Counts while it is counted.
 type counters struct {
-	runs, runsWhileLeaving, tokens, refused, resumed, cancelled atomic.Uint64
+	runs, runsWhileLeaving, tokens, promptTokens, cachedTokens atomic.Uint64
+	refused, resumed, cancelled                                atomic.Uint64
 }
 
 // Counts returns what was counted since the start.
@@ -33,6 +38,8 @@
 		RunsByID:         e.runs.Snapshot(),
 		RunsWhileLeaving: e.counts.runsWhileLeaving.Load(),
 		Tokens:           e.counts.tokens.Load(),
+		PromptTokens:     e.counts.promptTokens.Load(),
+		CachedTokens:     e.counts.cachedTokens.Load(),
 		Refused:          e.counts.refused.Load(),
 		Resumed:          e.counts.resumed.Load(),
 		Cancelled:        e.counts.cancelled.Load(),
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -20,6 +20,7 @@
 	runs    target.Runs
 	counts  counters
 	wheel   wheel
+	cache   *prefixCache
 	started time.Time
 	// name starts the ids of streams; it differs at each start, so that a
 	// stream of an earlier process is unknown.
@@ -48,6 +49,7 @@
 		name:    uuid.NewString()[:8],
 		streams: make(map[string]*stream),
 	}
+	e.cache = newPrefixCache(e.opts.CacheTokens)
 	e.door = target.NewDoor(e.load)
 	e.workers.Go(e.schedule)
 	return e
@@ -84,12 +86,13 @@
 }
 
 // admit queues a new run, or returns nil where the queue is full.
-func (e *Engine) admit(requestID string, a answer, prompt int) *stream {
+func (e *Engine) admit(requestID string, a answer, prompt []byte) *stream {
 	s := &stream{
 		id:        fmt.Sprintf("%s-%d", e.name, e.serial.Add(1)),
 		requestID: requestID,
 		answer:    a,
-		prompt:    prompt,
+		prompt:    promptTokens(prompt),
+		text:      prompt,
 	}
 	e.mu.Lock()
 	if e.busy >= e.opts.Slots && len(e.waiting) >= e.opts.Queue {
@@ -110,7 +113,7 @@
 	for e.busy < e.opts.Slots && len(e.waiting) > 0 {
 		s := e.waiting[0]
 		e.waiting = e.waiting[1:]
-		firstAt := time.Since(e.started) + e.Faults().Lengthen(e.opts.FirstToken)
+		firstAt := time.Since(e.started) + e.Faults().Lengthen(e.prefill(s))
 		if !s.start(firstAt) {
 			continue
 		}
@@ -124,6 +127,15 @@
 	}
 }
 
+// prefill takes the prompt and returns the time to the first token.
+func (e *Engine) prefill(s *stream) time.Duration {
+	cached := e.cache.use(s.text)
+	s.text = nil
+	e.counts.promptTokens.Add(uint64(s.prompt))
+	e.counts.cachedTokens.Add(uint64(cached))
+	return e.opts.FirstToken + time.Duration(s.prompt-cached)*e.opts.PrefillPerToken
+}
+
 // find returns a stream by id.
 func (e *Engine) find(id string) (*stream, bool) {
 	if e.Faults().ForgetStreams {
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -168,6 +168,19 @@
 	is.Equal(answerTokens(chat, 5, "3"), 0)
 }
 
+func TestPrefixCacheKeepsWholeChunksOfRecentPrompts(t *testing.T) {
+	is := is.New(t)
+	prompt := bytes.Repeat([]byte("abcd"), 3*chunkTokens)
+	longer := append(bytes.Clone(prompt), "tail"...)
+	c := newPrefixCache(4 * chunkTokens)
+	is.Equal(c.use(prompt), 0)
+	is.Equal(c.use(longer), 3*chunkTokens)
+	other := bytes.Repeat([]byte("wxyz"), 2*chunkTokens)
+	is.Equal(c.use(other), 0) // pushes out the oldest chunk
+	is.Equal(c.use(prompt), 0)
+	is.Equal(newPrefixCache(0).use(prompt), 0)
+}
+
 func TestWheelGivesEachStreamAtItsTick(t *testing.T) {
 	is := is.New(t)
 	var w wheel
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -58,8 +58,8 @@
 		return
 	}
 	id := requestID(req)
-	prompt := chat.promptTokens()
-	total := answerTokens(&chat, prompt, req.Header.Get(target.HeaderMaxTokens))
+	prompt := chat.prompt()
+	total := answerTokens(&chat, promptTokens(prompt), req.Header.Get(target.HeaderMaxTokens))
 	s := e.admit(id, newAnswer(e.opts.Seed, body, total), prompt)
 	if s == nil {
 		e.refuse(w, http.StatusTooManyRequests, "queue full")
--- a/standin/engine/messages.go
+++ b/standin/engine/messages.go
@@ -21,13 +21,18 @@
 // promptBytesPerToken is how many bytes of prompt make one token.
 const promptBytesPerToken = 4
 
-// promptTokens returns the tokens of the prompt, at least one.
-func (r *chatRequest) promptTokens() int {
-	bytes := 0
+// prompt returns the text of all messages.
+func (r *chatRequest) prompt() []byte {
+	var text []byte
 	for _, m := range r.Messages {
-		bytes += len(m.Content)
+		text = append(text, m.Content...)
 	}
-	return 1 + bytes/promptBytesPerToken
+	return text
+}
+
+// promptTokens returns the tokens of a prompt, at least one.
+func promptTokens(prompt []byte) int {
+	return 1 + len(prompt)/promptBytesPerToken
 }
 
 // Usage is what a request ran.
--- a/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -17,6 +17,11 @@
 	// Queue is how many requests wait for a slot at most; those beyond are
 	// answered not_run. Default 1,024.
 	Queue int
+	// PrefillPerToken is added to FirstToken for each token of the prompt that
+	// is not in the prefix cache. Default 0.
+	PrefillPerToken time.Duration
+	// CacheTokens is the size of the prefix cache. Default 0.
+	CacheTokens int
 	// Keep is how long a finished stream can be resumed. Default 60 s.
 	Keep time.Duration
 }
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -22,6 +22,8 @@
 	requestID string
 	answer    answer
 	prompt    int
+	// text is the prompt until the stream starts.
+	text []byte
 
 	// nextAt is when the next token is due, since the engine's start. Only
 	// the scheduler uses it once the stream runs.
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -149,3 +149,15 @@
 	is.Equal(l.at(start.Add(59 * time.Second))[0].Name, "one")
 	is.Equal(l.at(start.Add(time.Minute))[0].Name, "two")
 }
+
+func TestPacerSpreadsWorkAtItsRate(t *testing.T) {
+	is := is.New(t)
+	p := pacer{rate: 10}
+	now := time.Unix(1000, 0)
+	is.Equal(p.reserve(now, 1), time.Duration(0))
+	is.Equal(p.reserve(now, 2), 100*time.Millisecond)
+	is.Equal(p.reserve(now, 1), 300*time.Millisecond)
+	is.Equal(p.reserve(now.Add(time.Second), 1), time.Duration(0)) // idle time is not saved up
+	unlimited := pacer{}
+	is.Equal(unlimited.reserve(now, 1000), time.Duration(0))
+}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -26,6 +26,8 @@
 	Seed uint64
 	// Vms is the VM list at the start.
 	Vms []*pb.Vm
+	// Limits are the rates over all doors.
+	Limits Limits
 }
 
 // Server is the platform. It is safe for concurrent use.
@@ -34,6 +36,7 @@
 	store  *store
 	vms    vmList
 	counts counters
+	pacers *pacers
 
 	// stopped ends late commits and calls that hang.
 	stopped context.Context
@@ -55,7 +58,7 @@
 // New returns a platform without rows.
 func New(opts Options) *Server {
 	stopped, stop := context.WithCancel(context.Background())
-	s := &Server{seed: opts.Seed, store: newStore(), stopped: stopped, stop: stop}
+	s := &Server{seed: opts.Seed, store: newStore(), pacers: newPacers(opts.Limits), stopped: stopped, stop: stop}
 	s.vms.set(time.Now(), opts.Vms)
 	return s
 }
--- a/standin/platform/services.go
+++ b/standin/platform/services.go
@@ -21,7 +21,11 @@
 }
 
 // Read implements TableService.
-func (t *tables) Read(_ context.Context, req *pb.ReadRequest) (*pb.ReadResponse, error) {
+func (t *tables) Read(ctx context.Context, req *pb.ReadRequest) (*pb.ReadResponse, error) {
+	err := t.server.pacers.read(ctx)
+	if err != nil {
+		return nil, err
+	}
 	rows := t.server.store.read(req.Keys)
 	t.server.counts.reads.Add(1)
 	t.server.counts.rowsRead.Add(uint64(len(rows)))
@@ -29,7 +33,11 @@
 }
 
 // Scan implements TableService.
-func (t *tables) Scan(_ context.Context, req *pb.ScanRequest) (*pb.ScanResponse, error) {
+func (t *tables) Scan(ctx context.Context, req *pb.ScanRequest) (*pb.ScanResponse, error) {
+	err := t.server.pacers.read(ctx)
+	if err != nil {
+		return nil, err
+	}
 	rows, more := t.server.store.scan(req.Prefix, req.After, int(req.Limit))
 	t.server.counts.scans.Add(1)
 	t.server.counts.rowsRead.Add(uint64(len(rows)))
@@ -38,6 +46,10 @@
 
 // Commit implements TableService with the door's commit faults.
 func (t *tables) Commit(ctx context.Context, req *pb.CommitRequest) (*pb.CommitResponse, error) {
+	err := t.server.pacers.write(ctx, len(req.Writes))
+	if err != nil {
+		return nil, err
+	}
 	fate, delay := t.gate.commitFate()
 	switch fate {
 	case fateAnswerLost:
