Serve the whole path as separate processes

The stand-in's load report now echoes the request id as the target protocol says: the target's client had dropped every report as crossed.

--- a/ctl/cmd/cuminrockctl/main.go
+++ b/ctl/cmd/cuminrockctl/main.go
@@ -14,6 +14,10 @@
 	"cuminrock.example/ctl/emulatecmd"
 	"cuminrock.example/ctl/loadcmd"
 	"cuminrock.example/ctl/operatorcmd"
+	"cuminrock.example/ctl/sheetcmd"
+	"cuminrock.example/fleet/budget"
+	"cuminrock.example/router/ledger"
+	"cuminrock.example/router/platform"
 )
 
 func main() {
@@ -27,6 +31,7 @@
 	register("stand-ins", emulatecmd.Commands(env))
 	register("load", loadcmd.Commands(env))
 	register("fleet", operatorcmd.Commands(env))
+	register("sheet", sheetcmd.Commands(sheetcmd.Options{TopUps: sheetcmd.TopUps{Key: budget.TopUpKey, Apply: topUp}}))
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
@@ -38,3 +43,9 @@
 		subcommands.Register(c, group)
 	}
 }
+
+// topUp applies a top-up of a sheet; one that took effect before is done.
+func topUp(ctx context.Context, tables platform.Tables, id, budgetName string, tokens int64) error {
+	_, err := ledger.TopUp(ctx, tables, id, budgetName, tokens)
+	return err
+}
--- a/router/serve/park.go
+++ b/router/serve/park.go
@@ -26,7 +26,6 @@
 	target *pb.Target
 	stream string
 	res    *ledger.Reservation
-	timer  *time.Timer
 }
 
 // park keeps a stream for the grace, then ends it.
--- a/standin/target/door.go
+++ b/standin/target/door.go
@@ -126,7 +126,8 @@
 }
 
 // ServeLoad answers GET /v1/load.
-func (d *Door) ServeLoad(w http.ResponseWriter, _ *http.Request) {
+func (d *Door) ServeLoad(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
 	lag := time.Duration(d.gate.get().LoadLagMs) * time.Millisecond
 	if lag == 0 {
 		control.Encode(w, d.currentLoad())
