Share one run among repeats of a whole call; reserve actions after their claim

An action's reservation was tied to the caller's wait, so a run that went on after the caller left was billed as unknown, and a repeat of a finished action needed free tokens. It is now reserved inside the send, which outlives the caller and never happens for a replay. Whole calls are no longer cut when their caller leaves, so that they are billed by usage.

--- a/router/serve/park.go
+++ b/router/serve/park.go
@@ -19,6 +19,10 @@
 	cancelAttempts = 4
 	// cancelTimeout bounds one such call.
 	cancelTimeout = 2 * time.Second
+	// learnInterval is the first wait before an unknown usage is asked for
+	// again; it doubles up to maxLearnInterval.
+	learnInterval    = 5 * time.Second
+	maxLearnInterval = 20 * time.Minute
 )
 
 // parked is a dispatched stream without a reader.
@@ -65,28 +69,45 @@
 }
 
 // settleAbandoned asks the engine to cancel the stream and bills the usage it
-// names. Where no answer can be had the bound stays charged as unknown.
+// names. Where no answer can be had the bound stays charged as unknown, and
+// the engine is asked again from time to time.
 func (s *Server) settleAbandoned(r *Request, p *parked) {
 	for attempt := 1; attempt <= cancelAttempts; attempt++ {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		usage, err := s.Targets.Cancel(ctx, p.target, r.ID, p.stream)
 		cancel()
 		if err == nil {
-			s.settleUsage(r, p, total(usage))
+			s.bill(r, p.res, p.target.Name, total(usage))
 			return
 		}
 		time.Sleep(backoffBase << attempt)
 	}
 	p.res.Unknown()
 	s.record(r, pb.EventKind_EVENT_KIND_CUT, p.target.Name, 0, "usage unknown")
+	go s.learnUsage(r, p)
 }
 
-func (s *Server) settleUsage(r *Request, p *parked, tokens int64) {
-	err := p.res.Settle(tokens)
-	if err != nil {
-		s.Log.Error("serve: the bill differs from its reservation.", errField(err))
+// learnUsage asks an engine for the usage of a stream that was billed as
+// unknown, at growing intervals, until it answers or the router stops.
+func (s *Server) learnUsage(r *Request, p *parked) {
+	for wait := learnInterval; wait <= maxLearnInterval; wait *= 2 {
+		select {
+		case <-time.After(wait):
+		case <-s.stopping:
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		usage, err := s.Targets.Cancel(ctx, p.target, r.ID, p.stream)
+		cancel()
+		if err != nil {
+			continue
+		}
+		err = s.Ledger.Learned(r.Budget, r.Workspace.Name, r.ID, runName(p.target.Name, p.stream), total(usage))
+		if err != nil {
+			s.Log.Warn("serve: a late usage was not taken.", zap.String("request", r.ID), zap.Error(err))
+		}
+		return
 	}
-	s.record(r, pb.EventKind_EVENT_KIND_BILLED, p.target.Name, tokens, "cancelled")
 }
 
 // HandleLocate tells a peer what this router knows of a request.
@@ -227,5 +248,3 @@
 	h.Write(r.Body)
 	return h.Sum(nil)
 }
-
-func errField(err error) zap.Field { return zap.Error(err) }
--- a/router/serve/serve.go
+++ b/router/serve/serve.go
@@ -74,6 +74,7 @@
 	active  sync.WaitGroup
 	streams atomic.Int64
 	runs    registry
+	flights *flights
 
 	stopping     chan struct{}
 	stoppingOnce sync.Once
@@ -81,7 +82,7 @@
 
 // New returns a server.
 func New(o Options) *Server {
-	s := &Server{Options: o, stopping: make(chan struct{})}
+	s := &Server{Options: o, stopping: make(chan struct{}), flights: newFlights(o.Now)}
 	s.runs.init()
 	return s
 }
@@ -109,6 +110,9 @@
 
 // reserve reserves the request's upper bound.
 func (s *Server) reserve(ctx context.Context, r *Request) (*ledger.Reservation, error) {
+	if !s.Now().Before(r.Deadline) {
+		return nil, errkind.New(errkind.DeadlinePassed, "the deadline passed before the call was sent")
+	}
 	bound := r.Bound()
 	res, err := s.Ledger.Reserve(ctx, r.Budget, r.Workspace.Name, r.ID, bound)
 	if err != nil {
--- a/router/serve/stream.go
+++ b/router/serve/stream.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/route"
@@ -272,11 +274,7 @@
 // finish bills a whole answer.
 func (st *Stream) finish(tokens int64) {
 	s := st.server
-	err := st.res.Settle(tokens)
-	if err != nil {
-		s.Log.Error("serve: the bill differs from its reservation.", errField(err))
-	}
-	s.record(st.req, pb.EventKind_EVENT_KIND_ANSWERED, st.lease.Target().Name, tokens, "")
+	s.bill(st.req, st.res, st.lease.Target().Name, tokens)
 	st.up.Close()
 	st.lease.Done(route.Outcome{Result: route.OK, FirstByte: st.firstByte, Now: s.Now()})
 	s.runs.remove(st.req.ID)
@@ -294,7 +292,12 @@
 	t := st.lease.Target()
 	st.lease.Done(route.Outcome{Result: route.Neutral, Now: s.Now()})
 	s.record(st.req, pb.EventKind_EVENT_KIND_CUT, t.Name, st.next, "the caller went away")
-	s.park(st.req, &parked{target: t, stream: st.up.ID(), res: st.res})
+	p := &parked{target: t, stream: st.up.ID(), res: st.res}
+	if s.Now().Before(st.req.Deadline) {
+		s.park(st.req, p)
+	} else {
+		s.finishInBackground(st.req, p)
+	}
 	st.close()
 }
 
@@ -345,7 +348,7 @@
 		if err == nil {
 			return res, true
 		}
-		s.Log.Warn("serve: a handed over reservation can't be taken up.", errField(err))
+		s.Log.Warn("serve: a handed over reservation can't be taken up.", zap.Error(err))
 		return nil, false
 	}
 	return nil, false
--- a/router/serve/whole.go
+++ b/router/serve/whole.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/errkind"
@@ -35,30 +36,55 @@
 	if r.Call.Kind == pb.CallKind_CALL_KIND_ACTION {
 		return s.action(ctx, r)
 	}
+	if !r.KeyGiven {
+		return s.once(ctx, r)
+	}
+	fl, first, err := s.flights.join(r)
+	if err != nil {
+		return nil, err
+	}
+	if !first {
+		return fl.wait(ctx)
+	}
+	answer, err := s.once(ctx, r)
+	s.flights.land(r.ID, fl, answer, err)
+	return answer, err
+}
+
+// once runs an idempotent request. It isn't cut when the caller goes away: an
+// answer that is on its way is billed by its usage, not by the bound.
+func (s *Server) once(ctx context.Context, r *Request) (*Answer, error) {
 	res, err := s.reserve(ctx, r)
 	if err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithDeadline(detach(ctx), r.Deadline)
+	defer cancel()
 	answer, err := s.dispatch(ctx, r)
 	if err != nil {
 		endReservation(res, target.RunState(err))
 		return nil, err
 	}
-	return s.settle(r, res, answer)
+	return s.settle(r, res, answer), nil
 }
 
 // settle bills a whole answer.
-func (s *Server) settle(r *Request, res *ledger.Reservation, a *target.Answer) (*Answer, error) {
+func (s *Server) settle(r *Request, res *ledger.Reservation, a *target.Answer) *Answer {
 	tokens := r.Call.CostTokens
 	if r.Call.Kind == pb.CallKind_CALL_KIND_MODEL {
 		tokens = total(a.Usage)
 	}
+	s.bill(r, res, "", tokens)
+	return &Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body, Billed: tokens}
+}
+
+// bill settles a reservation by its usage.
+func (s *Server) bill(r *Request, res *ledger.Reservation, targetName string, tokens int64) {
 	err := res.Settle(tokens)
 	if err != nil {
-		s.Log.Error("serve: the bill differs from its reservation.", errField(err))
+		s.Log.Error("serve: the bill differs from its reservation.", zap.String("request", r.ID), zap.Error(err))
 	}
-	s.record(r, pb.EventKind_EVENT_KIND_ANSWERED, "", tokens, "")
-	return &Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body, Billed: tokens}, nil
+	s.record(r, pb.EventKind_EVENT_KIND_ANSWERED, targetName, tokens, "")
 }
 
 // dispatch sends an idempotent request until a target answers it whole or
@@ -102,10 +128,6 @@
 	if !r.KeyGiven {
 		return nil, errkind.New(errkind.KeyRequired, "an action needs an Idempotency-Key")
 	}
-	res, err := s.reserve(ctx, r)
-	if err != nil {
-		return nil, err
-	}
 	outcome, err := s.Actions.Run(ctx, actions.Request{
 		Workspace: r.Workspace.Name,
 		Key:       r.Key,
@@ -115,28 +137,52 @@
 		},
 	})
 	if err != nil {
-		endReservation(res, target.RunState(err))
 		return nil, err
 	}
-	if outcome.Replayed {
-		res.Release()
-		return replayed(outcome.Answer), nil
+	a := outcome.Answer
+	answer := &Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body, Replayed: outcome.Replayed}
+	if !outcome.Replayed {
+		answer.Billed = r.Call.CostTokens
 	}
-	return s.settle(r, res, outcome.Answer)
+	return answer, nil
 }
 
-// sendAction dispatches an action to one target, once.
+// sendAction reserves and dispatches an action. It runs after the claim is
+// written and may outlive the caller, so the reservation is its own: a repeat
+// of an action that has run needs none.
 func (s *Server) sendAction(ctx context.Context, r *Request) (*target.Answer, error) {
-	lease, err := s.pick(r, nil)
+	res, err := s.reserve(ctx, r)
 	if err != nil {
 		return nil, err
 	}
-	t := lease.Target()
-	s.record(r, pb.EventKind_EVENT_KIND_DISPATCHED, t.Name, 0, "")
-	start := s.Now()
-	answer, err := s.Targets.Action(ctx, s.call(r, t))
-	lease.Done(s.outcome(err, start))
-	return answer, err
+	answer, err := s.dispatchAction(ctx, r)
+	if err != nil {
+		endReservation(res, target.RunState(err))
+		return nil, err
+	}
+	s.bill(r, res, "", r.Call.CostTokens)
+	return answer, nil
+}
+
+// dispatchAction tries one target after another only while each one can't
+// have started the action.
+func (s *Server) dispatchAction(ctx context.Context, r *Request) (*target.Answer, error) {
+	var tried []string
+	for {
+		lease, err := s.pick(r, tried)
+		if err != nil {
+			return nil, err
+		}
+		t := lease.Target()
+		s.record(r, pb.EventKind_EVENT_KIND_DISPATCHED, t.Name, 0, "")
+		start := s.Now()
+		answer, err := s.Targets.Action(ctx, s.call(r, t))
+		lease.Done(s.outcome(err, start))
+		tried = append(tried, t.Name)
+		if err == nil || len(tried) == maxAttempts || target.RunState(err) != pb.RunState_RUN_STATE_NOT_RUN {
+			return answer, err
+		}
+	}
 }
 
 // total is what a usage is billed as.
