--- /dev/null
+++ b/router/configwatch/fleet_test.go
@@ -0,0 +1,278 @@
+package configwatch_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/config"
+	"cuminrock.example/router/configlog"
+	"cuminrock.example/router/configwatch"
+	"cuminrock.example/router/membership"
+	"cuminrock.example/router/platform"
+	"cuminrock.example/router/platform/platformfake"
+)
+
+// oneWay is the time of a message between two routers.
+const oneWay = 1500 * time.Microsecond
+
+// network carries calls between routers by address and counts them.
+type network struct {
+	mu       sync.Mutex
+	routers  map[string]*router
+	cut      func(from, to *router) bool
+	calls    int
+	bytes    int
+	platform *platformfake.Fake
+}
+
+// router is one router without its doors.
+type router struct {
+	self    *pb.Member
+	net     *network
+	members *membership.Membership
+	watch   *configwatch.Watch
+	stop    context.CancelFunc
+	done    chan struct{}
+}
+
+func newNetwork() *network {
+	return &network{
+		routers:  make(map[string]*router),
+		cut:      func(_, _ *router) bool { return false },
+		platform: &platformfake.Fake{},
+	}
+}
+
+// setCut replaces the rule that tells which calls are lost. A nil to stands
+// for the platform.
+func (n *network) setCut(cut func(from, to *router) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = cut
+}
+
+func (n *network) isCut(from, to *router) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut(from, to)
+}
+
+// reach returns the router at an address after the time of the way there and
+// back. A call that is cut ends with its context.
+func (n *network) reach(ctx context.Context, from *router, address string, messages ...proto.Message) (*router, error) {
+	n.mu.Lock()
+	to := n.routers[address]
+	n.calls++
+	for _, m := range messages {
+		n.bytes += proto.Size(m)
+	}
+	n.mu.Unlock()
+	if to == nil || n.isCut(from, to) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	time.Sleep(2 * oneWay)
+	return to, nil
+}
+
+// start adds a router that knows the given seeds.
+func (n *network) start(ctx context.Context, centre string, number int, seeds ...string) *router {
+	name := fmt.Sprintf("router-%s-%d", centre, number)
+	r := &router{
+		self: &pb.Member{
+			Name:            name,
+			Incarnation:     fmt.Sprintf("%032x", number),
+			DataCentre:      centre,
+			PeerAddress:     name + ":8082",
+			OperatorAddress: name + ":8081",
+			VmInstance:      name,
+		},
+		net:  n,
+		done: make(chan struct{}),
+	}
+	r.members = membership.New(membership.Options{
+		Self:      r.self,
+		Seeds:     seeds,
+		Vms:       r.platform(),
+		Call:      r.heartbeat,
+		OnVersion: func(peer *pb.Member, version uint64) { r.watch.Offer(peer, version) },
+		Seed:      uint64(number),
+	})
+	r.watch = configwatch.New(configwatch.Options{
+		Platform: r.platform(),
+		Peers:    r,
+		Turn:     func(slot int64) bool { return r.members.Duty("config", slot) },
+		Settled:  r.members.Settled,
+		InForce:  r.members.SetConfigVersion,
+	})
+	n.mu.Lock()
+	n.routers[r.self.PeerAddress] = r
+	n.mu.Unlock()
+	r.run(ctx)
+	return r
+}
+
+func (r *router) run(ctx context.Context) {
+	ctx, r.stop = context.WithCancel(ctx)
+	var loops sync.WaitGroup
+	loops.Go(func() { r.members.Run(ctx) })
+	loops.Go(func() { r.watch.Run(ctx) })
+	go func() {
+		loops.Wait()
+		close(r.done)
+	}()
+}
+
+// kill stops a router; its address answers no more.
+func (r *router) kill() {
+	r.stop()
+	<-r.done
+	r.net.mu.Lock()
+	defer r.net.mu.Unlock()
+	delete(r.net.routers, r.self.PeerAddress)
+}
+
+func (r *router) heartbeat(ctx context.Context, address string, req *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
+	to, err := r.net.reach(ctx, r, address, req)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := to.members.HandleHeartbeat(ctx, req)
+	r.net.mu.Lock()
+	defer r.net.mu.Unlock()
+	r.net.bytes += proto.Size(resp)
+	return resp, err
+}
+
+// Members implements configwatch.Peers.
+func (r *router) Members() []*pb.Member { return r.members.Members() }
+
+// FetchConfig implements configwatch.Peers.
+func (r *router) FetchConfig(ctx context.Context, from *pb.Member, req *pb.FetchConfigRequest) (*pb.FetchConfigResponse, error) {
+	to, err := r.net.reach(ctx, r, from.PeerAddress, req)
+	if err != nil {
+		return nil, err
+	}
+	return to.watch.HandleFetchConfig(ctx, req)
+}
+
+func (r *router) platform() platform.Platform { return &door{Platform: r.net.platform, router: r} }
+
+// door is the platform as one router reaches it.
+type door struct {
+	platform.Platform
+	router *router
+}
+
+func (d *door) pass() error {
+	time.Sleep(2 * oneWay)
+	if d.router.net.isCut(d.router, nil) {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+// Read implements platform.Tables.
+func (d *door) Read(ctx context.Context, keys ...string) ([]*pb.Row, error) {
+	if err := d.pass(); err != nil {
+		return nil, err
+	}
+	return d.Platform.Read(ctx, keys...)
+}
+
+// List implements platform.Vms.
+func (d *door) List(ctx context.Context) ([]*pb.Vm, error) {
+	if err := d.pass(); err != nil {
+		return nil, err
+	}
+	return d.Platform.List(ctx)
+}
+
+// fleet is a network with routers in several data centres.
+type fleet struct {
+	*network
+	t       testing.TB
+	routers []*router
+}
+
+// startFleet starts the same number of routers in each data centre, lists them
+// in the VM list and accepts the first configuration.
+func startFleet(t testing.TB, ctx context.Context, perCentre int, centres ...string) *fleet {
+	f := &fleet{network: newNetwork(), t: t}
+	f.accept(1)
+	var vms []*pb.Vm
+	for _, centre := range centres {
+		for i := range perCentre {
+			vms = append(vms, entryVm(centre, i+1))
+		}
+	}
+	f.platform.SetVms(vms)
+	for _, centre := range centres {
+		for i := range perCentre {
+			f.routers = append(f.routers, f.start(ctx, centre, i+1))
+		}
+	}
+	return f
+}
+
+func entryVm(centre string, number int) *pb.Vm {
+	name := fmt.Sprintf("router-%s-%d", centre, number)
+	return &pb.Vm{
+		Name: name, Instance: name, DataCentre: centre, Address: name + ":8082",
+		Role: pb.VmRole_VM_ROLE_ENTRY, State: pb.VmState_VM_STATE_LIVE,
+	}
+}
+
+// accept appends one change as an operator does.
+func (f *fleet) accept(version uint64) {
+	f.t.Helper()
+	record := config.BudgetRecord(&pb.Budget{Name: fmt.Sprintf("budget-%d", version), Workspace: "schools"})
+	change := &pb.Change{Version: version, Upserts: []*pb.Record{record}}
+	_, err := configlog.Append(context.Background(), f.platform, "ana", change)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// inForceWithin returns when all of some routers had a version in force, or
+// fails after the limit.
+func (f *fleet) inForceWithin(limit time.Duration, version uint64, routers ...*router) time.Duration {
+	f.t.Helper()
+	begin := time.Now()
+	for time.Since(begin) <= limit {
+		behind := 0
+		for _, r := range routers {
+			if view := r.watch.Current(); view == nil || view.Version() < version {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return time.Since(begin)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, r := range routers {
+		_, reason := r.watch.Ready()
+		f.t.Logf("%s holds version %d; %s", r.self.Name, r.watch.Version(), reason)
+	}
+	f.t.Fatalf("version %d isn't in force after %s", version, limit)
+	return 0
+}
+
+// bubble runs a test in simulated time and stops all routers at its end.
+func bubble(t *testing.T, test func(t *testing.T, ctx context.Context)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		test(t, ctx)
+		cancel()
+		// Calls in progress end within their timeouts.
+		time.Sleep(time.Minute)
+	})
+}
