Put a configuration in force only with its routes; test the doors in process

Cause: the door took a configuration up to 100 ms before the routing table had its targets, so the first calls were refused as no_target.

--- a/router/node/node.go
+++ b/router/node/node.go
@@ -28,6 +28,7 @@
 	"google.golang.org/grpc"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/config"
 	"cuminrock.example/fleet/route"
 	"cuminrock.example/fleet/timeline"
 	"cuminrock.example/router/actions"
@@ -87,12 +88,16 @@
 	stopLedger context.CancelFunc
 	draining   atomic.Bool
 	drainAsked chan struct{}
+
+	// inForce is the configuration that requests are served by.
+	inForce atomic.Pointer[config.View]
+	changed chan struct{}
 }
 
 // Start starts a router with checked settings. It returns when the doors are
 // open; Health tells when the router is ready.
 func Start(settings *pb.RouterSettings, log *zap.Logger) (*Node, error) {
-	n := &Node{settings: settings, log: log, vars: new(expvar.Map).Init(), drainAsked: make(chan struct{})}
+	n := &Node{settings: settings, log: log, vars: new(expvar.Map).Init(), drainAsked: make(chan struct{}), changed: make(chan struct{}, 1)}
 	err := n.listen()
 	if err != nil {
 		n.closeListeners()
@@ -225,7 +230,7 @@
 	})
 	n.server = serve.New(serve.Options{
 		Incarnation: n.self.Incarnation,
-		Config:      n.config.Current,
+		Config:      n.current,
 		Ledger:      n.ledger,
 		Routes:      n.routes,
 		Targets:     n.targets,
@@ -241,7 +246,7 @@
 
 func (n *Node) buildDoors() {
 	n.callers = callerdoor.New(callerdoor.Options{
-		Config:   n.config.Current,
+		Config:   n.current,
 		Server:   n.server,
 		Limits:   n.settings.CallerLimits,
 		Recorder: n.recorder,
--- /dev/null
+++ b/router/node/node_test.go
@@ -0,0 +1,153 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cuminrock.example/router/callerdoor"
+	"cuminrock.example/standin/engine"
+	"cuminrock.example/standin/target"
+)
+
+const (
+	modelPath  = "/v1/services/model-pool/v1/chat/completions"
+	lookupPath = "/v1/services/registry-app/find-record"
+	actionPath = "/v1/services/registry-app/issue-certificate"
+	streamBody = `{"model":"m","max_tokens":40,"stream":true,"messages":[{"role":"user","content":"lineage"}]}`
+	wholeBody  = `{"model":"m","max_tokens":5,"messages":[{"role":"user","content":"lineage"}]}`
+)
+
+var fast = engine.Options{Seed: 1, TokensPerSecond: 500}
+
+// Each fault of a request has a kind of its own, and none of them ran.
+func TestBadRequestsHaveTheirOwnKinds(t *testing.T) {
+	f := newFixture(t, 1, 100_000, fast)
+	for _, c := range []struct {
+		kind   string
+		status int
+		call   call
+	}{
+		{"unknown_key", 401, call{path: lookupPath, key: "other", body: "{}"}},
+		{"unknown_service", 404, call{path: "/v1/services/nowhere/x", body: "{}"}},
+		{"unknown_service", 404, call{path: "/v1/services/registry-app/nothing", body: "{}"}},
+		{"unknown_service", 404, call{path: "/elsewhere", body: "{}"}},
+		{"bad_method", 405, call{method: http.MethodGet, path: lookupPath}},
+		{"bad_request", 400, call{path: lookupPath, body: "{"}},
+		{"bad_request", 400, call{path: modelPath, body: `{"max_tokens":"many"}`}},
+		{"bad_request", 400, call{path: modelPath, body: `{"max_tokens":-1}`}},
+		{"bad_request", 400, call{path: lookupPath, idempotency: "a b", body: "{}"}},
+		{"bad_request", 400, call{path: modelPath, idempotency: "k", resume: "x", body: streamBody}},
+		{"key_required", 400, call{path: modelPath, resume: "e1/s/0", body: streamBody}},
+		{"key_required", 400, call{path: actionPath, body: "{}"}},
+		{"body_too_large", 413, call{path: lookupPath, body: `"` + strings.Repeat("x", 5000) + `"`}},
+		{"unknown_request", 404, call{method: http.MethodGet, path: "/v1/requests/none"}},
+	} {
+		t.Run(c.kind, func(t *testing.T) {
+			is := is.New(t)
+			resp := f.do(t.Context(), f.nodes[0], c.call)
+			info := f.refusal(resp)
+			is.Equal(info.Kind, c.kind)
+			is.Equal(resp.StatusCode, c.status)
+			is.Equal(info.RetryAfterMs, int64(0))
+		})
+	}
+	is.New(t).Equal(f.service.Counts().Executions, uint64(0))
+}
+
+// A repeat of a whole call with the same key gets the same answer without a
+// second run and without a second bill; another body is refused.
+func TestRepeatOfAWholeCall(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1, 100_000, fast)
+	c := call{path: modelPath, idempotency: "w1", body: wholeBody}
+	first := f.do(t.Context(), f.nodes[0], c)
+	text := f.body(first)
+	again := f.do(t.Context(), f.nodes[0], c)
+	is.Equal(f.body(again), text)
+	is.Equal(again.Header.Get(callerdoor.HeaderReplayed), "true")
+	is.Equal(f.engine.Runs("demo:w1"), 1)
+	is.Equal(strconv.FormatInt(f.bill("w1"), 10), first.Header.Get(callerdoor.HeaderBilled))
+	c.body = `{"max_tokens":6}`
+	is.Equal(f.refusal(f.do(t.Context(), f.nodes[0], c)).Kind, "key_reused")
+}
+
+// A caller that loses its connection resumes at the other router. The whole
+// answer is the same as an unbroken one, runs once and has one bill.
+func TestResumeAtTheOtherRouter(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 2, 100_000, engine.Options{Seed: 1, TokensPerSecond: 100})
+	whole, wholeEnd := newSSE(f.do(t.Context(), f.nodes[0], call{path: modelPath, idempotency: "s0", body: streamBody}).Body).rest()
+	ctx, leave := context.WithCancel(t.Context())
+	resp := f.do(ctx, f.nodes[0], call{path: modelPath, idempotency: "s1", body: streamBody})
+	events := newSSE(resp.Body)
+	var got []string
+	var last string
+	for range 5 {
+		e, ok := events.next()
+		is.True(ok)
+		got = append(got, e.data)
+		last = e.id
+	}
+	leave()
+	resp = f.do(t.Context(), f.nodes[1], call{path: modelPath, idempotency: "s1", resume: last, body: streamBody})
+	is.Equal(resp.StatusCode, http.StatusOK)
+	rest, end := newSSE(resp.Body).rest()
+	is.Equal(end.name, "end")
+	got = append(got, rest...)
+	same := func(key string, in []string) []string {
+		out := slices.Clone(in)
+		for i := range out {
+			out[i] = strings.Replace(out[i], key, "", 1)
+		}
+		return out
+	}
+	is.Equal(same("demo:s1", got), same("demo:s0", whole))
+	is.Equal(strings.Replace(end.data, "s1", "s0", 1), wholeEnd.data)
+	is.Equal(f.engine.Runs("demo:s1"), 1)
+	is.Equal(f.bill("s1"), f.bill("s0"))
+}
+
+// The answer to another request never reaches a caller.
+func TestCrossedAnswerIsDropped(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1, 100_000, fast)
+	is.NoErr(f.service.SetFaults(target.Faults{CrossNext: 10}))
+	info := f.refusal(f.do(t.Context(), f.nodes[0], call{path: lookupPath, body: "{}"}))
+	is.Equal(info.Kind, "answer_mismatch")
+	is.Equal(info.RunState, "unknown")
+}
+
+// A planned stop lets a stream in progress end whole and settles its bill.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1, 100_000, engine.Options{Seed: 1, TokensPerSecond: 20})
+	resp := f.do(t.Context(), f.nodes[0], call{path: modelPath, idempotency: "p1", body: streamBody})
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.nodes[0].Stop(context.Background()) }()
+	_, end := newSSE(resp.Body).rest()
+	is.Equal(end.name, "end")
+	is.NoErr(<-stopped)
+	is.True(f.bill("p1") > 0)
+}
+
+// A budget that can't cover the bound is refused at once as not run, and is
+// told as exhausted once its last bill is settled.
+func TestExhaustedBudget(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1, 20, fast)
+	resp := f.do(t.Context(), f.nodes[0], call{path: lookupPath, body: "{}"})
+	is.Equal(resp.StatusCode, http.StatusOK)
+	f.eventually(func() bool {
+		info := f.refusal(f.do(t.Context(), f.nodes[0], call{path: lookupPath, body: "{}"}))
+		is.Equal(info.RunState, "not_run")
+		is.True(info.RetryAfterMs > 0)
+		return info.Kind == "budget_exhausted"
+	})
+	is.Equal(f.service.Counts().Executions, uint64(1))
+}
--- a/router/node/state.go
+++ b/router/node/state.go
@@ -31,6 +31,9 @@
 		return operatordoor.Health{Reason: "draining"}
 	}
 	ready, reason := n.config.Ready()
+	if ready && n.current() == nil {
+		ready, reason = false, "routes are being built"
+	}
 	return operatordoor.Health{Ready: ready, Reason: reason}
 }
 
@@ -46,7 +49,7 @@
 		Draining:    n.draining.Load(),
 		Streams:     n.server.Streams(),
 	}
-	view := n.config.Current()
+	view := n.current()
 	if view != nil {
 		s.ConfigVersion = view.Version()
 	}
@@ -61,24 +64,37 @@
 	return s
 }
 
-// keepRoutes gives the routing table the targets of the configuration in
-// force and those known to be leaving.
+// current returns the configuration in force here: the newest one accepted
+// whose targets the routing table has. It is nil before the first.
+func (n *Node) current() *config.View { return n.inForce.Load() }
+
+// onConfig wakes keepRoutes. It doesn't block.
+func (n *Node) onConfig(uint64) {
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
+}
+
+// keepRoutes gives the routing table the targets of each new configuration,
+// and only then puts that configuration in force; and it takes those known to
+// be leaving out of use.
 func (n *Node) keepRoutes(ctx context.Context) {
 	ticker := time.NewTicker(routesInterval)
 	defer ticker.Stop()
-	var seen *config.View
 	var seenLeaving []string
 	for {
 		view := n.config.Current()
 		leaving := n.membership.Leaving()
 		names := leaving.Names()
-		if view != nil && (view != seen || !slices.Equal(names, seenLeaving)) {
-			seen, seenLeaving = view, names
+		if view != nil && (view != n.current() || !slices.Equal(names, seenLeaving)) {
+			seenLeaving = names
 			n.updateRoutes(view, leaving)
 		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-n.changed:
 		case <-ticker.C:
 		}
 	}
@@ -93,6 +109,8 @@
 		}
 	}
 	n.routes.Update(targets, leaving...)
+	n.inForce.Store(view)
+	n.membership.SetConfigVersion(view.Version())
 }
 
 // pollTargets asks the targets for their load, each once an interval.
@@ -100,7 +118,7 @@
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
 	for {
-		view := n.config.Current()
+		view := n.current()
 		if view != nil {
 			n.pollOnce(ctx, view.AllTargets())
 		}
--- a/router/serve/serve.go
+++ b/router/serve/serve.go
@@ -122,8 +122,17 @@
 	return res, nil
 }
 
-// pick chooses a target for the request; tried ones are left out.
+// pick chooses a target for the request. Tried ones are left out while there
+// are others.
 func (s *Server) pick(r *Request, tried []string) (route.Lease, error) {
+	lease, err := s.pickExcept(r, tried)
+	if len(tried) > 0 && errkind.Of(err) == errkind.NoTarget {
+		return s.pickExcept(r, nil)
+	}
+	return lease, err
+}
+
+func (s *Server) pickExcept(r *Request, tried []string) (route.Lease, error) {
 	view := s.Config()
 	if view == nil {
 		return route.Lease{}, errkind.New(errkind.NotReady, "no configuration is in force").After(time.Second)
--- a/router/serve/stream.go
+++ b/router/serve/stream.go
@@ -108,33 +108,19 @@
 // accepted the call.
 func (st *Stream) openNew(ctx context.Context) error {
 	s := st.server
-	var tried []string
-	sent := false
-	for attempt := 1; ; attempt++ {
-		lease, err := s.pick(st.req, tried)
-		if err != nil {
-			return soften(err, sent)
-		}
-		t := lease.Target()
-		s.record(st.req, pb.EventKind_EVENT_KIND_DISPATCHED, t.Name, 0, "")
-		start := s.Now()
-		up, err := s.Targets.Stream(detach(ctx), s.call(st.req, t))
-		if err == nil {
-			st.lease = lease
-			st.res.SetRun(runName(t.Name, up.ID()))
-			st.firstByte = s.Now().Sub(start)
-			st.up = up
-			s.runs.dispatched(st.req.ID, t.Name, up.ID())
-			return nil
-		}
-		lease.Done(s.outcome(err, start))
-		sent = sent || target.RunState(err) != pb.RunState_RUN_STATE_NOT_RUN
-		if !s.mayRetry(st.req, err, attempt) {
-			return soften(err, sent)
-		}
-		tried = append(tried, t.Name)
-		s.pause(ctx, attempt)
+	d, err := dispatch(ctx, s, st.req, func(c target.Call) (*target.Stream, error) {
+		return s.Targets.Stream(detach(ctx), c)
+	})
+	if err != nil {
+		return err
 	}
+	st.up = d.answer
+	st.lease = d.lease
+	st.firstByte = d.took
+	t := st.lease.Target()
+	st.res.SetRun(runName(t.Name, st.up.ID()))
+	s.runs.dispatched(st.req.ID, t.Name, st.up.ID())
+	return nil
 }
 
 // resume goes on with a stream that another router dispatched. That router is
--- a/router/serve/whole.go
+++ b/router/serve/whole.go
@@ -8,6 +8,7 @@
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/route"
 	"cuminrock.example/router/actions"
 	"cuminrock.example/router/ledger"
 	"cuminrock.example/router/target"
@@ -60,12 +61,13 @@
 	}
 	ctx, cancel := context.WithDeadline(detach(ctx), r.Deadline)
 	defer cancel()
-	answer, err := s.dispatch(ctx, r)
+	d, err := dispatch(ctx, s, r, func(c target.Call) (*target.Answer, error) { return s.Targets.Do(ctx, c) })
 	if err != nil {
 		endReservation(res, target.RunState(err))
 		return nil, err
 	}
-	return s.settle(r, res, answer), nil
+	d.lease.Done(route.Outcome{Result: route.OK, FirstByte: d.took, Now: s.Now()})
+	return s.settle(r, res, d.answer), nil
 }
 
 // settle bills a whole answer.
@@ -87,42 +89,6 @@
 	s.record(r, pb.EventKind_EVENT_KIND_ANSWERED, targetName, tokens, "")
 }
 
-// dispatch sends an idempotent request until a target answers it whole or
-// nothing more may be tried. The run state of the error covers all attempts.
-func (s *Server) dispatch(ctx context.Context, r *Request) (*target.Answer, error) {
-	var tried []string
-	sent := false
-	for attempt := 1; ; attempt++ {
-		lease, err := s.pick(r, tried)
-		if err != nil {
-			return nil, soften(err, sent)
-		}
-		t := lease.Target()
-		s.record(r, pb.EventKind_EVENT_KIND_DISPATCHED, t.Name, 0, "")
-		start := s.Now()
-		answer, err := s.Targets.Do(ctx, s.call(r, t))
-		lease.Done(s.outcome(err, start))
-		if err == nil {
-			return answer, nil
-		}
-		sent = sent || target.RunState(err) != pb.RunState_RUN_STATE_NOT_RUN
-		if !s.mayRetry(r, err, attempt) {
-			return nil, soften(err, sent)
-		}
-		tried = append(tried, t.Name)
-		s.pause(ctx, attempt)
-	}
-}
-
-// soften keeps a refusal from claiming "not run" when an earlier attempt of
-// the same request may have run.
-func soften(err error, sent bool) error {
-	if !sent || target.RunState(err) != pb.RunState_RUN_STATE_NOT_RUN {
-		return err
-	}
-	return errkind.Wrap(errkind.TargetFailed, err, "an earlier attempt may have run")
-}
-
 // action serves a call that runs at most once.
 func (s *Server) action(ctx context.Context, r *Request) (*Answer, error) {
 	if !r.KeyGiven {
