--- a/router/node/node.go
+++ b/router/node/node.go
@@ -190,7 +190,7 @@
 		Peers:    configPeers{n},
 		Turn:     func(slot int64) bool { return n.membership.Duty(configDuty, slot) },
 		Settled:  n.membership.Settled,
-		InForce:  n.membership.SetConfigVersion,
+		InForce:  n.onConfig,
 		Recorder: n.recorder,
 		Log:      n.log,
 		Now:      time.Now,
