Prove that target calls tell the truth on whether they ran

A property over points, ways to call and callers that give up at any microsecond compares the run state told with the executions counted at the target.

--- /dev/null
+++ b/router/target/notrun_test.go
@@ -0,0 +1,139 @@
+package target
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/errkind"
+)
+
+const (
+	testSilence = 40 * time.Millisecond
+	// testSettle lets a late write of a call reach the target.
+	testSettle = 5 * time.Millisecond
+)
+
+// The points of failure; "gone" is a target that nobody listens for.
+var failurePoints = []string{
+	"ok", "gone", "crossed", "crossed-body", "no-echo", "refuse", "refuse-crossed",
+	"500", "503", "429", "stall", "stall-body", "cut", "cut-body",
+	"stream-whole", "stream-cut", "stream-stall", "stream-crossed",
+}
+
+// The ways to call.
+var ways = []string{"do", "action", "stream"}
+
+func callBy(c *Client, ctx context.Context, way string, call Call) error {
+	switch way {
+	case "do":
+		_, err := c.Do(ctx, call)
+		return err
+	case "action":
+		_, err := c.Action(ctx, call)
+		return err
+	}
+	s, err := c.Stream(ctx, call)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	for {
+		e, err := s.Next(ctx)
+		if err != nil || e.End != nil {
+			return err
+		}
+	}
+}
+
+// The run state of every failure is true at every point of failure, for every
+// way to call, on new and pooled connections, and when the caller goes away at
+// any moment. Executions are counted at the target.
+func TestRunStateIsTrue(t *testing.T) {
+	f := newFakeTarget(t)
+	gone := refusedAddress(t)
+	c := New(Options{FirstByteTimeout: testSilence, TokenGapTimeout: testSilence})
+	defer c.Close()
+	var calls atomic.Int64
+	seen := make(map[errkind.Kind]int)
+	rapid.Check(t, func(t *rapid.T) {
+		id := fmt.Sprint("request-", calls.Add(1))
+		point := rapid.SampledFrom(failurePoints).Draw(t, "point")
+		way := rapid.SampledFrom(ways).Draw(t, "way")
+		givenUpAfter := time.Duration(rapid.IntRange(0, 1000).Draw(t, "given up after µs")) * time.Microsecond
+		givesUp := rapid.Bool().Draw(t, "gives up")
+		target := f.target()
+		if point == "gone" {
+			target.Address = gone
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 3*testSilence)
+		defer cancel()
+		if givesUp {
+			time.AfterFunc(givenUpAfter, cancel)
+		}
+		err := callBy(c, ctx, way, Call{Target: target, RequestID: id, Path: point, Body: []byte("{}")})
+		seen[errkind.Of(err)]++
+		told := RunState(err)
+		if told == pb.RunState_RUN_STATE_NOT_RUN {
+			time.Sleep(testSettle)
+		}
+		runs := f.runsOf(id)
+		if told == pb.RunState_RUN_STATE_NOT_RUN && runs > 0 {
+			t.Fatalf("told not_run (%v), the target ran it %d times", err, runs)
+		}
+		if told == pb.RunState_RUN_STATE_RAN && runs != 1 {
+			t.Fatalf("told ran, the target ran it %d times", runs)
+		}
+		if runs > 1 {
+			t.Fatalf("one call ran %d times", runs)
+		}
+	})
+	for kind, n := range seen {
+		t.Logf("%v: %d", kind, n)
+	}
+}
+
+// A call that is given up while its request is about to be written is either
+// never written, or not told as not_run.
+func TestSealedExchangeNeverWrites(t *testing.T) {
+	f := newFakeTarget(t)
+	c := New(Options{})
+	defer c.Close()
+	for i := range 400 {
+		id := fmt.Sprint("sealed-", i)
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(time.Duration(i)*time.Microsecond/2, cancel)
+		_, err := c.Action(ctx, Call{Target: f.target(), RequestID: id, Path: "ok"})
+		cancel()
+		if RunState(err) == pb.RunState_RUN_STATE_NOT_RUN {
+			time.Sleep(testSettle / 5)
+			is.New(t).Equal(f.runsOf(id), 0)
+		}
+	}
+}
+
+func TestPassedDeadlineIsNotSent(t *testing.T) {
+	is := is.New(t)
+	f := newFakeTarget(t)
+	c := New(Options{})
+	defer c.Close()
+	_, err := c.Action(context.Background(), Call{Target: f.target(), RequestID: "late", Path: "ok", Deadline: time.Unix(1, 0)})
+	is.Equal(errkind.Of(err), errkind.DeadlinePassed)
+	is.Equal(f.runsOf("late"), 0)
+}
+
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	is := is.New(t)
+	f := newFakeTarget(t)
+	c := New(Options{})
+	defer c.Close()
+	_, err := c.Do(context.Background(), Call{Target: f.target(), RequestID: "r", Path: "refuse"})
+	is.Equal(errkind.Of(err), errkind.TargetRefused)
+	is.Equal(errkind.As(err).RetryAfter, 3*time.Second)
+}
--- /dev/null
+++ b/router/target/stream_test.go
@@ -0,0 +1,84 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cuminrock.example/fleet/errkind"
+)
+
+func openStream(t *testing.T, path string) *Stream {
+	f := newFakeTarget(t)
+	c := New(Options{FirstByteTimeout: testSilence, TokenGapTimeout: testSilence})
+	t.Cleanup(c.Close)
+	s, err := c.Stream(context.Background(), Call{Target: f.target(), RequestID: "r1", Path: path, Body: []byte("{}")})
+	is.New(t).NoErr(err)
+	return s
+}
+
+// readAll reads a stream to its end and returns the number of its tokens.
+func readAll(s *Stream) (tokens int, err error) {
+	for {
+		e, err := s.Next(context.Background())
+		if err != nil {
+			return tokens, err
+		}
+		if e.End != nil {
+			return tokens, nil
+		}
+		tokens++
+	}
+}
+
+func TestWholeStreamIsRead(t *testing.T) {
+	is := is.New(t)
+	s := openStream(t, "stream-whole")
+	tokens, err := readAll(s)
+	is.NoErr(err)
+	is.Equal(tokens, streamTokens)
+	is.Equal(s.ID(), "s1")
+	_, err = s.Next(context.Background())
+	is.True(errors.Is(err, io.EOF))
+}
+
+// A stream that isn't whole, or isn't its caller's, never ends well.
+func TestBrokenStreamIsToldSo(t *testing.T) {
+	kinds := map[string]errkind.Kind{
+		"stream-cut":     errkind.TargetFailed,
+		"stream-stall":   errkind.TargetSilent,
+		"stream-crossed": errkind.AnswerMismatch,
+		"stream-gap":     errkind.TargetFailed,
+		"stream-altered": errkind.TargetFailed,
+		"stream-no-end":  errkind.TargetFailed,
+	}
+	for path, kind := range kinds {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			_, err := readAll(openStream(t, path))
+			is.Equal(errkind.Of(err), kind)
+		})
+	}
+}
+
+// A stream that broke or fell silent goes on where it stopped, and its digest
+// still covers all of it.
+func TestBrokenStreamContinues(t *testing.T) {
+	for _, path := range []string{"stream-cut", "stream-stall", "stream-crossed"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			s := openStream(t, path)
+			first, err := readAll(s)
+			is.True(err != nil)
+			s, err = s.Continue(context.Background())
+			is.NoErr(err)
+			second, err := readAll(s)
+			is.NoErr(err)
+			is.Equal(first+second, streamTokens)
+			is.True(s.whole)
+		})
+	}
+}
