--- a/ctl/cmd/cuminrockctl/main.go
+++ b/ctl/cmd/cuminrockctl/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/subcommands"
 
+	"cuminrock.example/ctl/budgetcmd"
 	"cuminrock.example/ctl/cli"
 	"cuminrock.example/ctl/emulatecmd"
 	"cuminrock.example/ctl/loadcmd"
@@ -26,6 +27,7 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	register("stand-ins", emulatecmd.Commands(env))
 	register("load", loadcmd.Commands(env))
+	register("budgets", budgetcmd.Commands(env))
 	register("fleet", operatorcmd.Commands(env))
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
