Tell the balancer only once the routing table is built

Cause: a router said ready when its configuration was in force, but the routing table is brought up to date every 100 ms. Ruled out: the pick itself, which had no targets to pick from.

--- a/router/node/state.go
+++ b/router/node/state.go
@@ -31,6 +31,9 @@
 		return operatordoor.Health{Reason: "draining"}
 	}
 	ready, reason := n.config.Ready()
+	if ready && !n.routed.Load() {
+		return operatordoor.Health{Reason: "the routing table isn't built yet"}
+	}
 	return operatordoor.Health{Ready: ready, Reason: reason}
 }
 
@@ -93,6 +96,7 @@
 		}
 	}
 	n.routes.Update(targets, leaving...)
+	n.routed.Store(true)
 }
 
 // pollTargets asks the targets for their load, each once an interval.
