Send engines the reserved tokens, as the target protocol says

Cause: Cuminrock-Max-Tokens carried the bound of the generated tokens, but docs/TARGET-PROTOCOL.md and package target define it as the tokens reserved, prompt included. Ruled out: the stand-in, which does what the page says.

--- a/router/serve/serve.go
+++ b/router/serve/serve.go
@@ -143,11 +143,20 @@
 		Method:    "POST",
 		Path:      r.Call.Path,
 		Body:      r.Body,
-		MaxTokens: r.MaxTokens,
+		MaxTokens: reservedTokens(r),
 		Deadline:  r.Deadline,
 	}
 }
 
+// reservedTokens returns the bound that an engine is told; other calls have
+// none.
+func reservedTokens(r *Request) int64 {
+	if r.Call.Kind != pb.CallKind_CALL_KIND_MODEL {
+		return 0
+	}
+	return r.Bound()
+}
+
 // mayRetry tells whether a failed attempt may be repeated at another target:
 // the deadline allows, and either it truly did not run or the call may be
 // repeated and the retry budget has room.
