--- /dev/null
+++ b/fleet/member/member_test.go
@@ -0,0 +1,204 @@
+package member
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+)
+
+var begin = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+func sampleMember(centre string, number int) *pb.Member {
+	name := fmt.Sprintf("router-%s-%d", centre, number)
+	return &pb.Member{Name: name, DataCentre: centre, PeerAddress: name + ":8082"}
+}
+
+// fullTable returns the table of router 0 of centre a, which has had an answer
+// from every other router of its data centre.
+func fullTable(perCentre int, centres ...string) *Table {
+	table := NewTable(sampleMember("a", 0), nil, rand.New(rand.NewPCG(1, 2)))
+	var vms []*pb.Vm
+	for _, centre := range centres {
+		for i := range perCentre {
+			m := sampleMember(centre, i)
+			vms = append(vms, &pb.Vm{Name: m.Name, DataCentre: centre, Address: m.PeerAddress, Role: pb.VmRole_VM_ROLE_ENTRY})
+		}
+	}
+	table.SetVms(vms, begin)
+	for i := 1; i < perCentre; i++ {
+		m := sampleMember("a", i)
+		table.Answered(m.PeerAddress, m, begin)
+	}
+	return table
+}
+
+func TestHeardIsNotAnswered(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(sampleMember("a", 0), nil, rand.New(rand.NewPCG(1, 2)))
+	other := sampleMember("a", 1)
+	table.Heard(other, begin)
+	is.Equal(len(table.Roster(begin).Others()), 0)
+	is.Equal(table.Due(begin), []string{other.PeerAddress})
+	is.True(table.Answered(other.PeerAddress, other, begin))
+	is.Equal(len(table.Roster(begin).Others()), 1)
+}
+
+func TestTwoFailuresTakeAMemberOutUntilItAnswers(t *testing.T) {
+	is := is.New(t)
+	table := fullTable(3, "a")
+	other := sampleMember("a", 1)
+	is.True(!table.Failed(other.PeerAddress, begin))
+	is.Equal(len(table.Roster(begin).Others()), 2)
+	is.True(table.Failed(other.PeerAddress, begin))
+	is.Equal(len(table.Roster(begin).Others()), 1)
+	table.Heard(other, begin)
+	is.Equal(len(table.Roster(begin).Others()), 1)
+	is.True(table.Answered(other.PeerAddress, other, begin))
+	is.Equal(len(table.Roster(begin).Others()), 2)
+}
+
+func TestNewcomersAreCalledAFewAtATime(t *testing.T) {
+	is := is.New(t)
+	table := fullTable(2, "a")
+	var vms []*pb.Vm
+	for i := range 51 {
+		m := sampleMember("a", i)
+		vms = append(vms, &pb.Vm{DataCentre: "a", Address: m.PeerAddress, Role: pb.VmRole_VM_ROLE_ENTRY})
+	}
+	table.SetVms(vms, begin)
+	is.Equal(len(table.Due(begin)), callsPerTick)
+	is.True(!table.Settled())
+}
+
+func TestUnlistedDeadMemberIsForgotten(t *testing.T) {
+	is := is.New(t)
+	table := fullTable(3, "a")
+	dead := sampleMember("a", 1)
+	table.Failed(dead.PeerAddress, begin)
+	table.Failed(dead.PeerAddress, begin)
+	table.SetVms(nil, begin.Add(forgetAfter/2))
+	is.Equal(len(table.peers), 2)
+	table.SetVms(nil, begin.Add(2*forgetAfter))
+	is.Equal(len(table.peers), 1)
+}
+
+// Calls are bounded at any size, every member gets its turn within a round, and
+// only gateways call other data centres.
+func TestCallsAreBounded(t *testing.T) {
+	is := is.New(t)
+	table := fullTable(51, "a", "b", "c", "d", "e", "f", "g")
+	const span = 30 * time.Second
+	near := make(map[string]int)
+	calls := 0
+	for now := begin; now.Before(begin.Add(span)); now = now.Add(TickInterval) {
+		for _, address := range table.Due(now) {
+			calls++
+			p := table.peers[address]
+			near[p.dataCentre]++
+			table.Answered(address, &pb.Member{Name: address, DataCentre: p.dataCentre, PeerAddress: address}, now)
+		}
+	}
+	perSecond := float64(calls) / span.Seconds()
+	is.True(perSecond <= callsPerTick*float64(time.Second/TickInterval)+8)
+	for _, p := range table.peers {
+		if p.dataCentre == "a" {
+			is.True(p.answered.After(begin.Add(span - 10*time.Second)))
+		}
+	}
+	gateway := table.Roster(begin).among("gateway", gateways)
+	is.Equal(near["b"] > 0, gateway)
+}
+
+// Exactly the stated number of members of a data centre see themselves as
+// gateways when their rosters agree.
+func TestGatewaysAreFew(t *testing.T) {
+	is := is.New(t)
+	var members []*pb.Member
+	for i := range 51 {
+		members = append(members, sampleMember("a", i))
+	}
+	count := 0
+	for i, self := range members {
+		others := append(append([]*pb.Member{}, members[:i]...), members[i+1:]...)
+		if NewRoster(self, others).among("gateway", gateways) {
+			count++
+		}
+	}
+	is.Equal(count, gateways)
+}
+
+// A member that goes moves only its own keys, and routers with the same
+// roster agree.
+func TestHomeMovesOnlyTheKeysOfTheMemberThatWent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(2, 12).Draw(t, "members")
+		gone := rapid.IntRange(1, count-1).Draw(t, "gone")
+		var all, left []*pb.Member
+		for i := 1; i < count; i++ {
+			all = append(all, sampleMember("a", i))
+			if i != gone {
+				left = append(left, sampleMember("a", i))
+			}
+		}
+		before := NewRoster(sampleMember("a", 0), all)
+		after := NewRoster(sampleMember("a", 0), left)
+		key := rapid.String().Draw(t, "key")
+		was, _ := before.Home(key)
+		is, _ := after.Home(key)
+		if was.Name != is.Name && was.Name != sampleMember("a", gone).Name {
+			t.Fatalf("key %q moved from %s to %s, but member %d went", key, was.Name, is.Name, gone)
+		}
+	})
+}
+
+func TestHomesAreEven(t *testing.T) {
+	is := is.New(t)
+	const members, keys = 51, 190_000
+	roster := fullTable(members, "a").Roster(begin)
+	count := make(map[string]int)
+	for i := range keys {
+		home, _ := roster.Home(fmt.Sprintf("budget-%07d", i))
+		count[home.Name]++
+	}
+	for _, n := range count {
+		is.True(n > keys/members*9/10 && n < keys/members*11/10)
+	}
+	is.Equal(len(count), members)
+}
+
+// A mark that its source took back isn't caught again from a peer.
+func TestLeavingMarkEndsEverywhere(t *testing.T) {
+	is := is.New(t)
+	a, b := NewLeaving(), NewLeaving()
+	a.Report("t", begin)
+	now := begin
+	for range 1000 {
+		for _, target := range a.Pushed(now) {
+			b.Hear(target, now)
+		}
+		for _, target := range b.Pushed(now) {
+			a.Hear(target, now)
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	is.Equal(len(a.Set(now).Names()), 0)
+	is.Equal(len(b.Set(now).Names()), 0)
+}
+
+func BenchmarkHome(b *testing.B) {
+	for _, members := range []int{2, 12, 51} {
+		roster := fullTable(members, "a").Roster(begin)
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				roster.Home("budget-0000042")
+			}
+		})
+	}
+}
--- a/fleet/sheet/sheet_test.go
+++ b/fleet/sheet/sheet_test.go
@@ -1,6 +1,7 @@
 package sheet
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -81,6 +82,14 @@
 	plan, err := NewPlan(view, parse(t, strings.Join(moved, "\r\n")), nil)
 	is.NoErr(err)
 	is.True(plan.Change == nil)
+
+	w, _ := view.Workspace("schools")
+	sums := fmt.Sprintf("%x", w.KeySha256[0])
+	extra := strings.Repeat("ab", keySumBytes)
+	view = inForce(t, strings.Replace(text, sums, sums+" "+extra, 1))
+	plan, err = NewPlan(view, parse(t, strings.Replace(text, sums, extra+" "+sums, 1)), nil)
+	is.NoErr(err)
+	is.True(plan.Change == nil)
 }
 
 func TestEveryBadLineIsNamed(t *testing.T) {
--- a/router/configwatch/fleet_test.go
+++ b/router/configwatch/fleet_test.go
@@ -22,11 +22,15 @@
 // oneWay is the time of a message between two routers.
 const oneWay = 1500 * time.Microsecond
 
+// slowAnswer is the extra time of a slow router's answers.
+const slowAnswer = 200 * time.Millisecond
+
 // network carries calls between routers by address and counts them.
 type network struct {
 	mu       sync.Mutex
 	routers  map[string]*router
 	cut      func(from, to *router) bool
+	slow     *router
 	calls    int
 	bytes    int
 	platform *platformfake.Fake
@@ -69,6 +73,7 @@
 func (n *network) reach(ctx context.Context, from *router, address string, messages ...proto.Message) (*router, error) {
 	n.mu.Lock()
 	to := n.routers[address]
+	slow := n.slow != nil && n.slow == to
 	n.calls++
 	for _, m := range messages {
 		n.bytes += proto.Size(m)
@@ -78,6 +83,9 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	if slow {
+		time.Sleep(slowAnswer)
+	}
 	time.Sleep(2 * oneWay)
 	return to, nil
 }
