--- /dev/null
+++ b/ctl/cmd/cuminrockctl/main.go
@@ -0,0 +1,53 @@
+// Command cuminrockctl is the operators' command line of cuminrock.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"cuminrock.example/ctl/budgetcmd"
+	"cuminrock.example/ctl/cli"
+	"cuminrock.example/ctl/emulatecmd"
+	"cuminrock.example/ctl/loadcmd"
+	"cuminrock.example/ctl/operatorcmd"
+	"cuminrock.example/ctl/sheetcmd"
+	"cuminrock.example/fleet/budget"
+	"cuminrock.example/router/ledger"
+	"cuminrock.example/router/platform"
+)
+
+func main() {
+	os.Exit(int(run()))
+}
+
+func run() subcommands.ExitStatus {
+	env := cli.OS()
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	register("stand-ins", emulatecmd.Commands(env))
+	register("load", loadcmd.Commands(env))
+	register("budgets", budgetcmd.Commands(env))
+	register("fleet", operatorcmd.Commands(env))
+	register("sheet", sheetcmd.Commands(sheetcmd.Options{TopUps: sheetcmd.TopUps{Key: budget.TopUpKey, Apply: topUp}}))
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return subcommands.Execute(ctx)
+}
+
+func register(group string, commands []subcommands.Command) {
+	for _, c := range commands {
+		subcommands.Register(c, group)
+	}
+}
+
+// topUp applies a top-up of a sheet; one that took effect before is done.
+func topUp(ctx context.Context, tables platform.Tables, id, budgetName string, tokens int64) error {
+	_, err := ledger.TopUp(ctx, tables, id, budgetName, tokens)
+	return err
+}
--- /dev/null
+++ b/router/node/state.go
@@ -0,0 +1,166 @@
+package node
+
+import (
+	"context"
+	"expvar"
+	"slices"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/config"
+	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/member"
+	"cuminrock.example/router/operatordoor"
+)
+
+const (
+	// routesInterval is how often a new configuration or a leaving target is
+	// looked for, well inside the 3 s that both are allowed.
+	routesInterval = 100 * time.Millisecond
+	// loadInterval is how often targets are asked for their load.
+	loadInterval = time.Second
+	// pollWorkers is how many targets are asked at the same time.
+	pollWorkers = 16
+)
+
+// Health implements operatordoor.Node.
+func (n *Node) Health() operatordoor.Health {
+	if n.draining.Load() {
+		return operatordoor.Health{Reason: "draining"}
+	}
+	ready, reason := n.config.Ready()
+	if ready && n.current() == nil {
+		ready, reason = false, "routes are being built"
+	}
+	return operatordoor.Health{Ready: ready, Reason: reason}
+}
+
+// Status implements operatordoor.Node.
+func (n *Node) Status() operatordoor.Status {
+	h := n.Health()
+	s := operatordoor.Status{
+		Name:        n.self.Name,
+		Incarnation: n.self.Incarnation,
+		DataCentre:  n.self.DataCentre,
+		Ready:       h.Ready,
+		Reason:      h.Reason,
+		Draining:    n.draining.Load(),
+		Streams:     n.server.Streams(),
+	}
+	view := n.current()
+	if view != nil {
+		s.ConfigVersion = view.Version()
+	}
+	for _, m := range n.membership.Members() {
+		s.Members = append(s.Members, operatordoor.Member{
+			Name:          m.Name,
+			DataCentre:    m.DataCentre,
+			Draining:      m.Draining,
+			ConfigVersion: m.ConfigVersion,
+		})
+	}
+	return s
+}
+
+// current returns the configuration in force here: the newest one accepted
+// whose targets the routing table has. It is nil before the first.
+func (n *Node) current() *config.View { return n.inForce.Load() }
+
+// onConfig wakes keepRoutes. It doesn't block.
+func (n *Node) onConfig(uint64) {
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
+}
+
+// keepRoutes gives the routing table the targets of each new configuration,
+// and only then puts that configuration in force; and it takes those known to
+// be leaving out of use.
+func (n *Node) keepRoutes(ctx context.Context) {
+	ticker := time.NewTicker(routesInterval)
+	defer ticker.Stop()
+	var seenLeaving []string
+	for {
+		view := n.config.Current()
+		leaving := n.membership.Leaving()
+		names := leaving.Names()
+		if view != nil && (view != n.current() || !slices.Equal(names, seenLeaving)) {
+			seenLeaving = names
+			n.updateRoutes(view, leaving)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) updateRoutes(view *config.View, set member.LeavingSet) {
+	targets := view.AllTargets()
+	var leaving []string
+	for _, t := range targets {
+		if set.Has(t) {
+			leaving = append(leaving, t.Name)
+		}
+	}
+	n.routes.Update(targets, leaving...)
+	n.inForce.Store(view)
+	n.membership.SetConfigVersion(view.Version())
+}
+
+// pollTargets asks the targets for their load, each once an interval.
+func (n *Node) pollTargets(ctx context.Context) {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		view := n.current()
+		if view != nil {
+			n.pollOnce(ctx, view.AllTargets())
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// pollOnce asks all targets, a few at a time.
+func (n *Node) pollOnce(ctx context.Context, targets []*pb.Target) {
+	ctx, cancel := context.WithTimeout(ctx, loadInterval)
+	defer cancel()
+	workers := pool.New().WithMaxGoroutines(pollWorkers)
+	for _, t := range targets {
+		workers.Go(func() { n.pollTarget(ctx, t) })
+	}
+	workers.Wait()
+}
+
+func (n *Node) pollTarget(ctx context.Context, t *pb.Target) {
+	load, err := n.targets.Load(ctx, t)
+	if err != nil {
+		return
+	}
+	n.routes.Report(t.Name, load.InFlight, load.Leaving)
+	if load.Leaving {
+		n.membership.MarkLeaving(t.Name)
+	}
+}
+
+// publish puts the router's counters into its metrics.
+func (n *Node) publish() {
+	n.vars.Set("streams", expvar.Func(func() any { return n.server.Streams() }))
+	n.vars.Set("calls_received", expvar.Func(func() any { return n.callers.Received() }))
+	n.vars.Set("ledger", expvar.Func(func() any { return n.ledger.Stats() }))
+	n.vars.Set("cpu_seconds", expvar.Func(func() any { return processSeconds() }))
+	refused := new(expvar.Map).Init()
+	for k := errkind.Kind(0); k < errkind.Count; k++ {
+		refused.Set(k.String(), expvar.Func(func() any { return n.callers.Refused(k) }))
+	}
+	n.vars.Set("refused", refused)
+}
--- /dev/null
+++ b/router/serve/whole.go
@@ -0,0 +1,167 @@
+package serve
+
+import (
+	"context"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/route"
+	"cuminrock.example/router/actions"
+	"cuminrock.example/router/ledger"
+	"cuminrock.example/router/target"
+)
+
+// prefixBytes is how much of a prompt decides which engine may have it cached.
+const prefixBytes = 256
+
+// Answer is a whole answer for the caller.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+	// Billed is the tokens billed for the request.
+	Billed int64
+	// Replayed is true for the recorded answer of an earlier run.
+	Replayed bool
+}
+
+// Whole serves a request that is answered in one piece. The error is an
+// *errkind.Error.
+func (s *Server) Whole(ctx context.Context, r *Request) (*Answer, error) {
+	s.active.Add(1)
+	defer s.active.Done()
+	s.Retries.Request()
+	if r.Call.Kind == pb.CallKind_CALL_KIND_ACTION {
+		return s.action(ctx, r)
+	}
+	if !r.KeyGiven {
+		return s.once(ctx, r)
+	}
+	fl, first, err := s.flights.join(r)
+	if err != nil {
+		return nil, err
+	}
+	if !first {
+		return fl.wait(ctx)
+	}
+	answer, err := s.once(ctx, r)
+	s.flights.land(r.ID, fl, answer, err)
+	return answer, err
+}
+
+// once runs an idempotent request. It isn't cut when the caller goes away: an
+// answer that is on its way is billed by its usage, not by the bound.
+func (s *Server) once(ctx context.Context, r *Request) (*Answer, error) {
+	res, err := s.reserve(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithDeadline(detach(ctx), r.Deadline)
+	defer cancel()
+	d, err := dispatch(ctx, s, r, func(c target.Call) (*target.Answer, error) { return s.Targets.Do(ctx, c) })
+	if err != nil {
+		endReservation(res, target.RunState(err))
+		return nil, err
+	}
+	d.lease.Done(route.Outcome{Result: route.OK, FirstByte: d.took, Now: s.Now()})
+	return s.settle(r, res, d.answer), nil
+}
+
+// settle bills a whole answer.
+func (s *Server) settle(r *Request, res *ledger.Reservation, a *target.Answer) *Answer {
+	tokens := r.Call.CostTokens
+	if r.Call.Kind == pb.CallKind_CALL_KIND_MODEL {
+		tokens = total(a.Usage)
+	}
+	s.bill(r, res, "", tokens)
+	return &Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body, Billed: tokens}
+}
+
+// bill settles a reservation by its usage.
+func (s *Server) bill(r *Request, res *ledger.Reservation, targetName string, tokens int64) {
+	err := res.Settle(tokens)
+	if err != nil {
+		s.Log.Error("serve: the bill differs from its reservation.", zap.String("request", r.ID), zap.Error(err))
+	}
+	s.record(r, pb.EventKind_EVENT_KIND_ANSWERED, targetName, tokens, "")
+}
+
+// action serves a call that runs at most once.
+func (s *Server) action(ctx context.Context, r *Request) (*Answer, error) {
+	if !r.KeyGiven {
+		return nil, errkind.New(errkind.KeyRequired, "an action needs an Idempotency-Key")
+	}
+	outcome, err := s.Actions.Run(ctx, actions.Request{
+		Workspace: r.Workspace.Name,
+		Key:       r.Key,
+		Digest:    requestDigest(r),
+		Send: func(ctx context.Context) (*target.Answer, error) {
+			return s.sendAction(ctx, r)
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	a := outcome.Answer
+	answer := &Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body, Replayed: outcome.Replayed}
+	if !outcome.Replayed {
+		answer.Billed = r.Call.CostTokens
+	}
+	return answer, nil
+}
+
+// sendAction reserves and dispatches an action. It runs after the claim is
+// written and may outlive the caller, so the reservation is its own: a repeat
+// of an action that has run needs none.
+func (s *Server) sendAction(ctx context.Context, r *Request) (*target.Answer, error) {
+	res, err := s.reserve(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := s.dispatchAction(ctx, r)
+	if err != nil {
+		endReservation(res, target.RunState(err))
+		return nil, err
+	}
+	s.bill(r, res, "", r.Call.CostTokens)
+	return answer, nil
+}
+
+// dispatchAction tries one target after another only while each one can't
+// have started the action.
+func (s *Server) dispatchAction(ctx context.Context, r *Request) (*target.Answer, error) {
+	var tried []string
+	for {
+		lease, err := s.pick(r, tried)
+		if err != nil {
+			return nil, err
+		}
+		t := lease.Target()
+		s.record(r, pb.EventKind_EVENT_KIND_DISPATCHED, t.Name, 0, "")
+		start := s.Now()
+		answer, err := s.Targets.Action(ctx, s.call(r, t))
+		lease.Done(s.outcome(err, start))
+		tried = append(tried, t.Name)
+		if err == nil || len(tried) == maxAttempts || target.RunState(err) != pb.RunState_RUN_STATE_NOT_RUN {
+			return answer, err
+		}
+	}
+}
+
+// total is what a usage is billed as.
+func total(u target.Usage) int64 { return u.PromptTokens + u.CompletionTokens }
+
+func replayed(a *target.Answer) *Answer {
+	return &Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body, Replayed: true}
+}
+
+// prefixHash names the start of the prompt; 0 for calls without one.
+func prefixHash(r *Request) uint64 {
+	if r.Call.Kind != pb.CallKind_CALL_KIND_MODEL {
+		return 0
+	}
+	return xxhash.Sum64(r.Body[:min(len(r.Body), prefixBytes)])
+}
