--- a/router/actions/store.go
+++ b/router/actions/store.go
@@ -76,10 +76,14 @@
 	return &target.Answer{Status: int(row.AnswerStatus), ContentType: row.AnswerContentType, Body: row.AnswerBody}
 }
 
+// outageFailures is the number of failed commits in a row that make an outage.
+const outageFailures = 3
+
 // outage refuses work at once while the platform is out, but for one probe an
-// interval.
+// interval. One lost answer makes no outage.
 type outage struct {
 	interval time.Duration
+	failures atomic.Int64
 	// nextProbe is in nanoseconds since the Unix epoch; 0 means no outage.
 	nextProbe atomic.Int64
 }
@@ -96,9 +100,16 @@
 	return o.nextProbe.CompareAndSwap(next, now.Add(o.interval).UnixNano())
 }
 
-func (o *outage) failed(now time.Time) { o.nextProbe.Store(now.Add(o.interval).UnixNano()) }
+func (o *outage) failed(now time.Time) {
+	if o.failures.Add(1) >= outageFailures {
+		o.nextProbe.Store(now.Add(o.interval).UnixNano())
+	}
+}
 
-func (o *outage) worked() { o.nextProbe.Store(0) }
+func (o *outage) worked() {
+	o.failures.Store(0)
+	o.nextProbe.Store(0)
+}
 
 func (o Options) withDefaults() Options {
 	orDuration(&o.PollInterval, defaultPollInterval)
