Add the demo; tell a configuration in force only once it is routed

Cause: one command has to show requests served, billed and on the time line. Its first run was refused with no_target 10 ms after the router told that it was ready with version 1: the routing table is brought up to date every 100 ms, and health and status looked at the configuration watch alone.

Health and status now tell the version that the routing table has.

--- a/ctl/loadgen/answer.go
+++ b/ctl/answer/answer.go
@@ -1,4 +1,6 @@
-package loadgen
+// Package answer reads a streamed answer and checks that it is whole and
+// belongs to its request.
+package answer
 
 import (
 	"bytes"
@@ -55,27 +57,34 @@
 // doneData is the last line of an answer.
 const doneData = "[DONE]"
 
-// answerCheck reads one streamed answer and checks it.
-type answerCheck struct {
+// Check reads one streamed answer and checks it.
+type Check struct {
+	// OnToken, where set, is given the content of each token.
+	OnToken func(content string)
+	// Tokens is the number of tokens so far.
+	Tokens int
+	// LastID is the id of the last token event, for a resume.
+	LastID string
+	// First is when the first token came.
+	First time.Time
+	// Gaps are the times between two tokens.
+	Gaps []time.Duration
+
 	id     string
 	digest hash.Hash
 	length int
-	tokens int
-	// lastID is the id of the last token event, for a resume.
-	lastID string
 	ended  bool
-	first  time.Time
 	last   time.Time
-	gaps   []time.Duration
 }
 
-func newAnswerCheck(id string) *answerCheck {
-	return &answerCheck{id: id, digest: sha256.New()}
+// New returns the check of the answer to a request id.
+func New(id string) *Check {
+	return &Check{id: id, digest: sha256.New()}
 }
 
-// read takes events until the answer ends and returns the verdict. The error
+// Read takes events until the answer ends and returns the verdict. The error
 // tells more of a broken answer.
-func (a *answerCheck) read(body io.Reader) (Verdict, error) {
+func (a *Check) Read(body io.Reader) (Verdict, error) {
 	events := newEventReader(body)
 	for !a.ended {
 		e, err := events.next()
@@ -98,7 +107,7 @@
 }
 
 // take checks one event.
-func (a *answerCheck) take(e event, now time.Time) Verdict {
+func (a *Check) take(e event, now time.Time) Verdict {
 	var c chunk
 	err := json.Unmarshal(e.data, &c)
 	if err != nil {
@@ -107,7 +116,7 @@
 	if string(e.name) == errorEvent {
 		return Broken
 	}
-	if !sameRequest(c.ID, a.id) {
+	if !SameRequest(c.ID, a.id) {
 		return Crossed
 	}
 	if !a.nextOffset(e.id) {
@@ -120,13 +129,13 @@
 		return Altered
 	}
 	a.takeToken(c.Choices[0].Delta.Content, now)
-	a.lastID = string(e.id)
+	a.LastID = string(e.id)
 	return Whole
 }
 
-// sameRequest tells whether an answer carries the id of a request: the id
+// SameRequest tells whether an answer carries the id of a request: the id
 // itself, or at a caller door the workspace, a colon and the id.
-func sameRequest(carried, id string) bool {
+func SameRequest(carried, id string) bool {
 	return carried == id || strings.HasSuffix(carried, ":"+id)
 }
 
@@ -137,31 +146,34 @@
 )
 
 // nextOffset checks that an event's id ends in the offset that is due.
-func (a *answerCheck) nextOffset(id []byte) bool {
+func (a *Check) nextOffset(id []byte) bool {
 	slash := bytes.LastIndexByte(id, '/')
 	offset, err := strconv.Atoi(string(id[slash+1:]))
-	return err == nil && offset == a.tokens
+	return err == nil && offset == a.Tokens
 }
 
-func (a *answerCheck) takeToken(content string, now time.Time) {
-	if a.tokens == 0 {
-		a.first = now
+func (a *Check) takeToken(content string, now time.Time) {
+	if a.Tokens == 0 {
+		a.First = now
 	} else {
-		a.gaps = append(a.gaps, now.Sub(a.last))
+		a.Gaps = append(a.Gaps, now.Sub(a.last))
 	}
 	a.last = now
-	a.tokens++
+	a.Tokens++
 	a.length += len(content)
 	io.WriteString(a.digest, content)
+	if a.OnToken != nil {
+		a.OnToken(content)
+	}
 }
 
-func (a *answerCheck) takeEnd(c chunk) Verdict {
+func (a *Check) takeEnd(c chunk) Verdict {
 	a.ended = true
 	sum := hex.EncodeToString(a.digest.Sum(nil))
 	if c.Length != a.length || c.SHA256 != sum {
 		return Altered
 	}
-	if c.Usage == nil || c.Usage.CompletionTokens != a.tokens {
+	if c.Usage == nil || c.Usage.CompletionTokens != a.Tokens {
 		return Altered
 	}
 	return Whole
--- a/ctl/loadgen/events.go
+++ b/ctl/answer/events.go
@@ -1,4 +1,4 @@
-package loadgen
+package answer
 
 import (
 	"bufio"
--- a/ctl/cmd/cuminrockctl/main.go
+++ b/ctl/cmd/cuminrockctl/main.go
@@ -12,6 +12,7 @@
 
 	"cuminrock.example/ctl/budgetcmd"
 	"cuminrock.example/ctl/cli"
+	"cuminrock.example/ctl/demo"
 	"cuminrock.example/ctl/emulatecmd"
 	"cuminrock.example/ctl/loadcmd"
 	"cuminrock.example/ctl/operatorcmd"
@@ -29,6 +30,7 @@
 	env := cli.OS()
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
+	register("demo", demo.Commands(env))
 	register("stand-ins", emulatecmd.Commands(env))
 	register("load", loadcmd.Commands(env))
 	register("budgets", budgetcmd.Commands(env))
--- /dev/null
+++ b/ctl/demo/writer.go
@@ -0,0 +1,137 @@
+package demo
+
+import (
+	"fmt"
+	"strings"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/ctl/cli"
+	"cuminrock.example/ctl/events"
+)
+
+// writer prints what the demo does, as text or JSON lines.
+type writer struct {
+	env  cli.Env
+	json bool
+}
+
+// Lines of the JSON output.
+type (
+	inForceLine struct {
+		ConfigVersion uint64 `json:"config_version"`
+		Routers       int    `json:"routers"`
+	}
+	servedLine struct {
+		Served *served `json:"served"`
+	}
+	billsLine struct {
+		Bills   []bill `json:"bills"`
+		Prepaid int64  `json:"prepaid"`
+		Spent   int64  `json:"spent"`
+		InDoubt int64  `json:"in_doubt"`
+	}
+	addressesLine struct {
+		Routers  []routerAddresses `json:"routers"`
+		Platform string            `json:"platform"`
+		Curl     string            `json:"curl"`
+	}
+	routerAddresses struct {
+		Name     string `json:"name"`
+		Caller   string `json:"caller"`
+		Operator string `json:"operator"`
+		Peer     string `json:"peer"`
+	}
+)
+
+func (w writer) inForce(version uint64, routers int) {
+	if w.json {
+		_ = w.env.JSON(inForceLine{ConfigVersion: version, Routers: routers})
+		return
+	}
+	w.env.Printf("The sheet is in force as version %d at %d routers.\n", version, routers)
+}
+
+func (w writer) calling(c sampleCall, router string) {
+	if w.json {
+		return
+	}
+	w.env.Printf("\n%s: POST /v1/services/%s/%s at %s\n", title(c.title), c.service, c.path, router)
+	if c.stream {
+		w.env.Printf("  ")
+	}
+}
+
+// token prints a token as it comes.
+func (w writer) token(content string) {
+	if !w.json {
+		w.env.Printf("%s", content)
+	}
+}
+
+func (w writer) served(s *served) {
+	switch {
+	case w.json:
+		_ = w.env.JSON(servedLine{Served: s})
+	case s.Tokens > 0:
+		w.env.Printf("\n  whole: %d tokens, length and digest as its end event says\n", s.Tokens)
+	case s.Replayed:
+		w.env.Printf("  %s (the recorded answer; it did not run again)\n", s.Answer)
+	default:
+		w.env.Printf("  %s\n", s.Answer)
+	}
+}
+
+func (w writer) bills(bills []bill, row *pb.BudgetRow) {
+	if w.json {
+		_ = w.env.JSON(billsLine{Bills: bills, Prepaid: row.Prepaid, Spent: row.Spent, InDoubt: row.InDoubt})
+		return
+	}
+	w.env.Printf("\nBills in the platform:\n")
+	for _, b := range bills {
+		w.env.Printf("  %-36s %6d tokens from %s\n", b.RequestID, b.Tokens, b.Budget)
+	}
+	w.env.Printf("Budget %s: prepaid %d = free %d + granted %d + spent %d + in doubt %d\n", row.Name, row.Prepaid, row.Free, row.Granted, row.Spent, row.InDoubt)
+}
+
+func (w writer) timeline(list []*pb.Event) {
+	if w.json {
+		_ = events.WriteJSON(w.env.Stdout, list)
+		return
+	}
+	w.env.Printf("\nTime line of the model call:\n")
+	events.WriteText(w.env.Stdout, list)
+}
+
+func (w writer) addresses(out *outside, fleet *routers) {
+	line := addressesLine{Platform: out.platform.Addr(), Curl: curlLine(fleet.callers()[0])}
+	for i, n := range fleet.nodes {
+		line.Routers = append(line.Routers, routerAddresses{Name: fleet.vms[i].Name, Caller: n.CallerAddr(), Operator: n.OperatorAddr(), Peer: n.PeerAddr()})
+	}
+	if w.json {
+		_ = w.env.JSON(line)
+		return
+	}
+	w.env.Printf("\n")
+	for _, r := range line.Routers {
+		w.env.Printf("%s: callers %s, operators %s, peers %s\n", r.Name, r.Caller, r.Operator, r.Peer)
+	}
+	w.env.Printf("platform: %s\n\nTry:\n%s\n%s\n%s\n\nStop with Ctrl-C.\n", line.Platform, line.Curl, statusLine(fleet), budgetLine(out))
+}
+
+// curlLine returns a command that makes the streamed model call again.
+func curlLine(door string) string {
+	return fmt.Sprintf("curl -sN http://%s/v1/services/%s/%s -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '%s'", door, modelService, modelCall, workspaceKey, chatBody)
+}
+
+// ctlCommand runs this program from the root of the repository.
+const ctlCommand = "go run ./ctl/cmd/cuminrockctl"
+
+func statusLine(fleet *routers) string {
+	return fmt.Sprintf("%s status --routers %s", ctlCommand, strings.Join(fleet.operators(), ","))
+}
+
+func budgetLine(out *outside) string {
+	return fmt.Sprintf("%s budget show --platform %s %s", ctlCommand, out.platform.Addr(), budgetName)
+}
+
+func title(text string) string { return strings.ToUpper(text[:1]) + text[1:] }
--- a/ctl/loadgen/phase.go
+++ b/ctl/loadgen/phase.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"cuminrock.example/ctl/answer"
 )
 
 // phase is one load against one goal.
@@ -85,19 +87,19 @@
 	planned := p.start.Add(a.at)
 	req, err := p.newRequest(ctx, a, id)
 	if err != nil {
-		out.verdict = Unreachable
+		out.verdict = answer.Unreachable
 		out.kind = err.Error()
 		return
 	}
 	resp, err := p.client.Do(req)
 	if err != nil {
-		out.verdict = Unreachable
+		out.verdict = answer.Unreachable
 		out.kind = "no_answer"
 		return
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		out.verdict = Refused
+		out.verdict = answer.Refused
 		out.kind = refusalKind(resp)
 		return
 	}
@@ -105,15 +107,15 @@
 		p.readPlain(resp, id, planned, out)
 		return
 	}
-	check := newAnswerCheck(id)
-	out.verdict, err = check.read(resp.Body)
+	check := answer.New(id)
+	out.verdict, err = check.Read(resp.Body)
 	if err != nil {
 		out.kind = "cut"
 	}
-	out.tokens = check.tokens
-	out.gaps = check.gaps
-	if check.tokens > 0 {
-		out.first = check.first.Sub(planned)
+	out.tokens = check.Tokens
+	out.gaps = check.Gaps
+	if check.Tokens > 0 {
+		out.first = check.First.Sub(planned)
 	}
 }
 
@@ -121,12 +123,12 @@
 func (p *phase) readPlain(resp *http.Response, id string, planned time.Time, out *outcome) {
 	_, err := io.Copy(io.Discard, resp.Body)
 	if err != nil {
-		out.verdict = Broken
+		out.verdict = answer.Broken
 		return
 	}
 	out.first = time.Since(planned)
 	echoed := resp.Header.Get(headerRequestID)
-	if echoed != "" && !sameRequest(echoed, id) {
-		out.verdict = Crossed
+	if echoed != "" && !answer.SameRequest(echoed, id) {
+		out.verdict = answer.Crossed
 	}
 }
--- a/ctl/loadgen/tally.go
+++ b/ctl/loadgen/tally.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cuminrock.example/ctl/answer"
 )
 
 const (
@@ -19,7 +21,7 @@
 // outcome is what became of one request.
 type outcome struct {
 	call    CallKind
-	verdict Verdict
+	verdict answer.Verdict
 	// kind names a refusal or what cut the answer.
 	kind   string
 	timed  bool
@@ -72,7 +74,7 @@
 	t.phase.Requests++
 	t.phase.Tokens += o.tokens
 	t.countVerdict(o)
-	if !o.timed || o.verdict != Whole {
+	if !o.timed || o.verdict != answer.Whole {
 		return
 	}
 	if o.call != CallModel {
@@ -86,16 +88,16 @@
 }
 
 func (t *tally) countVerdict(o *outcome) {
-	counts := map[Verdict]*int{
-		Whole:       &t.phase.Whole,
-		Refused:     &t.phase.Refused,
-		Broken:      &t.phase.Broken,
-		Crossed:     &t.phase.Crossed,
-		Altered:     &t.phase.Altered,
-		Unreachable: &t.phase.Unreachable,
+	counts := map[answer.Verdict]*int{
+		answer.Whole:       &t.phase.Whole,
+		answer.Refused:     &t.phase.Refused,
+		answer.Broken:      &t.phase.Broken,
+		answer.Crossed:     &t.phase.Crossed,
+		answer.Altered:     &t.phase.Altered,
+		answer.Unreachable: &t.phase.Unreachable,
 	}
 	*counts[o.verdict]++
-	if o.verdict == Refused || o.verdict == Unreachable {
+	if o.verdict == answer.Refused || o.verdict == answer.Unreachable {
 		t.kinds[o.kind]++
 	}
 }
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -86,6 +86,9 @@
 	stopWork   context.CancelFunc
 	stopLedger context.CancelFunc
 	draining   atomic.Bool
+	// routed is the configuration version that the routing table has; 0
+	// before there is one.
+	routed     atomic.Uint64
 	drainAsked chan struct{}
 }
 
--- a/router/node/state.go
+++ b/router/node/state.go
@@ -31,6 +31,9 @@
 		return operatordoor.Health{Reason: "draining"}
 	}
 	ready, reason := n.config.Ready()
+	if ready && n.routed.Load() == 0 {
+		return operatordoor.Health{Reason: "the routing table does not have the configuration's targets yet"}
+	}
 	return operatordoor.Health{Ready: ready, Reason: reason}
 }
 
@@ -46,10 +49,7 @@
 		Draining:    n.draining.Load(),
 		Streams:     n.server.Streams(),
 	}
-	view := n.config.Current()
-	if view != nil {
-		s.ConfigVersion = view.Version()
-	}
+	s.ConfigVersion = n.routed.Load()
 	for _, m := range n.membership.Members() {
 		s.Members = append(s.Members, operatordoor.Member{
 			Name:          m.Name,
@@ -93,6 +93,7 @@
 		}
 	}
 	n.routes.Update(targets, leaving...)
+	n.routed.Store(view.Version())
 }
 
 // pollTargets asks the targets for their load, each once an interval.
