Tell the ledger whether this router is a budget's home

Cause: membership.Home answers (member, whether there is one), ledger.Peers asks for (member, whether it is this router). The adapter passed one off as the other, so every router took itself for home of every budget: no loans, no second copies of bills, a draw per router.

--- a/router/node/adapters.go
+++ b/router/node/adapters.go
@@ -10,7 +10,13 @@
 type ledgerPeers struct{ n *Node }
 
 // Home implements ledger.Peers.
-func (p ledgerPeers) Home(budget string) (*pb.Member, bool) { return p.n.membership.Home(budget) }
+func (p ledgerPeers) Home(budget string) (*pb.Member, bool) {
+	home, ok := p.n.membership.Home(budget)
+	if !ok {
+		return nil, false
+	}
+	return home, home.Incarnation == p.n.self.Incarnation
+}
 
 // Others implements ledger.Peers.
 func (p ledgerPeers) Others() []*pb.Member { return p.n.membership.Members() }
