Don't refuse requests that came while a draw was on its way; apply a top-up once

Now a draw that got tokens ends the search, and who still lacks searches again within the search timeout. Cause 2: a top-up whose id had taken effect met its own row as a conflict, and each try assumed the row absent again: platform_down after 8 tries. Ruled out: too many writes at once (the only writer was the test).

--- a/router/ledger/fetch.go
+++ b/router/ledger/fetch.go
@@ -78,14 +78,14 @@
 	return unreachable(name)
 }
 
-// drawn draws from the platform and reports whether the need is met.
+// drawn draws from the platform and reports whether it got any. Requests that
+// came meanwhile may need more; they search again.
 func (l *Ledger) drawn(ctx context.Context, a *account, isHome bool, found *findings) bool {
 	need, want := l.shortfall(a, isHome)
 	result := l.writer.draw(ctx, a, need, want)
 	found.unknown = found.unknown || result == drawUnknownBudget
 	found.exhausted = found.exhausted || result == drawExhausted
-	need, _ = l.shortfall(a, isHome)
-	return need == 0 && result == drawDone
+	return result == drawDone
 }
 
 // borrow asks one member and reports whether the need is met.
--- a/router/ledger/operator.go
+++ b/router/ledger/operator.go
@@ -38,7 +38,9 @@
 		if !errors.Is(last, platform.ErrUnknown) {
 			last = err
 		}
-		cache = budget.NewCache()
+		if !errors.Is(err, errConflicts) {
+			cache = budget.NewCache()
+		}
 		if !pause(ctx, operatorDelay) {
 			break
 		}
@@ -71,6 +73,7 @@
 		if resp.Committed {
 			return true, nil
 		}
+		t.Refused(resp.Conflicts)
 		return false, errConflicts
 	}
 }
