--- a/standin/target/door.go
+++ b/standin/target/door.go
@@ -60,7 +60,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lis = newListener(lis)
-	d.server = &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: headerTimeout}
+	d.server = &http.Server{Handler: echoing(handler), Protocols: protocols, ReadHeaderTimeout: headerTimeout}
 	return func() error {
 		err := d.server.Serve(d.lis)
 		if errors.Is(err, http.ErrServerClosed) {
@@ -70,6 +70,18 @@
 	}
 }
 
+// echoing sets the request's id on every answer, refusals included, as the
+// target protocol asks. Echo replaces it on a crossed answer.
+func echoing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(HeaderRequestID)
+		if id != "" {
+			w.Header().Set(HeaderRequestID, id)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Addr returns host:port, empty before Open.
 func (d *Door) Addr() string {
 	d.mu.Lock()
@@ -126,8 +138,7 @@
 }
 
 // ServeLoad answers GET /v1/load.
-func (d *Door) ServeLoad(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+func (d *Door) ServeLoad(w http.ResponseWriter, _ *http.Request) {
 	lag := time.Duration(d.gate.get().LoadLagMs) * time.Millisecond
 	if lag == 0 {
 		control.Encode(w, d.currentLoad())
