Repeat at a target that was tried where all others were too

Now all targets are open again once each was tried; the retry budget and maxAttempts bound it as before. Actions keep the strict rule.

--- a/router/serve/serve.go
+++ b/router/serve/serve.go
@@ -139,6 +139,16 @@
 	})
 }
 
+// pickAgain chooses a target for an attempt: one that wasn't tried, or any
+// once all were. A target whose old connection was silent answers on a new one.
+func (s *Server) pickAgain(r *Request, tried []string) (route.Lease, error) {
+	lease, err := s.pick(r, tried)
+	if err == nil || len(tried) == 0 {
+		return lease, err
+	}
+	return s.pick(r, nil)
+}
+
 // call describes the request to the target's client.
 func (s *Server) call(r *Request, t *pb.Target) target.Call {
 	return target.Call{
--- a/router/serve/stream.go
+++ b/router/serve/stream.go
@@ -111,7 +111,7 @@
 	var tried []string
 	sent := false
 	for attempt := 1; ; attempt++ {
-		lease, err := s.pick(st.req, tried)
+		lease, err := s.pickAgain(st.req, tried)
 		if err != nil {
 			return soften(err, sent)
 		}
--- a/router/serve/whole.go
+++ b/router/serve/whole.go
@@ -93,7 +93,7 @@
 	var tried []string
 	sent := false
 	for attempt := 1; ; attempt++ {
-		lease, err := s.pick(r, tried)
+		lease, err := s.pickAgain(r, tried)
 		if err != nil {
 			return nil, soften(err, sent)
 		}
