--- a/ctl/processtest/action_test.go
+++ b/ctl/processtest/action_test.go
@@ -32,6 +32,9 @@
 	calls.Wait()
 	for n := range actions {
 		q := Action(fmt.Sprintf("same-%d", n))
+		for _, r := range replies[n] {
+			t.Logf("%s: %d %s", q.Key, r.Status, r.Failure.Kind)
+		}
 		is.Equal(f.executions(q.ID()), 1) // counted at the service
 		for _, r := range replies[n] {
 			f.checkTold(q, r)
