Test the sheet's commands over a platform; share the command line's parts

sheet-plan, sheet-apply, sheet-check and settings-check use the common environment and the operator doors' client. A conflict names the changes that came between in JSON too.

Members come with those of the own data centre first, as the ledger's peers are documented; before, they were ordered by name alone. TestOwnDataCentre... fails on the old order.

--- a/ctl/sheetcmd/apply.go
+++ b/ctl/sheetcmd/apply.go
@@ -5,11 +5,11 @@
 	"errors"
 	"flag"
 	"fmt"
-	"os"
 	"time"
 
 	"github.com/google/subcommands"
 
+	"cuminrock.example/ctl/cli"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/sheet"
 	"cuminrock.example/router/configlog"
@@ -33,7 +33,7 @@
 	removals  int
 	wait      bool
 	waitLimit time.Duration
-	routers   string
+	routers   cli.List
 	token     string
 }
 
@@ -63,8 +63,8 @@
 	f.IntVar(&c.removals, "removals", 0, "`number` of records that the sheet may remove")
 	f.BoolVar(&c.wait, "wait", false, "wait until the routers have it in force, and name each")
 	f.DurationVar(&c.waitLimit, "wait-limit", defaultWaitLimit, "longest wait for the routers")
-	f.StringVar(&c.routers, "routers", "", "`host:port,...` of operator doors to ask; default: peer doors in the VM list")
-	f.StringVar(&c.token, "token", os.Getenv(tokenVariable), "operator `token`; default: $"+tokenVariable)
+	f.Var(&c.routers, "routers", "operator doors to ask, `host:port,...` (default: the peer doors of the VM list)")
+	f.StringVar(&c.token, "token", "", "operator token (default $"+tokenVariable+")")
 }
 
 // applyResult is the outcome of sheet-apply.
@@ -88,15 +88,15 @@
 // Execute implements subcommands.Command.
 func (c *sheetApply) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if f.NArg() != 1 || c.address == "" || c.author == "" {
-		return c.misuse("sheet-apply needs --platform, --author and one FILE")
+		return c.env.Misused(c.Name(), "--platform, --author and one FILE are needed")
 	}
 	s, err := readSheet(f.Arg(0))
 	if err != nil {
-		return c.fail(err)
+		return c.fail(c.Name(), err)
 	}
 	p, err := platform.Dial(c.address, c.timeout)
 	if err != nil {
-		return c.fail(err)
+		return c.fail(c.Name(), err)
 	}
 	defer p.Close()
 	return c.apply(ctx, p, s)
@@ -105,17 +105,17 @@
 func (c *sheetApply) apply(ctx context.Context, p platform.Platform, s *sheet.Sheet) subcommands.ExitStatus {
 	plan, err := c.plan(ctx, p, s)
 	if err != nil {
-		return c.fail(err)
+		return c.fail(c.Name(), err)
 	}
 	if err := c.allowed(ctx, p, plan); err != nil {
-		return c.fail(err)
+		return c.fail(c.Name(), err)
 	}
 	result := &applyResult{Plan: plan.Report(), Version: plan.Base}
 	c.say("%s", result.Plan.Text())
 	if plan.Change != nil {
 		version, err := configlog.Append(ctx, p, c.author, plan.Change)
 		if err != nil {
-			return c.fail(err)
+			return c.fail(c.Name(), err)
 		}
 		result.Version = version
 		c.say("version %d is accepted\n", version)
@@ -128,12 +128,12 @@
 	}
 	c.writeSnapshot(ctx, p)
 	if c.json {
-		c.print(result)
+		_ = c.env.JSON(result)
 	}
 	if len(result.FailedTopUps) > 0 || !inForce {
-		return negative
+		return cli.Negative
 	}
-	return done
+	return cli.Done
 }
 
 // allowed refuses a plan that the operator hasn't seen or whose removals
@@ -163,7 +163,7 @@
 	result.AppliedTopUps = []string{}
 	result.FailedTopUps = []failedTopUp{}
 	for _, t := range topUps {
-		err := c.TopUps.Apply(ctx, p, t.ID, t.Budget, t.Tokens)
+		err := c.topUps.Apply(ctx, p, t.ID, t.Budget, t.Tokens)
 		if err != nil {
 			result.FailedTopUps = append(result.FailedTopUps, failedTopUp{t.ID, errkind.Of(err).String(), err.Error()})
 			c.say("top-up %s failed: %v\n", t.ID, err)
@@ -182,7 +182,7 @@
 		err = c.snapshot(ctx, p)
 	}
 	if err != nil && !errors.Is(err, context.Canceled) {
-		fmt.Fprintf(c.Stderr, "no snapshot was written, the next sheet-apply tries again: %v\n", err)
+		fmt.Fprintf(c.env.Stderr, "no snapshot was written, the next sheet-apply tries again: %v\n", err)
 	}
 }
 
@@ -197,6 +197,6 @@
 // say prints where the output is text.
 func (c *sheetApply) say(format string, args ...any) {
 	if !c.json {
-		c.printf(format, args...)
+		c.env.Printf(format, args...)
 	}
 }
--- a/ctl/sheetcmd/check.go
+++ b/ctl/sheetcmd/check.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/subcommands"
 
+	"cuminrock.example/ctl/cli"
 	"cuminrock.example/fleet/sheet"
 	"cuminrock.example/router/settings"
 )
@@ -43,18 +44,18 @@
 // Execute implements subcommands.Command.
 func (c *settingsCheck) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if f.NArg() == 0 {
-		return c.misuse("settings-check needs a FILE")
+		return c.env.Misused(c.Name(), "a FILE is needed")
 	}
 	results := checkFiles(f.Args())
-	status := done
+	status := cli.Done
 	for _, r := range results {
 		if len(r.Faults) > 0 {
-			status = negative
+			status = cli.Negative
 		}
 		c.tell(r)
 	}
 	if c.json {
-		c.print(results)
+		_ = c.env.JSON(results)
 	}
 	return status
 }
@@ -64,10 +65,10 @@
 		return
 	}
 	if len(r.Faults) == 0 {
-		c.printf("%s: router %s is good\n", r.File, r.Router)
+		c.env.Printf("%s: router %s is good\n", r.File, r.Router)
 	}
 	for _, fault := range r.Faults {
-		c.printf("%s: %s\n", r.File, fault)
+		c.env.Printf("%s: %s\n", r.File, fault)
 	}
 }
 
@@ -144,11 +145,11 @@
 // Execute implements subcommands.Command.
 func (c *sheetCheck) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if f.NArg() != 1 {
-		return c.misuse("sheet-check needs one FILE")
+		return c.env.Misused(c.Name(), "one FILE is needed")
 	}
 	s, err := readSheet(f.Arg(0))
 	if err != nil {
-		return c.fail(err)
+		return c.fail(c.Name(), err)
 	}
 	references := true
 	switch {
@@ -160,10 +161,10 @@
 		references = false
 	}
 	if err != nil {
-		return c.fail(err)
+		return c.fail(c.Name(), err)
 	}
 	c.tell(s, references)
-	return done
+	return cli.Done
 }
 
 func (c *sheetCheck) tell(s *sheet.Sheet, references bool) {
@@ -177,12 +178,12 @@
 		References: references,
 	}
 	if c.json {
-		c.print(r)
+		_ = c.env.JSON(r)
 		return
 	}
-	c.printf("good: %d services, %d targets, %d workspaces, %d budgets, %d shift lines, %d top-ups\n",
+	c.env.Printf("good: %d services, %d targets, %d workspaces, %d budgets, %d shift lines, %d top-ups\n",
 		r.Services, r.Targets, r.Workspaces, r.Budgets, r.Shifts, r.TopUps)
 	if !references {
-		c.printf("names were not looked up: the sheet leaves out kinds of records; give --platform\n")
+		c.env.Printf("names were not looked up: the sheet leaves out kinds of records; give --platform\n")
 	}
 }
--- a/ctl/sheetcmd/command.go
+++ b/ctl/sheetcmd/command.go
@@ -7,26 +7,18 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"flag"
-	"fmt"
-	"io"
-	"os"
 	"time"
 
 	"github.com/google/subcommands"
 
+	"cuminrock.example/ctl/cli"
+	"cuminrock.example/fleet/config"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/sheet"
+	"cuminrock.example/router/configlog"
 	"cuminrock.example/router/platform"
-	"cuminrock.example/router/settings"
-)
-
-// Exit codes.
-const (
-	done     = subcommands.ExitSuccess
-	negative = subcommands.ExitFailure
-	misused  = subcommands.ExitUsageError
 )
 
 // defaultCallTimeout is the longest wait for one answer of the platform. A
@@ -43,38 +35,36 @@
 
 // Options configures Commands.
 type Options struct {
-	// Stdout and Stderr are those of the process by default.
-	Stdout, Stderr io.Writer
+	// Env is that of the process by default.
+	Env cli.Env
 	// TopUps is required.
 	TopUps TopUps
 }
 
 // Commands returns settings-check, sheet-check, sheet-plan and sheet-apply.
 func Commands(o Options) []subcommands.Command {
-	if o.Stdout == nil {
-		o.Stdout = os.Stdout
-	}
-	if o.Stderr == nil {
-		o.Stderr = os.Stderr
+	if o.Env.Stdout == nil {
+		o.Env = cli.OS()
 	}
 	return []subcommands.Command{
-		&settingsCheck{shared: shared{Options: o}},
-		&sheetCheck{shared: shared{Options: o}},
-		&sheetPlan{shared: shared{Options: o}},
-		&sheetApply{shared: shared{Options: o}},
+		&settingsCheck{shared: shared{env: o.Env, topUps: o.TopUps}},
+		&sheetCheck{shared: shared{env: o.Env, topUps: o.TopUps}},
+		&sheetPlan{shared: shared{env: o.Env, topUps: o.TopUps}},
+		&sheetApply{shared: shared{env: o.Env, topUps: o.TopUps}},
 	}
 }
 
 // shared is what all the commands have.
 type shared struct {
-	Options
+	env     cli.Env
+	topUps  TopUps
 	json    bool
 	address string
 	timeout time.Duration
 }
 
 func (s *shared) outputFlags(f *flag.FlagSet) {
-	f.BoolVar(&s.json, "json", false, "print one JSON object")
+	f.BoolVar(&s.json, "json", false, "print a line of JSON")
 }
 
 func (s *shared) platformFlags(f *flag.FlagSet, usage string) {
@@ -82,46 +72,54 @@
 	f.DurationVar(&s.timeout, "timeout", defaultCallTimeout, "longest wait for one answer of the platform")
 }
 
-func (s *shared) misuse(format string, args ...any) subcommands.ExitStatus {
-	fmt.Fprintf(s.Stderr, "cuminrockctl: %s\n", fmt.Sprintf(format, args...))
-	return misused
+// failure is an error in JSON.
+type failure struct {
+	Kind    string `json:"kind"`
+	Message string `json:"message"`
+	// Faults are those of a sheet.
+	Faults sheet.Faults `json:"faults,omitempty"`
+	// Changes are those that overtook a plan.
+	Changes []changeReport `json:"changes,omitempty"`
 }
 
-// failure is an error as JSON.
-type failure struct {
-	Kind    string       `json:"kind"`
-	Message string       `json:"message"`
-	Faults  sheet.Faults `json:"faults,omitempty"`
-	// SettingsFaults are those of settings files, with their paths.
-	SettingsFaults settings.Faults `json:"settings_faults,omitempty"`
+// changeReport is one accepted change in JSON.
+type changeReport struct {
+	Version uint64    `json:"version"`
+	Author  string    `json:"author"`
+	Time    time.Time `json:"time"`
+	Records []string  `json:"records"`
 }
 
 // fail tells an error and returns the exit code for it.
-func (s *shared) fail(err error) subcommands.ExitStatus {
+func (s *shared) fail(command string, err error) subcommands.ExitStatus {
+	if !s.json {
+		return s.env.Fail(command, err)
+	}
 	f := failure{Kind: errkind.Of(err).String(), Message: err.Error()}
-	switch faults := err.(type) {
-	case sheet.Faults:
-		f = failure{Kind: errkind.BadSheet.String(), Message: "nothing was applied", Faults: faults}
-	case settings.Faults:
-		f = failure{Kind: errkind.BadSettings.String(), Message: "the settings have faults", SettingsFaults: faults}
+	var faults sheet.Faults
+	if errors.As(err, &faults) {
+		f = failure{Kind: errkind.BadSheet.String(), Message: "the sheet has faults; nothing was changed", Faults: faults}
 	}
-	if s.json {
-		s.print(struct {
-			Error failure `json:"error"`
-		}{f})
-		return negative
+	var conflict *configlog.ConflictError
+	if errors.As(err, &conflict) {
+		f.Changes = reportChanges(conflict)
 	}
-	fmt.Fprintln(s.Stderr, err)
-	return negative
+	_ = s.env.JSON(struct {
+		Error failure `json:"error"`
+	}{f})
+	return cli.Negative
 }
 
-// print writes one JSON object.
-func (s *shared) print(message any) {
-	encoder := json.NewEncoder(s.Stdout)
-	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(message); err != nil {
-		fmt.Fprintln(s.Stderr, err)
+func reportChanges(conflict *configlog.ConflictError) []changeReport {
+	reports := make([]changeReport, len(conflict.Changes))
+	for i, c := range conflict.Changes {
+		reports[i] = changeReport{Version: c.Version, Author: c.Author, Time: time.UnixMilli(c.TimeMs).UTC()}
+		for _, r := range c.Upserts {
+			reports[i].Records = append(reports[i].Records, config.KeyName(config.Key(r)))
+		}
+		for _, key := range c.Removes {
+			reports[i].Records = append(reports[i].Records, config.KeyName(key))
+		}
 	}
+	return reports
 }
-
-func (s *shared) printf(format string, args ...any) { fmt.Fprintf(s.Stdout, format, args...) }
--- a/ctl/sheetcmd/plan.go
+++ b/ctl/sheetcmd/plan.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/ctl/cli"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/sheet"
 	"cuminrock.example/router/configlog"
@@ -46,22 +47,22 @@
 // Execute implements subcommands.Command.
 func (c *sheetPlan) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if f.NArg() != 1 || c.address == "" {
-		return c.misuse("sheet-plan needs --platform and one FILE")
+		return c.env.Misused(c.Name(), "--platform and one FILE are needed")
 	}
 	s, err := readSheet(f.Arg(0))
 	if err != nil {
-		return c.fail(err)
+		return c.fail(c.Name(), err)
 	}
 	plan, err := c.planOn(ctx, s)
 	if err != nil {
-		return c.fail(err)
+		return c.fail(c.Name(), err)
 	}
 	if c.json {
-		c.print(plan.Report())
+		_ = c.env.JSON(plan.Report())
 	} else {
-		c.printf("%s", plan.Report().Text())
+		c.env.Printf("%s", plan.Report().Text())
 	}
-	return done
+	return cli.Done
 }
 
 func readSheet(path string) (*sheet.Sheet, error) {
@@ -106,7 +107,7 @@
 		wanted = wanted[len(batch):]
 		keys := make([]string, len(batch))
 		for i, t := range batch {
-			keys[i] = s.TopUps.Key(t.ID)
+			keys[i] = s.topUps.Key(t.ID)
 		}
 		rows, err := tables.Read(ctx, keys...)
 		if err != nil {
--- /dev/null
+++ b/ctl/sheetcmd/sheetcmd_test.go
@@ -0,0 +1,213 @@
+package sheetcmd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/subcommands"
+	"github.com/matryer/is"
+
+	"cuminrock.example/ctl/cli"
+	"cuminrock.example/fleet/budget"
+	"cuminrock.example/router/ledger"
+	"cuminrock.example/router/platform"
+	standin "cuminrock.example/standin/platform"
+)
+
+const sample = "../../deploy/cluj/sheet.csv"
+
+// topUps is the ledger's way, as the command line uses it.
+var topUps = TopUps{
+	Key: budget.TopUpKey,
+	Apply: func(ctx context.Context, tables platform.Tables, id, budgetName string, tokens int64) error {
+		_, err := ledger.TopUp(ctx, tables, id, budgetName, tokens)
+		return err
+	},
+}
+
+func startPlatform(t *testing.T) (*standin.Server, string) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	s := standin.New(standin.Options{Seed: 1})
+	serve := s.Open(lis)
+	go serve()
+	t.Cleanup(s.Close)
+	return s, lis.Addr().String()
+}
+
+// run executes a command line and returns all output and the exit code.
+func run(line ...string) (output string, exit subcommands.ExitStatus) {
+	var out bytes.Buffer
+	flags := flag.NewFlagSet("cuminrockctl", flag.ContinueOnError)
+	commander := subcommands.NewCommander(flags, "cuminrockctl")
+	commander.Output, commander.Error = &out, &out
+	for _, c := range Commands(Options{Env: cli.Env{Stdout: &out, Stderr: &out}, TopUps: topUps}) {
+		commander.Register(c, "")
+	}
+	if flags.Parse(line) != nil {
+		return "", cli.Usage
+	}
+	exit = commander.Execute(context.Background())
+	return out.String(), exit
+}
+
+// edited writes the sample with texts replaced and returns its path.
+func edited(t *testing.T, oldnew ...string) string {
+	t.Helper()
+	is := is.New(t)
+	data, err := os.ReadFile(sample)
+	is.NoErr(err)
+	text := strings.NewReplacer(oldnew...).Replace(string(data))
+	is.True(len(oldnew) == 0 || text != string(data))
+	path := filepath.Join(t.TempDir(), "sheet.csv")
+	is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func TestSheetIsAppliedOnce(t *testing.T) {
+	is := is.New(t)
+	_, address := startPlatform(t)
+	out, exit := run("sheet-plan", "-platform", address, sample)
+	is.Equal(exit, cli.Done)
+	is.True(strings.HasPrefix(out, "version 0 -> 1: 47 added, 0 changed, 0 removed; 17 top-ups to apply"))
+	out, exit = run("sheet-apply", "-platform", address, "-author", "ana", sample)
+	is.Equal(exit, cli.Done)
+	is.True(strings.Contains(out, "version 1 is accepted"))
+	is.True(strings.Contains(out, "top-up 2026-12-04-schools-daily took effect: budget schools-daily, +800000 tokens"))
+
+	out, exit = run("sheet-apply", "-platform", address, "-author", "ana", sample)
+	is.Equal(exit, cli.Done)
+	is.Equal(out, "version 1 -> 1: 0 added, 0 changed, 0 removed; 0 top-ups to apply, 17 applied before\n")
+}
+
+func TestOvertakenPlanIsAConflict(t *testing.T) {
+	is := is.New(t)
+	_, address := startPlatform(t)
+	_, exit := run("sheet-apply", "-platform", address, "-author", "ana", sample)
+	is.Equal(exit, cli.Done)
+	mine := edited(t, ",model-pool,old,,,,,,700", ",model-pool,old,,,,,,600", ",model-pool,new,,,,,,300", ",model-pool,new,,,,,,400")
+	out, exit := run("sheet-apply", "-json", "-platform", address, "-author", "bela", "-base", "0", mine)
+	is.Equal(exit, cli.Negative)
+	var answer struct{ Error failure }
+	is.NoErr(json.Unmarshal([]byte(out), &answer))
+	is.Equal(answer.Error.Kind, "conflict")
+	is.Equal(answer.Error.Changes[0].Author, "ana")
+	is.Equal(len(answer.Error.Changes[0].Records), 47)
+	out, _ = run("sheet-plan", "-platform", address, mine)
+	is.True(strings.Contains(out, "~ service model-pool: shift * new 300 + old 700 -> new 400 + old 600"))
+}
+
+func TestRemovalsMustBeAllowed(t *testing.T) {
+	is := is.New(t)
+	_, address := startPlatform(t)
+	_, exit := run("sheet-apply", "-platform", address, "-author", "ana", sample)
+	is.Equal(exit, cli.Done)
+	shorter := edited(t, "budget,schools-reserve,schools,,,,,,,,,,,,,\n", "", "top-up,2026-12-04-schools-reserve,,,,schools-reserve,,,,,,200000,,,,\n", "")
+	out, exit := run("sheet-apply", "-platform", address, "-author", "ana", shorter)
+	is.Equal(exit, cli.Negative)
+	is.True(strings.Contains(out, "- budget schools-reserve"))
+	is.True(strings.Contains(out, "nothing was changed"))
+	_, exit = run("sheet-apply", "-platform", address, "-author", "ana", "-removals", "1", shorter)
+	is.Equal(exit, cli.Done)
+	_, exit = run("sheet-apply", "-platform", address, "-author", "ana", "-removals", "1", shorter)
+	is.Equal(exit, cli.Done)
+}
+
+func TestBadSheetChangesNothing(t *testing.T) {
+	is := is.New(t)
+	_, address := startPlatform(t)
+	bad := edited(t, "workspace,schools,", "workspace,sch ools,", "10.20.1.101:9000", "10.20.1.101")
+	for _, line := range [][]string{
+		{"sheet-check", bad},
+		{"sheet-check", "-platform", address, bad},
+		{"sheet-plan", "-platform", address, bad},
+		{"sheet-apply", "-platform", address, "-author", "ana", bad},
+	} {
+		out, exit := run(line...)
+		is.Equal(exit, cli.Negative)
+		is.True(strings.Contains(out, "line 12, column address:"))
+		is.True(strings.Contains(out, "line 31, column name:"))
+	}
+	out, _ := run("sheet-plan", "-platform", address, sample)
+	is.True(strings.HasPrefix(out, "version 0 ->"))
+}
+
+func TestPlatformOutIsToldAndNothingChanges(t *testing.T) {
+	is := is.New(t)
+	s, address := startPlatform(t)
+	is.NoErr(s.SetFaults(standin.Faults{Outage: standin.OutageRefuse}))
+	out, exit := run("sheet-apply", "-json", "-platform", address, "-author", "ana", sample)
+	is.Equal(exit, cli.Negative)
+	is.True(strings.Contains(out, `"kind":"platform_down"`))
+}
+
+// The answer to the change's commit and those to two top-ups are lost.
+func TestLostAnswersAreReadBack(t *testing.T) {
+	is := is.New(t)
+	s, address := startPlatform(t)
+	is.NoErr(s.SetFaults(standin.Faults{LoseAnswerNext: 3}))
+	out, exit := run("sheet-apply", "-timeout", "500ms", "-platform", address, "-author", "ana", sample)
+	is.Equal(exit, cli.Done)
+	is.Equal(strings.Count(out, "took effect"), 17)
+	out, _ = run("sheet-apply", "-platform", address, "-author", "ana", sample)
+	is.True(strings.HasPrefix(out, "version 1 -> 1:"))
+}
+
+func TestWaitNamesEachRouter(t *testing.T) {
+	is := is.New(t)
+	_, address := startPlatform(t)
+	var asked atomic.Int64
+	door := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, `{"name":"r1","config_version":%d}`, min(asked.Add(1)-1, 1))
+	}))
+	defer door.Close()
+	stale := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"name":"r2","config_version":0}`)
+	}))
+	defer stale.Close()
+	routers := strings.TrimPrefix(door.URL, "http://") + "," + strings.TrimPrefix(stale.URL, "http://")
+	out, exit := run("sheet-apply", "-platform", address, "-author", "ana", "-wait", "-wait-limit", "1s", "-routers", routers, sample)
+	is.Equal(exit, cli.Negative)
+	is.True(strings.Contains(out, "router r1 has version 1 in force after"))
+	is.True(strings.Contains(out, "router r2 doesn't have version 1 in force: it shows 0"))
+	_, exit = run("sheet-apply", "-platform", address, "-author", "ana", "-wait", "-wait-limit", "1s", "-routers", strings.Split(routers, ",")[0], sample)
+	is.Equal(exit, cli.Done)
+}
+
+func TestSettingsCheckNamesFaultsOfAllFiles(t *testing.T) {
+	is := is.New(t)
+	files, err := filepath.Glob("../../deploy/kingston/*.json")
+	is.NoErr(err)
+	out, exit := run(append([]string{"settings-check"}, files...)...)
+	is.Equal(exit, cli.Done)
+	is.Equal(strings.Count(out, "is good"), 6)
+	out, exit = run("settings-check", files[0], files[0])
+	is.Equal(exit, cli.Negative)
+	is.True(strings.Contains(out, "name: router-kgn-a-1 stands in"))
+	_, exit = run("settings-check", filepath.Join(t.TempDir(), "none.json"))
+	is.Equal(exit, cli.Negative)
+}
+
+func TestMisuseExitsTwo(t *testing.T) {
+	is := is.New(t)
+	for _, line := range [][]string{
+		{"settings-check"}, {"sheet-check"}, {"sheet-plan", sample},
+		{"sheet-apply", "-platform", "127.0.0.1:1", sample}, {"sheet-apply", "-author", "ana", sample},
+		{"sheet-apply", "-no-such-flag", sample},
+	} {
+		_, exit := run(line...)
+		is.Equal(exit, cli.Usage)
+	}
+}
--- a/ctl/sheetcmd/wait.go
+++ b/ctl/sheetcmd/wait.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
-	"strconv"
-	"strings"
+	"os"
 	"time"
 
 	"github.com/sourcegraph/conc/iter"
@@ -14,6 +11,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/ctl/operator"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/router/platform"
 )
@@ -48,7 +46,7 @@
 	defer cancel()
 	addresses, ask, err := c.whomToAsk(ctx, vms)
 	if err != nil {
-		fmt.Fprintln(c.Stderr, err)
+		fmt.Fprintln(c.env.Stderr, err)
 		return false
 	}
 	result.Routers = iter.Map(addresses, func(address *string) routerResult {
@@ -72,8 +70,8 @@
 // whomToAsk returns the operator doors that --routers names, else the peer
 // doors of the VM list.
 func (c *sheetApply) whomToAsk(ctx context.Context, vms platform.Vms) ([]string, question, error) {
-	if c.routers != "" {
-		return strings.Split(c.routers, ","), c.askOperatorDoor, nil
+	if len(c.routers) > 0 {
+		return c.routers, c.askOperatorDoor, nil
 	}
 	list, err := vms.List(ctx)
 	if err != nil {
@@ -118,34 +116,17 @@
 	return ask(ctx, address)
 }
 
-// status is what sheet-apply reads of an operator door's status.
-type status struct {
-	Name          string      `json:"name"`
-	ConfigVersion json.Number `json:"config_version"`
-}
-
+// askOperatorDoor asks for a router's status.
 func (c *sheetApply) askOperatorDoor(ctx context.Context, address string) (string, uint64, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
-	if err != nil {
-		return "", 0, err
+	token := c.token
+	if token == "" {
+		token = os.Getenv(tokenVariable)
 	}
-	if c.token != "" {
-		req.Header.Set("Authorization", "Bearer "+c.token)
-	}
-	resp, err := http.DefaultClient.Do(req)
+	status, err := operator.New(address, token, askTimeout).Status(ctx)
 	if err != nil {
 		return "", 0, err
 	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return "", 0, errkind.New(errkind.NotReady, "%s answers %s", address, resp.Status)
-	}
-	s := status{Name: address}
-	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
-		return "", 0, err
-	}
-	version, err := strconv.ParseUint(s.ConfigVersion.String(), 10, 64)
-	return s.Name, version, err
+	return status.Name, status.ConfigVersion, nil
 }
 
 // askPeerDoor sends a heartbeat without a sender, which a router answers with
--- a/fleet/member/member_test.go
+++ b/fleet/member/member_test.go
@@ -88,6 +88,14 @@
 	is.Equal(len(table.peers), 1)
 }
 
+func TestOwnDataCentreStandsFirst(t *testing.T) {
+	is := is.New(t)
+	r := NewRoster(sampleMember("b", 0), []*pb.Member{sampleMember("a", 1), sampleMember("b", 2), sampleMember("b", 1)})
+	is.Equal(r.Others()[0].Name, "router-b-1")
+	is.Equal(r.Others()[1].Name, "router-b-2")
+	is.Equal(r.Others()[2].Name, "router-a-1")
+}
+
 // Calls are bounded at any size, every member gets its turn within a round, and
 // only gateways call other data centres.
 func TestCallsAreBounded(t *testing.T) {
--- a/fleet/member/roster.go
+++ b/fleet/member/roster.go
@@ -1,6 +1,9 @@
 package member
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
@@ -20,8 +23,12 @@
 	hash   uint64
 }
 
-// NewRoster returns the roster of a router and the other live members.
+// NewRoster returns the roster of a router and the other live members, whose
+// slice it keeps and puts in order.
 func NewRoster(self *pb.Member, others []*pb.Member) *Roster {
+	slices.SortFunc(others, func(a, b *pb.Member) int {
+		return cmp.Or(rank(self, a)-rank(self, b), cmp.Compare(a.Name, b.Name))
+	})
 	r := &Roster{self: self, others: others}
 	r.addCandidate(self)
 	for _, m := range others {
@@ -32,6 +39,14 @@
 	return r
 }
 
+// rank puts members of the own data centre before others.
+func rank(self, m *pb.Member) int {
+	if m.DataCentre == self.DataCentre {
+		return 0
+	}
+	return 1
+}
+
 func (r *Roster) addCandidate(m *pb.Member) {
 	if !m.Draining {
 		r.candidates = append(r.candidates, candidate{member: m, hash: xxhash.Sum64String(m.Name)})
@@ -41,8 +56,8 @@
 // Self returns the router itself.
 func (r *Roster) Self() *pb.Member { return r.self }
 
-// Others returns the other live members, draining ones included. The slice
-// must not be modified.
+// Others returns the other live members, draining ones included, those of the
+// own data centre first. The slice must not be modified.
 func (r *Roster) Others() []*pb.Member { return r.others }
 
 // Home returns the member of the own data centre that a key belongs to, by
--- a/fleet/member/table.go
+++ b/fleet/member/table.go
@@ -265,7 +265,6 @@
 			others = append(others, p.member)
 		}
 	}
-	slices.SortFunc(others, func(a, b *pb.Member) int { return cmp.Compare(a.Name, b.Name) })
 	t.roster = NewRoster(t.self, others)
 	t.stale = false
 	return t.roster
--- a/router/membership/membership.go
+++ b/router/membership/membership.go
@@ -148,8 +148,8 @@
 // Roster returns the live members.
 func (m *Membership) Roster() *member.Roster { return m.roster.Load() }
 
-// Members returns the other live members, draining ones included. The slice
-// must not be modified.
+// Members returns the other live members, draining ones included, those of the
+// own data centre first. The slice must not be modified.
 func (m *Membership) Members() []*pb.Member { return m.Roster().Others() }
 
 // Self returns this router as it shows itself. It must not be modified.
