--- a/fleet/config/config_test.go
+++ b/fleet/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"fmt"
 	"slices"
@@ -41,6 +42,13 @@
 	return s
 }
 
+func compareKeys(a, b *pb.RecordKey) int {
+	if byKind := cmp.Compare(a.GetKind(), b.GetKind()); byKind != 0 {
+		return byKind
+	}
+	return cmp.Compare(a.GetName(), b.GetName())
+}
+
 // owner returns the workspace that has a bearer key, if there is just one.
 func (m model) owner(sum []byte) (owner string, count int) {
 	for _, r := range m {
--- a/fleet/config/index.go
+++ b/fleet/config/index.go
@@ -53,6 +53,14 @@
 	}
 }
 
+// sorted returns the entries ordered by key.
+func (x *index[T]) sorted() []*T {
+	entries := make([]*T, 0, x.length)
+	x.all(func(e *T) { entries = append(entries, e) })
+	slices.SortFunc(entries, func(a, b *T) int { return strings.Compare(x.key(a), x.key(b)) })
+	return entries
+}
+
 // edit is a batch of writes to a copy of an index. It copies each shard at
 // most once and leaves the original as it was.
 type edit[T any] struct {
--- a/fleet/config/record.go
+++ b/fleet/config/record.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"cmp"
 	"strings"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
@@ -50,10 +49,3 @@
 
 // KeyName returns a record key in words, such as "budget archive-daily".
 func KeyName(key *pb.RecordKey) string { return KindName(key.GetKind()) + " " + key.GetName() }
-
-func compareKeys(a, b *pb.RecordKey) int {
-	if byKind := cmp.Compare(a.GetKind(), b.GetKind()); byKind != 0 {
-		return byKind
-	}
-	return cmp.Compare(a.GetName(), b.GetName())
-}
--- a/fleet/config/view.go
+++ b/fleet/config/view.go
@@ -7,9 +7,6 @@
 package config
 
 import (
-	"cmp"
-	"slices"
-
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/errkind"
 )
@@ -89,11 +86,18 @@
 // Snapshot returns all records, ordered by kind and name.
 func (v *View) Snapshot() *pb.Snapshot {
 	records := make([]*pb.Record, 0, v.Records())
-	v.workspaces.all(func(w *pb.Workspace) { records = append(records, WorkspaceRecord(w)) })
-	v.budgets.all(func(b *pb.Budget) { records = append(records, BudgetRecord(b)) })
-	v.services.all(func(e *serviceEntry) { records = append(records, ServiceRecord(e.service)) })
-	v.targets.all(func(t *pb.Target) { records = append(records, TargetRecord(t)) })
-	slices.SortFunc(records, func(a, b *pb.Record) int { return compareKeys(Key(a), Key(b)) })
+	for _, w := range v.workspaces.sorted() {
+		records = append(records, WorkspaceRecord(w))
+	}
+	for _, b := range v.budgets.sorted() {
+		records = append(records, BudgetRecord(b))
+	}
+	for _, e := range v.services.sorted() {
+		records = append(records, ServiceRecord(e.service))
+	}
+	for _, t := range v.targets.sorted() {
+		records = append(records, TargetRecord(t))
+	}
 	return &pb.Snapshot{Version: v.version, Records: records}
 }
 
@@ -150,9 +154,11 @@
 
 // Services returns all services, ordered by name.
 func (v *View) Services() []*pb.Service {
-	services := make([]*pb.Service, 0, v.services.length)
-	v.services.all(func(e *serviceEntry) { services = append(services, e.service) })
-	slices.SortFunc(services, func(a, b *pb.Service) int { return cmp.Compare(a.Name, b.Name) })
+	entries := v.services.sorted()
+	services := make([]*pb.Service, len(entries))
+	for i, e := range entries {
+		services[i] = e.service
+	}
 	return services
 }
 
@@ -177,12 +183,7 @@
 }
 
 // AllTargets returns the targets of all services, ordered by name.
-func (v *View) AllTargets() []*pb.Target {
-	targets := make([]*pb.Target, 0, v.targets.length)
-	v.targets.all(func(t *pb.Target) { targets = append(targets, t) })
-	slices.SortFunc(targets, func(a, b *pb.Target) int { return cmp.Compare(a.Name, b.Name) })
-	return targets
-}
+func (v *View) AllTargets() []*pb.Target { return v.targets.sorted() }
 
 // Shares returns how a workspace's traffic to a service is divided: its own
 // shares, else the service's default shares, else all to the default provider.
--- a/router/peer/peer.go
+++ b/router/peer/peer.go
@@ -12,6 +12,8 @@
 
 	"github.com/gravitational/trace"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
@@ -21,13 +23,22 @@
 )
 
 const (
-	// callTimeout bounds one call to a peer where its caller sets no bound.
+	// callTimeout bounds one call to a peer, whatever longer bound its caller
+	// sets.
 	callTimeout = 2 * time.Second
+	// fetchTimeout bounds a call that may bring a whole configuration.
+	fetchTimeout = 10 * time.Second
 	// pingInterval is the idle time after which a connection is probed, so
 	// that one that has gone silent is closed and dialled anew.
 	pingInterval = 10 * time.Second
 	// pingTimeout is the wait for the answer to a probe.
 	pingTimeout = 2 * time.Second
+	// firstReconnectDelay and maxReconnectDelay bound the wait between two
+	// attempts to connect, so that a partition's end is seen within a second.
+	firstReconnectDelay = 100 * time.Millisecond
+	maxReconnectDelay   = time.Second
+	// reconnectFactor is the growth of that wait.
+	reconnectFactor = 1.6
 	// maxMessageBytes bounds one message, so that a snapshot fits.
 	maxMessageBytes = 256 << 20
 )
@@ -165,6 +176,7 @@
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout, PermitWithoutStream: true}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
+		grpc.WithConnectParams(reconnect()),
 	)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -173,9 +185,36 @@
 	return pb.NewPeerServiceClient(c), nil
 }
 
-// Heartbeat calls a peer by its address.
+// reconnect returns how a lost connection is made again.
+func reconnect() grpc.ConnectParams {
+	delays := backoff.DefaultConfig
+	delays.BaseDelay = firstReconnectDelay
+	delays.Multiplier = reconnectFactor
+	delays.MaxDelay = maxReconnectDelay
+	return grpc.ConnectParams{Backoff: delays, MinConnectTimeout: maxReconnectDelay}
+}
+
+// Heartbeat calls a peer by its address. A peer that doesn't answer in time
+// gets a new connection, since the old one may have gone silent.
 func (p *Pool) Heartbeat(ctx context.Context, address string, req *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
-	return call(ctx, p, address, req, pb.PeerServiceClient.Heartbeat)
+	resp, err := call(ctx, p, address, req, pb.PeerServiceClient.Heartbeat)
+	if status.Code(trace.Unwrap(err)) == codes.DeadlineExceeded {
+		p.replace(address)
+	}
+	return resp, err
+}
+
+// replace forgets the connection to an address, so that the next call makes
+// another. Calls in progress on the old one may still end.
+func (p *Pool) replace(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old, ok := p.conns[address]
+	if !ok {
+		return
+	}
+	delete(p.conns, address)
+	time.AfterFunc(callTimeout, func() { _ = old.Close() })
 }
 
 // Borrow asks a member for tokens.
@@ -190,7 +229,7 @@
 
 // FetchConfig asks a member for its configuration.
 func (p *Pool) FetchConfig(ctx context.Context, m *pb.Member, req *pb.FetchConfigRequest) (*pb.FetchConfigResponse, error) {
-	return call(ctx, p, m.PeerAddress, req, pb.PeerServiceClient.FetchConfig)
+	return callWithin(ctx, fetchTimeout, p, m.PeerAddress, req, pb.PeerServiceClient.FetchConfig)
 }
 
 // Locate asks a member what it knows of a request.
@@ -203,17 +242,25 @@
 	return call(ctx, p, m.PeerAddress, req, pb.PeerServiceClient.Takeover)
 }
 
-// call is one bounded unary call.
+// call is one unary call within the usual time.
 func call[Req, Resp any](
 	ctx context.Context, p *Pool, address string, req Req,
 	method func(pb.PeerServiceClient, context.Context, Req, ...grpc.CallOption) (Resp, error),
+) (Resp, error) {
+	return callWithin(ctx, callTimeout, p, address, req, method)
+}
+
+// callWithin is one unary call that ends after a time.
+func callWithin[Req, Resp any](
+	ctx context.Context, timeout time.Duration, p *Pool, address string, req Req,
+	method func(pb.PeerServiceClient, context.Context, Req, ...grpc.CallOption) (Resp, error),
 ) (Resp, error) {
 	var none Resp
 	c, err := p.client(address)
 	if err != nil {
 		return none, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	resp, err := method(c, ctx, req)
 	if err != nil {
