--- a/ctl/cmd/cuminrockctl/main.go
+++ b/ctl/cmd/cuminrockctl/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/subcommands"
 
+	"cuminrock.example/ctl/budgetcmd"
 	"cuminrock.example/ctl/cli"
 	"cuminrock.example/ctl/emulatecmd"
 	"cuminrock.example/ctl/loadcmd"
@@ -30,6 +31,7 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	register("stand-ins", emulatecmd.Commands(env))
 	register("load", loadcmd.Commands(env))
+	register("budgets", budgetcmd.Commands(env))
 	register("fleet", operatorcmd.Commands(env))
 	register("sheet", sheetcmd.Commands(sheetcmd.Options{TopUps: sheetcmd.TopUps{Key: budget.TopUpKey, Apply: topUp}}))
 	flag.Parse()
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -28,6 +28,7 @@
 	"google.golang.org/grpc"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/config"
 	"cuminrock.example/fleet/route"
 	"cuminrock.example/fleet/timeline"
 	"cuminrock.example/router/actions"
@@ -83,18 +84,21 @@
 	peerLis      net.Listener
 
 	// routed is set once the routing table holds the first configuration.
-	routed     atomic.Bool
 	work       conc.WaitGroup
 	stopWork   context.CancelFunc
 	stopLedger context.CancelFunc
 	draining   atomic.Bool
 	drainAsked chan struct{}
+
+	// inForce is the configuration that requests are served by.
+	inForce atomic.Pointer[config.View]
+	changed chan struct{}
 }
 
 // Start starts a router with checked settings. It returns when the doors are
 // open; Health tells when the router is ready.
 func Start(settings *pb.RouterSettings, log *zap.Logger) (*Node, error) {
-	n := &Node{settings: settings, log: log, vars: new(expvar.Map).Init(), drainAsked: make(chan struct{})}
+	n := &Node{settings: settings, log: log, vars: new(expvar.Map).Init(), drainAsked: make(chan struct{}), changed: make(chan struct{}, 1)}
 	err := n.listen()
 	if err != nil {
 		n.closeListeners()
@@ -187,7 +191,7 @@
 		Peers:    configPeers{n},
 		Turn:     func(slot int64) bool { return n.membership.Duty(configDuty, slot) },
 		Settled:  n.membership.Settled,
-		InForce:  n.membership.SetConfigVersion,
+		InForce:  n.onConfig,
 		Recorder: n.recorder,
 		Log:      n.log,
 		Now:      time.Now,
@@ -227,7 +231,7 @@
 	})
 	n.server = serve.New(serve.Options{
 		Incarnation: n.self.Incarnation,
-		Config:      n.config.Current,
+		Config:      n.current,
 		Ledger:      n.ledger,
 		Routes:      n.routes,
 		Targets:     n.targets,
@@ -243,7 +247,7 @@
 
 func (n *Node) buildDoors() {
 	n.callers = callerdoor.New(callerdoor.Options{
-		Config:   n.config.Current,
+		Config:   n.current,
 		Server:   n.server,
 		Limits:   n.settings.CallerLimits,
 		Recorder: n.recorder,
--- a/router/serve/serve.go
+++ b/router/serve/serve.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -122,8 +123,17 @@
 	return res, nil
 }
 
-// pick chooses a target for the request; tried ones are left out.
+// pick chooses a target for the request. Tried ones are left out while there
+// are others.
 func (s *Server) pick(r *Request, tried []string) (route.Lease, error) {
+	lease, err := s.pickExcept(r, tried)
+	if len(tried) > 0 && errkind.Of(err) == errkind.NoTarget {
+		return s.pickExcept(r, nil)
+	}
+	return lease, err
+}
+
+func (s *Server) pickExcept(r *Request, tried []string) (route.Lease, error) {
 	view := s.Config()
 	if view == nil {
 		return route.Lease{}, errkind.New(errkind.NotReady, "no configuration is in force").After(time.Second)
@@ -139,16 +149,6 @@
 	})
 }
 
-// pickAgain chooses a target for an attempt: one that wasn't tried, or any
-// once all were. A target whose old connection was silent answers on a new one.
-func (s *Server) pickAgain(r *Request, tried []string) (route.Lease, error) {
-	lease, err := s.pick(r, tried)
-	if err == nil || len(tried) == 0 {
-		return lease, err
-	}
-	return s.pick(r, nil)
-}
-
 // call describes the request to the target's client.
 func (s *Server) call(r *Request, t *pb.Target) target.Call {
 	return target.Call{
@@ -208,6 +208,9 @@
 // outcome tells the balancer how an attempt ended that began at start.
 func (s *Server) outcome(err error, start time.Time) route.Outcome {
 	now := s.Now()
+	if errors.Is(err, target.ErrStale) {
+		return route.Outcome{Result: route.Neutral, Now: now}
+	}
 	return route.Outcome{Result: route.ResultOf(err), FirstByte: now.Sub(start), Now: now}
 }
 
--- a/router/target/open.go
+++ b/router/target/open.go
@@ -112,6 +112,7 @@
 
 // gotConn ties the exchange to its connection before the first write.
 func (x *inProgress) gotConn(info httptrace.GotConnInfo) {
+	x.exchange.reused.Store(info.Reused)
 	c, ok := info.Conn.(*conn)
 	if ok {
 		c.carry(x.exchange)
--- a/router/target/stream.go
+++ b/router/target/stream.go
@@ -65,7 +65,7 @@
 
 // Stream sends a model call and returns when the header of its answer came.
 func (c *Client) Stream(ctx context.Context, call Call) (*Stream, error) {
-	x, err := c.open(ctx, call, c.pooled(call.Target.GetAddress()))
+	x, err := c.open(ctx, call, c.route(call))
 	if err != nil {
 		return nil, err
 	}
@@ -78,7 +78,7 @@
 	call.Method = http.MethodGet
 	call.Path = streamPath(stream) + "?from=" + strconv.FormatInt(from, 10)
 	call.Body = nil
-	x, err := c.open(ctx, call, c.pooled(call.Target.GetAddress()))
+	x, err := c.open(ctx, call, c.route(call))
 	if err != nil {
 		return nil, err
 	}
