--- a/router/serve/serve.go
+++ b/router/serve/serve.go
@@ -123,8 +123,8 @@
 	return res, nil
 }
 
-// pick chooses a target for the request. Tried ones are left out while there
-// are others.
+// pick chooses a target for an attempt: one that wasn't tried, or any where
+// all were. The retry budget and maxAttempts bound the attempts.
 func (s *Server) pick(r *Request, tried []string) (route.Lease, error) {
 	lease, err := s.pickExcept(r, tried)
 	if len(tried) > 0 && errkind.Of(err) == errkind.NoTarget {
@@ -133,6 +133,7 @@
 	return lease, err
 }
 
+// pickExcept chooses a target that wasn't tried.
 func (s *Server) pickExcept(r *Request, tried []string) (route.Lease, error) {
 	view := s.Config()
 	if view == nil {
--- a/router/serve/whole.go
+++ b/router/serve/whole.go
@@ -135,7 +135,7 @@
 func (s *Server) dispatchAction(ctx context.Context, r *Request) (*target.Answer, error) {
 	var tried []string
 	for {
-		lease, err := s.pick(r, tried)
+		lease, err := s.pickExcept(r, tried)
 		if err != nil {
 			return nil, err
 		}
