--- a/router/serve/dispatch.go
+++ b/router/serve/dispatch.go
@@ -35,7 +35,9 @@
 		t := lease.Target()
 		s.record(r, pb.EventKind_EVENT_KIND_DISPATCHED, t.Name, 0, "")
 		start := s.Now()
-		answer, err := send(s.call(r, t))
+		call := s.call(r, t)
+		call.Fresh = attempt > 1
+		answer, err := send(call)
 		if err == nil {
 			return dispatched[T]{answer: answer, lease: lease, took: s.Now().Sub(start)}, nil
 		}
--- a/router/serve/serve.go
+++ b/router/serve/serve.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -208,6 +209,9 @@
 // outcome tells the balancer how an attempt ended that began at start.
 func (s *Server) outcome(err error, start time.Time) route.Outcome {
 	now := s.Now()
+	if errors.Is(err, target.ErrStale) {
+		return route.Outcome{Result: route.Neutral, Now: now}
+	}
 	return route.Outcome{Result: route.ResultOf(err), FirstByte: now.Sub(start), Now: now}
 }
 
--- a/router/target/client.go
+++ b/router/target/client.go
@@ -126,6 +126,9 @@
 	// Deadline is when the caller stops waiting; zero means never. No call is
 	// sent after it.
 	Deadline time.Time
+	// Fresh asks for a connection of its own, as a repeat after a silent one
+	// does.
+	Fresh bool
 }
 
 // Usage is what a model call used, in tokens.
@@ -153,7 +156,7 @@
 
 // Do makes an idempotent or model call and returns its whole answer.
 func (c *Client) Do(ctx context.Context, call Call) (*Answer, error) {
-	x, err := c.open(ctx, call, c.pooled(call.Target.GetAddress()))
+	x, err := c.open(ctx, call, c.route(call))
 	if err != nil {
 		return nil, err
 	}
--- a/router/target/conn.go
+++ b/router/target/conn.go
@@ -24,6 +24,8 @@
 type exchange struct {
 	state atomic.Int32
 	conn  atomic.Pointer[conn]
+	// reused is true when the connection served an earlier exchange.
+	reused atomic.Bool
 }
 
 // begin marks the exchange as sent. It reports false when it was sealed.
--- a/router/target/failure.go
+++ b/router/target/failure.go
@@ -15,6 +15,11 @@
 // errTooLong marks an answer above the limit.
 var errTooLong = errors.New("answer is too long")
 
+// ErrStale marks a silence on a connection that was open before the call. It
+// speaks against the connection, not against its target: what lies between may
+// have lost track of old connections while new ones work.
+var ErrStale = errors.New("a kept connection fell silent")
+
 // errStatus is the error of an answer with a failing status.
 func errStatus(status int) error { return fmt.Errorf("target answered with status %d", status) }
 
@@ -37,6 +42,9 @@
 		return errkind.Wrap(errkind.AnswerMismatch, cause, "target "+name+" answered another request")
 	case errors.Is(why, errSilent):
 		x.client.suspect(x.route)
+		if x.exchange.reused.Load() {
+			cause = fmt.Errorf("%w: %w", ErrStale, cause)
+		}
 		return errkind.Wrap(errkind.TargetSilent, cause, "target "+name+" fell silent")
 	case errors.Is(why, context.DeadlineExceeded):
 		return errkind.Wrap(errkind.TargetSilent, cause, "target "+name+" didn't answer in time")
--- a/router/target/pool.go
+++ b/router/target/pool.go
@@ -35,6 +35,16 @@
 	return route{transport: p.transport, pool: p, address: address, limited: true}
 }
 
+// route returns the way of a call that may be repeated.
+func (c *Client) route(call Call) route {
+	if !call.Fresh {
+		return c.pooled(call.Target.GetAddress())
+	}
+	r := c.unpooled()
+	r.limited = true
+	return r
+}
+
 // unpooled returns a route whose connection is new and used once.
 func (c *Client) unpooled() route {
 	return route{transport: c.actions}
