Retry within a budget, and don't blame a target for a silent connection

- fleet/retry: budget by requests, waits with full jitter, deadline; actions are sent again only after a failure that proves that they didn't run.
- fleet/route: a target is suspect after one failed connect, two silences on new connections or three failures in a row, no longer after any one failure.

Ruled out: ignoring suspicion when all targets are suspect; it lets dead targets delay what can be refused at once. One poison request could also take a target after another out of use; the counts prevent it.

--- /dev/null
+++ b/fleet/retry/retry_test.go
@@ -0,0 +1,67 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/errkind"
+)
+
+// However requests and failures follow each other, retries stay within the
+// burst and the part of the requests.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		permille := rapid.IntRange(0, 500).Draw(t, "permille")
+		burst := rapid.IntRange(0, 20).Draw(t, "burst")
+		b := NewBudget(permille, burst)
+		requests, retries := 0, 0
+		for _, retry := range rapid.SliceOf(rapid.Bool()).Draw(t, "retries") {
+			if !retry {
+				b.Deposit()
+				requests++
+			} else if b.Withdraw() {
+				retries++
+			}
+			if retries*1000 > burst*1000+requests*permille {
+				t.Fatalf("%d retries of %d requests", retries, requests)
+			}
+		}
+	})
+}
+
+// An action is sent again only after a failure that proves that it didn't run.
+func TestActionIsRepeatedOnlyIfNotRun(t *testing.T) {
+	is := is.New(t)
+	for kind := errkind.Kind(0); kind < errkind.Count; kind++ {
+		_, again := DefaultPolicy().Next(NewBudget(0, 1), Failure{
+			Tries: 1,
+			Call:  pb.CallKind_CALL_KIND_ACTION,
+			Kind:  kind,
+			Left:  time.Hour,
+		})
+		if again {
+			is.Equal(kind.Answer().Run, pb.RunState_RUN_STATE_NOT_RUN)
+		}
+	}
+}
+
+func TestRetryFitsTheDeadline(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := DefaultPolicy()
+		f := Failure{
+			Tries:  rapid.IntRange(1, p.MaxTries).Draw(t, "tries"),
+			Call:   pb.CallKind_CALL_KIND_LOOKUP,
+			Kind:   errkind.TargetSilent,
+			Left:   time.Duration(rapid.IntRange(0, 500).Draw(t, "left ms")) * time.Millisecond,
+			Random: rapid.Uint64().Draw(t, "random"),
+		}
+		wait, again := p.Next(NewBudget(0, 1), f)
+		if again && (wait+p.MinLeft > f.Left || wait > p.MaxWait || f.Tries == p.MaxTries) {
+			t.Fatalf("waits %v of %v", wait, f.Left)
+		}
+	})
+}
--- a/fleet/route/pick.go
+++ b/fleet/route/pick.go
@@ -54,8 +54,10 @@
 	Refused
 	// Failed is a target that answered with a failure or broke off.
 	Failed
-	// Lost is a target that couldn't be reached or fell silent.
-	Lost
+	// Silent is a target that fell silent on a new connection.
+	Silent
+	// Unreachable is a target that no connection could be made to.
+	Unreachable
 )
 
 // Outcome ends a lease.
@@ -75,8 +77,10 @@
 	switch errkind.Of(err) {
 	case errkind.TargetRefused:
 		return Refused
-	case errkind.TargetUnreachable, errkind.TargetSilent:
-		return Lost
+	case errkind.TargetUnreachable:
+		return Unreachable
+	case errkind.TargetSilent:
+		return Silent
 	case errkind.TargetFailed, errkind.AnswerMismatch:
 		return Failed
 	default:
@@ -88,13 +92,18 @@
 func (l Lease) Done(o Outcome) {
 	s := l.entry.state
 	s.own.Add(-1)
+	now := o.Now.UnixNano()
 	switch o.Result {
 	case OK:
 		s.succeeded(o, &l.table.opts)
 	case Refused:
-		s.congested(o.Now.UnixNano())
-	case Failed, Lost:
-		s.suspect(o.Now.UnixNano(), &l.table.opts)
+		s.congested(now)
+	case Failed:
+		s.strike(now, strikesFailed, &l.table.opts)
+	case Silent:
+		s.strike(now, strikesSilent, &l.table.opts)
+	case Unreachable:
+		s.strike(now, strikesUnreachable, &l.table.opts)
 	}
 }
 
--- a/fleet/route/state.go
+++ b/fleet/route/state.go
@@ -17,6 +17,15 @@
 	decreaseInterval = 200 * time.Millisecond
 )
 
+// The failures in a row that make a target suspect. One request may be at fault
+// for a silence or a failing answer, so that its retries must not take target
+// after target out of use.
+const (
+	strikesUnreachable = 1
+	strikesSilent      = 2
+	strikesFailed      = 3
+)
+
 // state is what a table learnt of one target. It outlives snapshots.
 type state struct {
 	// own counts requests in flight from this router.
@@ -33,7 +42,8 @@
 
 	// strikes counts failures in a row.
 	strikes atomic.Int64
-	// suspectUntil is when the target may be probed, in Unix nanoseconds.
+	// suspectUntil is when a suspect target may be probed, in Unix nanoseconds;
+	// 0 means that it isn't suspect.
 	suspectUntil atomic.Int64
 }
 
@@ -55,10 +65,11 @@
 // healthy tells whether the target may get work: it isn't suspect, or it is
 // due for a probe by a single request.
 func (s *state) healthy(now int64) bool {
-	if s.strikes.Load() == 0 {
+	until := s.suspectUntil.Load()
+	if until == 0 {
 		return true
 	}
-	return now >= s.suspectUntil.Load() && s.own.Load() == 0
+	return now >= until && s.own.Load() == 0
 }
 
 // hasRoom tells whether the limit allows one more request.
@@ -80,6 +91,7 @@
 // the goal.
 func (s *state) succeeded(o Outcome, opts *Options) {
 	s.strikes.Store(0)
+	s.suspectUntil.Store(0)
 	if o.FirstByte > opts.FirstByteGoal {
 		s.congested(o.Now.UnixNano())
 		return
@@ -101,10 +113,14 @@
 	s.limit.Store(max(minLimit, limit*decreasePermille/1000))
 }
 
-// suspect gives the target no work for a time that doubles with each strike.
-func (s *state) suspect(now int64, opts *Options) {
-	strikes := s.strikes.Add(1)
-	wait := opts.SuspectMin << min(strikes-1, 16)
+// strike counts a failure. From the given number of failures in a row on the
+// target is suspect: it gets no work for a time that doubles with each.
+func (s *state) strike(now, enough int64, opts *Options) {
+	extra := s.strikes.Add(1) - enough
+	if extra < 0 {
+		return
+	}
+	wait := opts.SuspectMin << min(extra, 16)
 	wait = min(wait, opts.SuspectMax)
 	s.suspectUntil.Store(now + int64(wait))
 }
--- a/router/target/client.go
+++ b/router/target/client.go
@@ -28,7 +28,8 @@
 	// ConnectTimeout is the longest time to make a connection. Default 2 s.
 	ConnectTimeout time.Duration
 	// FirstByteTimeout is the longest wait for the header of an answer, from
-	// the start of the call. It doesn't bound actions. Default 10 s.
+	// the start of the call, and then for the first byte of its body. It
+	// doesn't bound actions. Default 10 s.
 	FirstByteTimeout time.Duration
 	// TokenGapTimeout is the longest gap within an answer. Default 5 s.
 	TokenGapTimeout time.Duration
@@ -75,10 +76,11 @@
 
 // Client calls targets. It is safe for concurrent use.
 type Client struct {
-	opts    Options
-	dialer  *dialer
-	actions *http.Transport
-	stats   Stats
+	opts   Options
+	dialer *dialer
+	// single makes a new connection for each call.
+	single *http.Transport
+	stats  Stats
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -90,10 +92,10 @@
 	d := &dialer{}
 	d.Timeout = opts.ConnectTimeout
 	return &Client{
-		opts:    opts,
-		dialer:  d,
-		actions: &http.Transport{DialContext: d.dial, DisableKeepAlives: true, DisableCompression: true},
-		pools:   make(map[string]*pool),
+		opts:   opts,
+		dialer: d,
+		single: &http.Transport{DialContext: d.dial, DisableKeepAlives: true, DisableCompression: true},
+		pools:  make(map[string]*pool),
 	}
 }
 
@@ -126,6 +128,9 @@
 	// Deadline is when the caller stops waiting; zero means never. No call is
 	// sent after it.
 	Deadline time.Time
+	// Fresh takes a new connection in place of a pooled one, such as after a
+	// pooled one fell silent.
+	Fresh bool
 }
 
 // Usage is what a model call used, in tokens.
@@ -153,7 +158,7 @@
 
 // Do makes an idempotent or model call and returns its whole answer.
 func (c *Client) Do(ctx context.Context, call Call) (*Answer, error) {
-	x, err := c.open(ctx, call, c.pooled(call.Target.GetAddress()))
+	x, err := c.open(ctx, call, c.routeOf(call))
 	if err != nil {
 		return nil, err
 	}
--- a/router/target/failure.go
+++ b/router/target/failure.go
@@ -12,6 +12,10 @@
 	"cuminrock.example/fleet/errkind"
 )
 
+// ErrReusedConnection marks a failure on a connection that had carried a call
+// before. It says nothing of the target: the connection alone may be broken.
+var ErrReusedConnection = errors.New("the connection was reused")
+
 // errTooLong marks an answer above the limit.
 var errTooLong = errors.New("answer is too long")
 
@@ -25,6 +29,9 @@
 	why := context.Cause(x.ctx)
 	x.close()
 	x.exchange.closeConn()
+	if x.reused {
+		cause = errors.Join(cause, ErrReusedConnection)
+	}
 	name := x.call.Target.GetName()
 	switch {
 	case unsent && errors.Is(why, context.DeadlineExceeded):
--- a/router/target/open.go
+++ b/router/target/open.go
@@ -40,6 +40,10 @@
 	exchange *exchange
 	watchdog *time.Timer
 	resp     *http.Response
+	// reused says that the connection had carried a call before.
+	reused bool
+	// started says that a part of the answer's body came.
+	started bool
 }
 
 // open sends a call and waits for the header of its answer. The answer is to
@@ -112,6 +116,7 @@
 
 // gotConn ties the exchange to its connection before the first write.
 func (x *inProgress) gotConn(info httptrace.GotConnInfo) {
+	x.reused = info.Reused
 	c, ok := info.Conn.(*conn)
 	if ok {
 		c.carry(x.exchange)
@@ -182,8 +187,18 @@
 // Read implements io.Reader.
 func (b watchedBody) Read(p []byte) (int, error) {
 	if b.x.route.limited {
-		b.x.watchdog.Reset(b.x.client.opts.TokenGapTimeout)
+		b.x.watchdog.Reset(b.x.silence())
 		defer b.x.watchdog.Stop()
 	}
-	return b.x.resp.Body.Read(p)
+	n, err := b.x.resp.Body.Read(p)
+	b.x.started = b.x.started || n > 0
+	return n, err
+}
+
+// silence is the longest wait for the next bytes of the body.
+func (x *inProgress) silence() time.Duration {
+	if x.started {
+		return x.client.opts.TokenGapTimeout
+	}
+	return x.client.opts.FirstByteTimeout
 }
--- a/router/target/pool.go
+++ b/router/target/pool.go
@@ -23,6 +23,14 @@
 	limited bool
 }
 
+// routeOf returns the route of an idempotent or model call.
+func (c *Client) routeOf(call Call) route {
+	if call.Fresh {
+		return route{transport: c.single, limited: true}
+	}
+	return c.pooled(call.Target.GetAddress())
+}
+
 // pooled returns the current pool of the address. A pool that is too old is
 // replaced first.
 func (c *Client) pooled(address string) route {
@@ -37,7 +45,7 @@
 
 // unpooled returns a route whose connection is new and used once.
 func (c *Client) unpooled() route {
-	return route{transport: c.actions}
+	return route{transport: c.single}
 }
 
 // suspect gives up the pool that a silent connection belongs to: its idle
--- a/router/target/stream.go
+++ b/router/target/stream.go
@@ -65,7 +65,7 @@
 
 // Stream sends a model call and returns when the header of its answer came.
 func (c *Client) Stream(ctx context.Context, call Call) (*Stream, error) {
-	x, err := c.open(ctx, call, c.pooled(call.Target.GetAddress()))
+	x, err := c.open(ctx, call, c.routeOf(call))
 	if err != nil {
 		return nil, err
 	}
@@ -78,7 +78,7 @@
 	call.Method = http.MethodGet
 	call.Path = streamPath(stream) + "?from=" + strconv.FormatInt(from, 10)
 	call.Body = nil
-	x, err := c.open(ctx, call, c.pooled(call.Target.GetAddress()))
+	x, err := c.open(ctx, call, c.routeOf(call))
 	if err != nil {
 		return nil, err
 	}
@@ -88,7 +88,9 @@
 // Continue resumes a broken stream where it stopped, on another connection.
 func (s *Stream) Continue(ctx context.Context) (*Stream, error) {
 	s.Close()
-	resumed, err := s.x.client.Resume(ctx, s.x.call, s.id, s.next)
+	call := s.x.call
+	call.Fresh = true
+	resumed, err := s.x.client.Resume(ctx, call, s.id, s.next)
 	if err != nil {
 		return nil, err
 	}
