--- a/fleet/route/pick.go
+++ b/fleet/route/pick.go
@@ -181,18 +181,9 @@
 	return t.scan(p, r, now)
 }
 
-// choose applies the policy. It returns nil when it found no target fast.
+// choose takes the less loaded of two random targets, or the one of the prefix.
+// It returns nil when it found no target fast.
 func (t *Table) choose(p *pool, r *Request, now int64) *entry {
-	switch t.opts.Policy {
-	case RoundRobin:
-		e := p.entries[t.turns.Add(1)%uint64(len(p.entries))]
-		if !e.takes(r, now) {
-			return nil
-		}
-		return e
-	case LeastInFlight:
-		return p.leastInFlight(r, now, t.random())
-	}
 	a := t.draw(p, r, now)
 	if a == nil {
 		return nil
@@ -239,22 +230,6 @@
 	return nil, busy
 }
 
-// leastInFlight returns the target with the fewest requests of this router.
-func (p *pool) leastInFlight(r *Request, now int64, random uint64) *entry {
-	var best *entry
-	n := uint64(len(p.entries))
-	for i := range n {
-		e := p.entries[(random+i)%n]
-		if !e.takes(r, now) {
-			continue
-		}
-		if best == nil || e.state.own.Load() < best.state.own.Load() {
-			best = e
-		}
-	}
-	return best
-}
-
 // isLeaving tells whether any source says that the target is leaving.
 func (e *entry) isLeaving() bool { return e.leaving || e.state.reportedLeaving.Load() }
 
--- a/fleet/route/table.go
+++ b/fleet/route/table.go
@@ -48,23 +48,8 @@
 	SuspectMax time.Duration
 	// RetryAfter is advised when no target can take a request. Default 1 s.
 	RetryAfter time.Duration
-	// Policy selects how one of several targets is chosen. Default TwoChoices.
-	Policy Policy
 }
 
-// Policy is how one of several targets is chosen.
-type Policy uint8
-
-// The policies. All but TwoChoices serve as baselines of the measurements.
-const (
-	// TwoChoices takes the less loaded of two, with prefix affinity.
-	TwoChoices Policy = iota
-	// RoundRobin takes one after the other.
-	RoundRobin
-	// LeastInFlight takes the target with the fewest requests of this router.
-	LeastInFlight
-)
-
 func (o Options) withDefaults() Options {
 	if o.MaxInFlight == 0 {
 		o.MaxInFlight = defaultMaxInFlight
