--- a/router/serve/stream.go
+++ b/router/serve/stream.go
@@ -8,28 +8,21 @@
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/errkind"
-	"cuminrock.example/fleet/route"
+	"cuminrock.example/router/dispatch"
 	"cuminrock.example/router/ledger"
 	"cuminrock.example/router/target"
 )
 
-// maxResumes bounds how often one stream is resumed at its engine.
-const maxResumes = 3
-
 // Stream is one streamed answer on its way to a caller. One goroutine uses it.
 type Stream struct {
 	server *Server
 	req    *Request
 	res    *ledger.Reservation
-	lease  route.Lease
-	up     *target.Stream
+	up     *dispatch.Stream
 	// next is the offset of the next event to pass on.
-	next    int64
-	resumes int
-	// firstByte is the time from dispatch to the answer's header.
-	firstByte time.Duration
-	first     bool
-	ended     bool
+	next  int64
+	first bool
+	ended bool
 }
 
 // Event is one event for the caller.
@@ -49,7 +42,6 @@
 func (s *Server) OpenStream(ctx context.Context, r *Request) (*Stream, error) {
 	s.active.Add(1)
 	s.streams.Add(1)
-	s.Retries.Request()
 	st, err := s.open(ctx, r)
 	if err != nil {
 		s.streams.Add(-1)
@@ -104,25 +96,30 @@
 	return st, nil
 }
 
-// openNew dispatches to a picked target, and to others while none has
-// accepted the call.
+// openNew dispatches to a picked target, and to others while none has sent a
+// first event.
 func (st *Stream) openNew(ctx context.Context) error {
-	s := st.server
-	d, err := dispatch(ctx, s, st.req, func(c target.Call) (*target.Stream, error) {
-		return s.Targets.Stream(detach(ctx), c)
-	})
+	up, err := st.server.Dispatch.Stream(detach(ctx), st.server.plan(st.req))
 	if err != nil {
 		return err
 	}
-	st.up = d.answer
-	st.lease = d.lease
-	st.firstByte = d.took
-	t := st.lease.Target()
-	st.res.SetRun(runName(t.Name, st.up.ID()))
-	s.runs.dispatched(st.req.ID, t.Name, st.up.ID())
+	st.follow(up)
 	return nil
 }
 
+// follow takes a stream of the engine as the source of events.
+func (st *Stream) follow(up *dispatch.Stream) {
+	name := up.Target().Name
+	st.up = up
+	st.res.SetRun(runName(name, up.ID()))
+	st.server.runs.dispatched(st.req.ID, name, up.ID())
+}
+
+// asParked returns what is needed to end or resume the stream later.
+func (st *Stream) asParked() *parked {
+	return &parked{target: st.up.Target(), stream: st.up.ID(), res: st.res}
+}
+
 // resume goes on with a stream that another router dispatched. That router is
 // asked to hand over its reservation. Where none does, because it is dead or
 // cut off, the bound is reserved here as well; the bill is still one, since
@@ -157,20 +154,12 @@
 // attach resumes an engine's stream at the next offset.
 func (st *Stream) attach(ctx context.Context, t *pb.Target, stream string) error {
 	s := st.server
-	up, err := s.Targets.Resume(detach(ctx), s.call(st.req, t), stream, st.next)
+	up, err := s.Dispatch.Resume(detach(ctx), s.call(st.req, t), stream, st.next)
 	if err != nil {
 		return errkind.Wrap(errkind.TargetFailed, err, "the stream can't be resumed")
 	}
-	lease, ok := s.Routes.Attach(t.Name)
-	if !ok {
-		up.Close()
-		return errkind.New(errkind.UnknownRequest, "the target of this stream is not known")
-	}
-	st.res.SetRun(runName(t.Name, stream))
-	st.lease = lease
-	st.up = up
+	st.follow(up)
 	st.first = st.next > 0
-	s.runs.dispatched(st.req.ID, t.Name, stream)
 	s.record(st.req, pb.EventKind_EVENT_KIND_RESUMED, t.Name, st.next, "")
 	return nil
 }
@@ -199,14 +188,14 @@
 }
 
 func (st *Stream) passOn(ev target.Event) Event {
-	s := st.server
+	name := st.up.Target().Name
 	if !st.first {
 		st.first = true
-		s.record(st.req, pb.EventKind_EVENT_KIND_FIRST_BYTE, st.lease.Target().Name, 0, "")
+		st.server.record(st.req, pb.EventKind_EVENT_KIND_FIRST_BYTE, name, 0, "")
 	}
 	st.next = ev.Offset + 1
 	out := Event{
-		Position: Position{Target: st.lease.Target().Name, Stream: st.up.ID(), Offset: ev.Offset},
+		Position: Position{Target: name, Stream: st.up.ID(), Offset: ev.Offset},
 		Data:     ev.Data,
 		End:      ev.End,
 	}
@@ -223,46 +212,41 @@
 
 // cutOverrun cancels an engine that doesn't keep to its bound.
 func (st *Stream) cutOverrun() error {
-	s := st.server
-	t := st.lease.Target()
-	s.record(st.req, pb.EventKind_EVENT_KIND_CUT, t.Name, st.next, "past the token bound")
-	st.up.Close()
-	st.lease.Done(route.Outcome{Result: route.Failed, Now: s.Now()})
-	s.finishInBackground(st.req, &parked{target: t, stream: st.up.ID(), res: st.res})
-	st.close()
+	st.breakOff("past the token bound")
 	return errkind.New(errkind.TargetFailed, "the target went past the tokens reserved and was cancelled")
 }
 
 // recover resumes a broken stream at its engine, or ends it.
 func (st *Stream) recover(ctx context.Context, cause error) error {
 	s := st.server
-	name := st.lease.Target().Name
-	s.record(st.req, pb.EventKind_EVENT_KIND_CUT, name, st.next, errkind.Of(cause).String())
+	t := st.up.Target()
+	s.record(st.req, pb.EventKind_EVENT_KIND_CUT, t.Name, st.next, errkind.Of(cause).String())
 	st.up.Close()
-	for st.resumes < maxResumes && s.Now().Before(st.req.Deadline) && s.Retries.Take() {
-		st.resumes++
-		s.pause(ctx, st.resumes)
-		up, err := st.up.Continue(detach(ctx))
-		if err == nil {
-			st.up = up
-			s.record(st.req, pb.EventKind_EVENT_KIND_RESUMED, name, st.next, "")
-			return nil
-		}
-		cause = err
+	up, err := s.Dispatch.Reconnect(detach(ctx), s.call(st.req, t), st.up.ID(), st.next, cause)
+	if err != nil {
+		st.breakOff(errkind.Of(err).String())
+		return errkind.Wrap(errkind.TargetFailed, err, "the stream broke off and can't be resumed now")
 	}
-	st.lease.Done(route.Outcome{Result: route.ResultOf(cause), Now: s.Now()})
-	t := st.lease.Target()
-	s.finishInBackground(st.req, &parked{target: t, stream: st.up.ID(), res: st.res})
+	st.follow(up)
+	s.record(st.req, pb.EventKind_EVENT_KIND_RESUMED, t.Name, st.next, "")
+	return nil
+}
+
+// breakOff ends a stream that can't become whole. The engine is told to cancel
+// and its usage is billed.
+func (st *Stream) breakOff(why string) {
+	s := st.server
+	st.up.Close()
+	s.record(st.req, pb.EventKind_EVENT_KIND_CUT, st.up.Target().Name, st.next, why)
+	s.finishInBackground(st.req, st.asParked())
 	st.close()
-	return errkind.Wrap(errkind.TargetFailed, cause, "the stream broke off and can't be resumed now")
 }
 
 // finish bills a whole answer.
 func (st *Stream) finish(tokens int64) {
 	s := st.server
-	s.bill(st.req, st.res, st.lease.Target().Name, tokens)
+	s.bill(st.req, st.res, st.up.Target().Name, tokens)
 	st.up.Close()
-	st.lease.Done(route.Outcome{Result: route.OK, FirstByte: st.firstByte, Now: s.Now()})
 	s.runs.remove(st.req.ID)
 	st.close()
 }
@@ -274,16 +258,13 @@
 		return
 	}
 	s := st.server
-	st.up.Close()
-	t := st.lease.Target()
-	st.lease.Done(route.Outcome{Result: route.Neutral, Now: s.Now()})
-	s.record(st.req, pb.EventKind_EVENT_KIND_CUT, t.Name, st.next, "the caller went away")
-	p := &parked{target: t, stream: st.up.ID(), res: st.res}
-	if s.Now().Before(st.req.Deadline) {
-		s.park(st.req, p)
-	} else {
-		s.finishInBackground(st.req, p)
+	if !s.Now().Before(st.req.Deadline) {
+		st.breakOff("the deadline passed")
+		return
 	}
+	st.up.Close()
+	s.record(st.req, pb.EventKind_EVENT_KIND_CUT, st.up.Target().Name, st.next, "the caller went away")
+	s.park(st.req, st.asParked())
 	st.close()
 }
 
--- a/router/target/failure.go
+++ b/router/target/failure.go
@@ -12,14 +12,13 @@
 	"cuminrock.example/fleet/errkind"
 )
 
+// ErrReusedConnection marks a failure on a connection that had carried a call
+// before. It says nothing of the target: the connection alone may be broken.
+var ErrReusedConnection = errors.New("the connection was reused")
+
 // errTooLong marks an answer above the limit.
 var errTooLong = errors.New("answer is too long")
 
-// ErrStale marks a silence on a connection that was open before the call. It
-// speaks against the connection, not against its target: what lies between may
-// have lost track of old connections while new ones work.
-var ErrStale = errors.New("a kept connection fell silent")
-
 // errStatus is the error of an answer with a failing status.
 func errStatus(status int) error { return fmt.Errorf("target answered with status %d", status) }
 
@@ -30,6 +29,9 @@
 	why := context.Cause(x.ctx)
 	x.close()
 	x.exchange.closeConn()
+	if x.reused {
+		cause = errors.Join(cause, ErrReusedConnection)
+	}
 	name := x.call.Target.GetName()
 	switch {
 	case unsent && errors.Is(why, context.DeadlineExceeded):
@@ -42,9 +44,6 @@
 		return errkind.Wrap(errkind.AnswerMismatch, cause, "target "+name+" answered another request")
 	case errors.Is(why, errSilent):
 		x.client.suspect(x.route)
-		if x.exchange.reused.Load() {
-			cause = fmt.Errorf("%w: %w", ErrStale, cause)
-		}
 		return errkind.Wrap(errkind.TargetSilent, cause, "target "+name+" fell silent")
 	case errors.Is(why, context.DeadlineExceeded):
 		return errkind.Wrap(errkind.TargetSilent, cause, "target "+name+" didn't answer in time")
--- a/router/target/pool.go
+++ b/router/target/pool.go
@@ -23,6 +23,14 @@
 	limited bool
 }
 
+// routeOf returns the route of an idempotent or model call.
+func (c *Client) routeOf(call Call) route {
+	if call.Fresh {
+		return route{transport: c.single, limited: true}
+	}
+	return c.pooled(call.Target.GetAddress())
+}
+
 // pooled returns the current pool of the address. A pool that is too old is
 // replaced first.
 func (c *Client) pooled(address string) route {
@@ -35,19 +43,9 @@
 	return route{transport: p.transport, pool: p, address: address, limited: true}
 }
 
-// route returns the way of a call that may be repeated.
-func (c *Client) route(call Call) route {
-	if !call.Fresh {
-		return c.pooled(call.Target.GetAddress())
-	}
-	r := c.unpooled()
-	r.limited = true
-	return r
-}
-
 // unpooled returns a route whose connection is new and used once.
 func (c *Client) unpooled() route {
-	return route{transport: c.actions}
+	return route{transport: c.single}
 }
 
 // suspect gives up the pool that a silent connection belongs to: its idle
