--- a/router/node/node.go
+++ b/router/node/node.go
@@ -29,11 +29,13 @@
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/config"
+	"cuminrock.example/fleet/retry"
 	"cuminrock.example/fleet/route"
 	"cuminrock.example/fleet/timeline"
 	"cuminrock.example/router/actions"
 	"cuminrock.example/router/callerdoor"
 	"cuminrock.example/router/configwatch"
+	"cuminrock.example/router/dispatch"
 	"cuminrock.example/router/ledger"
 	"cuminrock.example/router/membership"
 	"cuminrock.example/router/operatordoor"
@@ -48,6 +50,8 @@
 	timelineEvents = 32768
 	// incarnationBytes is the size of the random name of one run.
 	incarnationBytes = 16
+	// retryBurst is how many retries the retry budget saves up.
+	retryBurst = 20
 	// configDuty names the reading of the change log among the duties that
 	// one router of a data centre has at a time.
 	configDuty = "config"
@@ -229,15 +233,15 @@
 		Events:      n.recorder,
 		Log:         n.log,
 	})
+	retries := retry.NewBudget(int(routing.RetryBudgetPermille), retryBurst)
 	n.server = serve.New(serve.Options{
 		Incarnation: n.self.Incarnation,
 		Config:      n.current,
 		Ledger:      n.ledger,
-		Routes:      n.routes,
+		Dispatch:    dispatch.New(n.routes, n.targets, retries, retry.DefaultPolicy()),
 		Targets:     n.targets,
 		Actions:     n.actions,
 		Peers:       servePeers{n},
-		Retries:     newRetries(int(routing.RetryBudgetPermille)),
 		Recorder:    n.recorder,
 		Log:         n.log,
 		Grace:       n.settings.CallerLimits.ParkGrace.AsDuration(),
--- a/router/serve/park.go
+++ b/router/serve/park.go
@@ -19,6 +19,8 @@
 	cancelAttempts = 4
 	// cancelTimeout bounds one such call.
 	cancelTimeout = 2 * time.Second
+	// cancelBackoff is half of the wait after the first one.
+	cancelBackoff = 10 * time.Millisecond
 	// learnInterval is the first wait before an unknown usage is asked for
 	// again; it doubles up to maxLearnInterval.
 	learnInterval    = 5 * time.Second
@@ -80,7 +82,7 @@
 			s.bill(r, p.res, p.target.Name, total(usage))
 			return
 		}
-		time.Sleep(backoffBase << attempt)
+		time.Sleep(cancelBackoff << attempt)
 	}
 	p.res.Unknown()
 	s.record(r, pb.EventKind_EVENT_KIND_CUT, p.target.Name, 0, "usage unknown")
