Join data centres by few connections, and call a suspect member next

Gateways called any of the other data centre's members in turn, so at 357 routers one gateway would keep 306 connections; now it calls three that all gateways agree on. TestCallsAreBounded fails on the old choice.

Membership.Suspect lets other parts report a member that didn't answer: at 51 members a dead one is otherwise called again only after 6 s.

--- a/fleet/member/member_test.go
+++ b/fleet/member/member_test.go
@@ -22,7 +22,11 @@
 // fullTable returns the table of router 0 of centre a, which has had an answer
 // from every other router of its data centre.
 func fullTable(perCentre int, centres ...string) *Table {
-	table := NewTable(sampleMember("a", 0), nil, rand.New(rand.NewPCG(1, 2)))
+	return fullTableOf(0, perCentre, centres...)
+}
+
+func fullTableOf(self, perCentre int, centres ...string) *Table {
+	table := NewTable(sampleMember("a", self), nil, rand.New(rand.NewPCG(1, 2)))
 	var vms []*pb.Vm
 	for _, centre := range centres {
 		for i := range perCentre {
@@ -31,7 +35,10 @@
 		}
 	}
 	table.SetVms(vms, begin)
-	for i := 1; i < perCentre; i++ {
+	for i := range perCentre {
+		if i == self {
+			continue
+		}
 		m := sampleMember("a", i)
 		table.Answered(m.PeerAddress, m, begin)
 	}
@@ -76,6 +83,15 @@
 	is.True(!table.Settled())
 }
 
+func TestSuspectIsCalledNext(t *testing.T) {
+	is := is.New(t)
+	table := fullTable(51, "a")
+	suspect := sampleMember("a", 33).PeerAddress
+	now := begin.Add(10 * time.Second)
+	table.Suspect(suspect, now)
+	is.Equal(table.Due(now)[0], suspect)
+}
+
 func TestUnlistedDeadMemberIsForgotten(t *testing.T) {
 	is := is.New(t)
 	table := fullTable(3, "a")
@@ -97,30 +113,43 @@
 }
 
 // Calls are bounded at any size, every member gets its turn within a round, and
-// only gateways call other data centres.
+// only gateways call other data centres, a few members of each.
 func TestCallsAreBounded(t *testing.T) {
+	gatewaysSeen := 0
+	for self := range 51 {
+		table := fullTableOf(self, 51, "a", "b", "c", "d", "e", "f", "g")
+		if table.Roster(begin).among(gatewayTask, gateways) {
+			gatewaysSeen++
+			checkCalls(t, table, 8+6*1.4, 6*gateways)
+		} else if self < 5 {
+			checkCalls(t, table, 8, 0)
+		}
+	}
+	is.New(t).Equal(gatewaysSeen, gateways)
+}
+
+// checkCalls runs a table for a while and holds its rate of calls a second and
+// the number of members of other data centres that it calls.
+func checkCalls(t *testing.T, table *Table, maxRate float64, remoteMembers int) {
 	is := is.New(t)
-	table := fullTable(51, "a", "b", "c", "d", "e", "f", "g")
 	const span = 30 * time.Second
-	near := make(map[string]int)
+	remote := make(map[string]bool)
 	calls := 0
 	for now := begin; now.Before(begin.Add(span)); now = now.Add(TickInterval) {
 		for _, address := range table.Due(now) {
 			calls++
 			p := table.peers[address]
-			near[p.dataCentre]++
+			if p.dataCentre != "a" {
+				remote[address] = true
+			}
 			table.Answered(address, &pb.Member{Name: address, DataCentre: p.dataCentre, PeerAddress: address}, now)
 		}
 	}
-	perSecond := float64(calls) / span.Seconds()
-	is.True(perSecond <= callsPerTick*float64(time.Second/TickInterval)+8)
+	is.True(float64(calls)/span.Seconds() <= maxRate)
+	is.Equal(len(remote), remoteMembers)
 	for _, p := range table.peers {
-		if p.dataCentre == "a" {
-			is.True(p.answered.After(begin.Add(span - 10*time.Second)))
-		}
+		is.True(p.dataCentre != "a" || p.answered.After(begin.Add(span-10*time.Second)))
 	}
-	gateway := table.Roster(begin).among("gateway", gateways)
-	is.Equal(near["b"] > 0, gateway)
 }
 
 // Exactly the stated number of members of a data centre see themselves as
@@ -134,7 +163,7 @@
 	count := 0
 	for i, self := range members {
 		others := append(append([]*pb.Member{}, members[:i]...), members[i+1:]...)
-		if NewRoster(self, others).among("gateway", gateways) {
+		if NewRoster(self, others).among(gatewayTask, gateways) {
 			count++
 		}
 	}
--- a/fleet/member/table.go
+++ b/fleet/member/table.go
@@ -19,6 +19,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	pb "cuminrock.example/api/gen/cuminrockpb"
 )
 
@@ -34,6 +36,8 @@
 	remoteInterval = time.Second
 	// gateways is how many members of a data centre call the others.
 	gateways = 3
+	// gatewayTask is the rendezvous key of the gateways.
+	gatewayTask = "gateway"
 	// failuresToDown is how many failed calls in a row take a member out.
 	failuresToDown = 2
 	// maxBackoff is the longest time between two calls to a member that is
@@ -140,7 +144,7 @@
 // Failed once.
 func (t *Table) Due(now time.Time) []string {
 	due := t.dueNear(now)
-	if t.Roster(now).among("gateway", gateways) {
+	if t.Roster(now).among(gatewayTask, gateways) {
 		due = append(due, t.dueRemote(now)...)
 	}
 	for _, p := range due {
@@ -191,14 +195,18 @@
 	return due
 }
 
-// pick returns one peer at random, one that is up if there is any.
+// pick returns one of a few peers, which are the same for all routers that see
+// the same ones up, so that few connections join two data centres. Where all
+// are down any may be the first to come back.
 func (t *Table) pick(peers []*peer) *peer {
-	slices.SortFunc(peers, func(a, b *peer) int { return cmp.Compare(a.address, b.address) })
+	slices.SortFunc(peers, func(a, b *peer) int {
+		return cmp.Or(cmp.Compare(a.order(), b.order()), cmp.Compare(a.address, b.address))
+	})
 	up := slices.DeleteFunc(slices.Clone(peers), (*peer).down)
-	if len(up) > 0 {
-		peers = up
+	if len(up) == 0 {
+		return peers[t.random.IntN(len(peers))]
 	}
-	return peers[t.random.IntN(len(peers))]
+	return up[t.random.IntN(min(gateways, len(up)))]
 }
 
 // Answered takes the receiver of a call that was answered. It reports whether
@@ -227,6 +235,15 @@
 	return p.failures == failuresToDown && p.member != nil
 }
 
+// Suspect makes a member the next to be called, after another message to it
+// wasn't answered.
+func (t *Table) Suspect(address string, now time.Time) {
+	p, known := t.peers[address]
+	if known && !p.calling && t.near(p) {
+		p.due = time.Time{}
+	}
+}
+
 // Heard takes the sender of a heartbeat that came in. A sender that isn't live
 // is called next.
 func (t *Table) Heard(sender *pb.Member, now time.Time) {
@@ -293,6 +310,9 @@
 	return now.Sub(p.heard) <= remoteTTL
 }
 
+// order ranks the members of another data centre.
+func (p *peer) order() uint64 { return mix(xxhash.Sum64String(p.address)) }
+
 func (p *peer) down() bool { return p.failures >= failuresToDown }
 
 // round is the time in which each member of the own data centre is called
--- a/router/membership/membership.go
+++ b/router/membership/membership.go
@@ -181,6 +181,12 @@
 	m.update(func(now time.Time) { m.report(target, now) })
 }
 
+// Suspect has a member called at once, after another message to it wasn't
+// answered, so that one that died is found before its turn.
+func (m *Membership) Suspect(peer *pb.Member) {
+	m.update(func(now time.Time) { m.table.Suspect(peer.GetPeerAddress(), now) })
+}
+
 // SetDraining shows peers that this router is stopping.
 func (m *Membership) SetDraining() {
 	m.setSelf(func(self *pb.Member) { self.Draining = true })
