--- a/router/configwatch/rate_test.go
+++ b/router/configwatch/rate_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"flag"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
 )
 
 const (
@@ -16,6 +19,10 @@
 	// maxByteRate is the highest mean rate of message bytes a second of a
 	// router, both directions of its own calls, without the transport's part.
 	maxByteRate = 4096.0
+	// leavingLimit is the time in which all routers know of a leaving target.
+	leavingLimit = 3 * time.Second
+	// deathLimit is the time in which a dead router is out of the rosters.
+	deathLimit = 12 * time.Second
 )
 
 // perCentre sets the size of the fleet that TestRates measures, over seven
@@ -48,9 +55,46 @@
 		t.Logf("in force within %s, with the platform in reach of one data centre only %s", first, second)
 		is.True(first <= inForceLimit)
 		is.True(second <= inForceLimit)
+
+		leaving := f.leavingTime()
+		dead := f.deathTime()
+		t.Logf("leaving target known everywhere within %s, dead router out of all rosters within %s", leaving, dead)
+		is.True(leaving <= leavingLimit)
+		is.True(dead <= deathLimit)
+	})
+}
+
+// leavingTime returns when all routers know of a target whose own report one
+// router saw.
+func (f *fleet) leavingTime() time.Duration {
+	target := &pb.Target{Name: "model-pool-old-01"}
+	f.routers[0].members.MarkLeaving(target.Name)
+	return f.until(func(r *router) bool { return r.members.Leaving().Has(target) })
+}
+
+// deathTime returns when a router that was killed is out of all rosters of its
+// data centre.
+func (f *fleet) deathTime() time.Duration {
+	dead := f.routers[len(f.routers)-1]
+	dead.kill()
+	f.routers = f.routers[:len(f.routers)-1]
+	return f.until(func(r *router) bool {
+		return r.self.DataCentre != dead.self.DataCentre || !slices.Contains(names(r), dead.self.Name)
 	})
 }
 
+// until returns the time until a condition holds at all routers.
+func (f *fleet) until(holds func(r *router) bool) time.Duration {
+	begin := time.Now()
+	for slices.ContainsFunc(f.routers, func(r *router) bool { return !holds(r) }) {
+		time.Sleep(10 * time.Millisecond)
+		if time.Since(begin) > time.Minute {
+			f.t.Fatal("the condition doesn't come to hold")
+		}
+	}
+	return time.Since(begin)
+}
+
 // counts returns the calls between routers, their bytes, and the calls to the
 // platform so far.
 func (n *network) counts() (calls, bytes, platformCalls int) {
