--- a/ctl/processtest/kill_test.go
+++ b/ctl/processtest/kill_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -65,3 +67,35 @@
 	bills := f.WaitBills(1)
 	is.Equal(bills[q.ID()].Tokens, reply.Billed())
 }
+
+// billWait bounds the wait for a bill that a killed router owes.
+const billWait = 3 * time.Second
+
+// A router is killed right after its caller got a whole answer. The request
+// is billed all the same, by whoever has a copy of the bill.
+func TestKilledRightAfterAnswer(t *testing.T) {
+	t.Parallel()
+	f := Start(t, Options{Binaries: binaries, Seed: 13, Centres: []string{"cluj-a"}, RoutersPerCentre: 3})
+	doomed := f.Routers[0]
+	usage := make(map[string]int64)
+	for n := range 20 {
+		q := Chat(fmt.Sprintf("answered-%d", n), 5, true)
+		var a Answer
+		doomed.MustRead(q, &a)
+		usage[q.ID()] = a.Usage
+	}
+	doomed.Kill()
+	time.Sleep(billWait)
+	b := f.Budget()
+	bills := f.Bills()
+	var owed int64
+	for id, tokens := range usage {
+		if bills[id] == nil {
+			owed += tokens
+			t.Errorf("%s was answered and has no bill", id)
+		}
+	}
+	if owed > b.Granted+b.InDoubt {
+		t.Errorf("%d unbilled tokens aren't covered: %v", owed, b)
+	}
+}
