Make the process tests' harness free of data races

Cause: a restarted router's addresses were read by callers while they were written (go test -race). They are now replaced whole. A caller told in_progress comes back, as docs/CALLERS.md asks: on a busy machine a router may not have noticed yet that the caller's first connection is gone. The sheet command's output is read as JSON, not by its spacing.

--- a/ctl/processtest/caller.go
+++ b/ctl/processtest/caller.go
@@ -69,7 +69,7 @@
 var callers = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 
 func (r *Router) request(ctx context.Context, q Request) (*http.Response, error) {
-	url := "http://" + r.doors.Caller + "/v1/services/" + q.Service + "/" + q.Path
+	url := "http://" + r.doors.Load().Caller + "/v1/services/" + q.Service + "/" + q.Path
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewBufferString(q.Body))
 	if err != nil {
 		return nil, err
@@ -118,7 +118,7 @@
 // Outcome asks what became of a request.
 func (r *Router) Outcome(key string) Reply {
 	r.t.Helper()
-	req, err := http.NewRequest(http.MethodGet, "http://"+r.doors.Caller+"/v1/requests/"+key, nil)
+	req, err := http.NewRequest(http.MethodGet, "http://"+r.doors.Load().Caller+"/v1/requests/"+key, nil)
 	if err != nil {
 		r.t.Fatal(err)
 	}
--- a/ctl/processtest/operator_test.go
+++ b/ctl/processtest/operator_test.go
@@ -28,6 +28,23 @@
 	return cmd.ProcessState.ExitCode(), string(out)
 }
 
+// applyResult is the part of sheet-apply's output that tests read.
+type applyResult struct {
+	Version uint64 `json:"version"`
+	Routers []struct {
+		InForce bool `json:"in_force"`
+	} `json:"routers"`
+}
+
+func readResult(t *testing.T, out string) applyResult {
+	t.Helper()
+	var result applyResult
+	if err := json.Unmarshal([]byte(out), &result); err != nil {
+		t.Fatalf("%v in %q", err, out)
+	}
+	return result
+}
+
 // Two operators apply different sheets, planned on the same version, at the
 // same time. One wins and is in force at every router; the other is told what
 // changed.
@@ -54,13 +71,7 @@
 	}
 	is.True(strings.Contains(outs[loser], "conflict"))
 	is.True(strings.Contains(outs[loser], []string{"bela", "ana"}[loser])) // told who changed what
-	var result struct {
-		Version uint64 `json:"version"`
-		Routers []struct {
-			InForce bool `json:"in_force"`
-		} `json:"routers"`
-	}
-	is.NoErr(json.Unmarshal([]byte(outs[1-loser]), &result))
+	result := readResult(t, outs[1-loser])
 	is.Equal(result.Version, uint64(2))
 	is.Equal(len(result.Routers), len(f.Routers)) // --wait names each router
 	for _, r := range result.Routers {
@@ -81,7 +92,7 @@
 	f.Platform.SetFaults(centre, platform.Faults{LoseAnswerNext: 2})
 	code, out := f.sheetApply(centre, "ana", sheet, "--removals", "1")
 	is.Equal(code, 0)
-	is.True(strings.Contains(out, `"version": 2`))
+	is.Equal(readResult(t, out).Version, uint64(2))
 	is.Equal(f.Budget().Prepaid, int64(1_001_000))
 	code, _ = f.sheetApply(centre, "ana", sheet)
 	is.Equal(code, 0) // the same sheet again changes nothing
--- a/ctl/processtest/router.go
+++ b/ctl/processtest/router.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,14 +31,16 @@
 	// Relay stands before its peer door.
 	Relay *Relay
 
+	t      testing.TB
 	binary string
 	path   string
-	doors  doors
+	// doors change with a restart, while callers call.
+	doors atomic.Pointer[doors]
 }
 
 func newRouter(t testing.TB, binary string, s *pb.RouterSettings) *Router {
 	t.Helper()
-	r := &Router{Name: s.Name, Centre: s.DataCentre, Relay: newRelay(t), binary: binary}
+	r := &Router{Name: s.Name, Centre: s.DataCentre, Relay: newRelay(t), t: t, binary: binary}
 	s.Doors = &pb.Doors{
 		Caller:         "127.0.0.1:0",
 		Operator:       "127.0.0.1:0",
@@ -58,8 +61,10 @@
 // Start starts the router's process, also after an earlier one has ended.
 func (r *Router) Start(t testing.TB) {
 	t.Helper()
-	r.Process = startProcess(t, r.Name, &r.doors, r.binary, "-settings", r.path)
-	r.Relay.SetBackend(r.doors.Peer)
+	open := &doors{}
+	r.Process = startProcess(t, r.Name, open, r.binary, "-settings", r.path)
+	r.doors.Store(open)
+	r.Relay.SetBackend(open.Peer)
 }
 
 // operatorClient bounds questions to routers that may be frozen.
@@ -99,7 +104,7 @@
 }
 
 func (r *Router) ask(path string, into any) bool {
-	resp, err := operatorClient.Get("http://" + r.doors.Operator + path)
+	resp, err := operatorClient.Get("http://" + r.doors.Load().Operator + path)
 	if err != nil {
 		return false
 	}
--- a/ctl/processtest/stream.go
+++ b/ctl/processtest/stream.go
@@ -11,6 +11,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"cuminrock.example/router/callerdoor"
 )
@@ -70,12 +71,19 @@
 	return nil
 }
 
-// MustRead reads an answer to its end and fails the test where it can't.
+// MustRead reads an answer to its end and fails the test where it can't. While
+// it is told that the request is still being answered on another connection,
+// it comes back, as callers are asked to.
 func (r *Router) MustRead(q Request, a *Answer) {
 	r.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), WaitCap)
 	defer cancel()
-	if err := r.Read(ctx, q, a, nil); err != nil {
+	err := r.Read(ctx, q, a, nil)
+	for told := (*StreamError)(nil); errors.As(err, &told) && told.Info.Kind == "in_progress"; {
+		time.Sleep(pollInterval)
+		err = r.Read(ctx, q, a, nil)
+	}
+	if err != nil {
 		r.t.Fatalf("%s: stream %s after %d tokens: %v", r.Name, q.Key, a.Tokens, err)
 	}
 }
--- a/ctl/processtest/whole_test.go
+++ b/ctl/processtest/whole_test.go
@@ -76,7 +76,7 @@
 		is.Equal(reply.Status, c.status)
 		is.Equal(reply.Failure.RunState, "not_run")
 	}
-	resp, err := http.Get("http://" + r.doors.Caller + "/v1/services/" + ModelService + "/" + ModelCall)
+	resp, err := http.Get("http://" + r.doors.Load().Caller + "/v1/services/" + ModelService + "/" + ModelCall)
 	is.NoErr(err)
 	reply, err := readReply(resp)
 	is.NoErr(err)
@@ -90,7 +90,7 @@
 // slowCaller sends a header and no body.
 func slowCaller(t *testing.T, r *Router) Reply {
 	t.Helper()
-	conn, err := net.Dial("tcp", r.doors.Caller)
+	conn, err := net.Dial("tcp", r.doors.Load().Caller)
 	if err != nil {
 		t.Fatal(err)
 	}
