--- a/fleet/route/pick.go
+++ b/fleet/route/pick.go
@@ -54,8 +54,10 @@
 	Refused
 	// Failed is a target that answered with a failure or broke off.
 	Failed
-	// Lost is a target that couldn't be reached or fell silent.
-	Lost
+	// Silent is a target that fell silent on a new connection.
+	Silent
+	// Unreachable is a target that no connection could be made to.
+	Unreachable
 )
 
 // Outcome ends a lease.
@@ -75,8 +77,10 @@
 	switch errkind.Of(err) {
 	case errkind.TargetRefused:
 		return Refused
-	case errkind.TargetUnreachable, errkind.TargetSilent:
-		return Lost
+	case errkind.TargetUnreachable:
+		return Unreachable
+	case errkind.TargetSilent:
+		return Silent
 	case errkind.TargetFailed, errkind.AnswerMismatch:
 		return Failed
 	default:
@@ -88,13 +92,18 @@
 func (l Lease) Done(o Outcome) {
 	s := l.entry.state
 	s.own.Add(-1)
+	now := o.Now.UnixNano()
 	switch o.Result {
 	case OK:
 		s.succeeded(o, &l.table.opts)
 	case Refused:
-		s.congested(o.Now.UnixNano())
-	case Failed, Lost:
-		s.suspect(o.Now.UnixNano(), &l.table.opts)
+		s.congested(now)
+	case Failed:
+		s.strike(now, strikesFailed, &l.table.opts)
+	case Silent:
+		s.strike(now, strikesSilent, &l.table.opts)
+	case Unreachable:
+		s.strike(now, strikesUnreachable, &l.table.opts)
 	}
 }
 
@@ -172,18 +181,9 @@
 	return t.scan(p, r, now)
 }
 
-// choose applies the policy. It returns nil when it found no target fast.
+// choose takes the less loaded of two random targets, or the one of the prefix.
+// It returns nil when it found no target fast.
 func (t *Table) choose(p *pool, r *Request, now int64) *entry {
-	switch t.opts.Policy {
-	case RoundRobin:
-		e := p.entries[t.turns.Add(1)%uint64(len(p.entries))]
-		if !e.takes(r, now) {
-			return nil
-		}
-		return e
-	case LeastInFlight:
-		return p.leastInFlight(r, now, t.random())
-	}
 	a := t.draw(p, r, now)
 	if a == nil {
 		return nil
@@ -230,22 +230,6 @@
 	return nil, busy
 }
 
-// leastInFlight returns the target with the fewest requests of this router.
-func (p *pool) leastInFlight(r *Request, now int64, random uint64) *entry {
-	var best *entry
-	n := uint64(len(p.entries))
-	for i := range n {
-		e := p.entries[(random+i)%n]
-		if !e.takes(r, now) {
-			continue
-		}
-		if best == nil || e.state.own.Load() < best.state.own.Load() {
-			best = e
-		}
-	}
-	return best
-}
-
 // isLeaving tells whether any source says that the target is leaving.
 func (e *entry) isLeaving() bool { return e.leaving || e.state.reportedLeaving.Load() }
 
--- a/router/serve/serve.go
+++ b/router/serve/serve.go
@@ -14,8 +14,6 @@
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +26,7 @@
 	"cuminrock.example/fleet/route"
 	"cuminrock.example/fleet/timeline"
 	"cuminrock.example/router/actions"
+	"cuminrock.example/router/dispatch"
 	"cuminrock.example/router/ledger"
 	"cuminrock.example/router/target"
 )
@@ -40,14 +39,6 @@
 	Takeover(ctx context.Context, m *pb.Member, req *pb.TakeoverRequest) (*pb.TakeoverResponse, error)
 }
 
-// Retries bounds how much work is sent again. It is safe for concurrent use.
-type Retries interface {
-	// Request counts a new request.
-	Request()
-	// Take asks for one retry.
-	Take() bool
-}
-
 // Options is what a Server works with. All fields are required.
 type Options struct {
 	// Incarnation names this run of the router.
@@ -55,11 +46,10 @@
 	// Config returns the configuration in force; nil before there is one.
 	Config   func() *config.View
 	Ledger   *ledger.Ledger
-	Routes   *route.Table
+	Dispatch *dispatch.Dispatcher
 	Targets  *target.Client
 	Actions  *actions.Actions
 	Peers    Peers
-	Retries  Retries
 	Recorder *timeline.Recorder
 	Log      *zap.Logger
 	// Grace is how long a stream is parked.
@@ -123,31 +113,24 @@
 	return res, nil
 }
 
-// pick chooses a target for an attempt: one that wasn't tried, or any where
-// all were. The retry budget and maxAttempts bound the attempts.
-func (s *Server) pick(r *Request, tried []string) (route.Lease, error) {
-	lease, err := s.pickExcept(r, tried)
-	if len(tried) > 0 && errkind.Of(err) == errkind.NoTarget {
-		return s.pickExcept(r, nil)
-	}
-	return lease, err
-}
-
-// pickExcept chooses a target that wasn't tried.
-func (s *Server) pickExcept(r *Request, tried []string) (route.Lease, error) {
-	view := s.Config()
-	if view == nil {
-		return route.Lease{}, errkind.New(errkind.NotReady, "no configuration is in force").After(time.Second)
-	}
-	return s.Routes.Pick(&route.Request{
+// plan describes the request to the dispatcher.
+func (s *Server) plan(r *Request) dispatch.Plan {
+	pick := route.Request{
 		Service:         r.Service.Name,
 		RequestID:       r.ID,
-		Shares:          view.Shares(r.Workspace.Name, r.Service.Name),
 		DefaultProvider: r.Service.DefaultProvider,
 		PrefixHash:      prefixHash(r),
-		Exclude:         tried,
-		Now:             s.Now(),
-	})
+	}
+	view := s.Config()
+	if view != nil {
+		pick.Shares = view.Shares(r.Workspace.Name, r.Service.Name)
+	}
+	return dispatch.Plan{
+		Pick:   pick,
+		Call:   s.call(r, nil),
+		Kind:   r.Call.Kind,
+		OnSend: func(t *pb.Target) { s.record(r, pb.EventKind_EVENT_KIND_DISPATCHED, t.Name, 0, "") },
+	}
 }
 
 // call describes the request to the target's client.
@@ -172,49 +155,6 @@
 	return r.Bound()
 }
 
-// mayRetry tells whether a failed attempt may be repeated at another target:
-// the deadline allows, and either it truly did not run or the call may be
-// repeated and the retry budget has room.
-func (s *Server) mayRetry(r *Request, err error, attempts int) bool {
-	if attempts >= maxAttempts || !s.Now().Before(r.Deadline) {
-		return false
-	}
-	switch errkind.Of(err) {
-	case errkind.TargetRefused, errkind.TargetUnreachable, errkind.TargetFailed, errkind.TargetSilent, errkind.AnswerMismatch:
-	default:
-		return false
-	}
-	if r.Call.Kind == pb.CallKind_CALL_KIND_ACTION {
-		return false
-	}
-	return s.Retries.Take()
-}
-
-const (
-	// maxAttempts bounds the dispatches of one request.
-	maxAttempts = 3
-	// backoffBase is half of the longest wait before the first retry.
-	backoffBase = 10 * time.Millisecond
-)
-
-// pause waits before attempt number n, with jitter.
-func (s *Server) pause(ctx context.Context, n int) {
-	wait := time.Duration(rand.Int64N(int64(backoffBase << n)))
-	select {
-	case <-time.After(wait):
-	case <-ctx.Done():
-	}
-}
-
-// outcome tells the balancer how an attempt ended that began at start.
-func (s *Server) outcome(err error, start time.Time) route.Outcome {
-	now := s.Now()
-	if errors.Is(err, target.ErrStale) {
-		return route.Outcome{Result: route.Neutral, Now: now}
-	}
-	return route.Outcome{Result: route.ResultOf(err), FirstByte: now.Sub(start), Now: now}
-}
-
 // endReservation finishes a reservation of an attempt that failed.
 func endReservation(res *ledger.Reservation, run pb.RunState) {
 	if run == pb.RunState_RUN_STATE_NOT_RUN {
