--- a/router/serve/park.go
+++ b/router/serve/park.go
@@ -136,7 +136,7 @@
 	if p == nil {
 		return &pb.TakeoverResponse{}, nil
 	}
-	reserved, totals, ok := p.res.HandOver(req.Taker)
+	covering, ok := p.res.HandOver()
 	if !ok {
 		return &pb.TakeoverResponse{}, nil
 	}
@@ -144,8 +144,7 @@
 		Granted:  true,
 		Target:   p.target.Name,
 		Stream:   p.stream,
-		Reserved: reserved,
-		Totals:   totals,
+		Covering: covering,
 	}, nil
 }
 
--- a/router/serve/stream.go
+++ b/router/serve/stream.go
@@ -310,8 +310,7 @@
 		if err != nil || !resp.Granted {
 			continue
 		}
-		run := runName(resp.Target, resp.Stream)
-		res, err := s.Ledger.TakeUp(ctx, r.Budget, r.Workspace.Name, r.ID, run, resp.Reserved, resp.Totals)
+		res, err := s.Ledger.TakeUp(resp.Covering)
 		if err == nil {
 			return res, true
 		}
