--- a/router/node/node.go
+++ b/router/node/node.go
@@ -76,6 +76,7 @@
 	ledger     *ledger.Ledger
 	routes     *route.Table
 	targets    *target.Client
+	dispatch   *dispatch.Dispatcher
 	actions    *actions.Actions
 	server     *serve.Server
 	callers    *callerdoor.Door
@@ -234,11 +235,12 @@
 		Log:         n.log,
 	})
 	retries := retry.NewBudget(int(routing.RetryBudgetPermille), retryBurst)
+	n.dispatch = dispatch.New(n.routes, n.targets, retries, retry.DefaultPolicy())
 	n.server = serve.New(serve.Options{
 		Incarnation: n.self.Incarnation,
 		Config:      n.current,
 		Ledger:      n.ledger,
-		Dispatch:    dispatch.New(n.routes, n.targets, retries, retry.DefaultPolicy()),
+		Dispatch:    n.dispatch,
 		Targets:     n.targets,
 		Actions:     n.actions,
 		Peers:       servePeers{n},
--- a/router/serve/stream.go
+++ b/router/serve/stream.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"time"
-
-	"go.uber.org/zap"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/errkind"
@@ -292,33 +289,3 @@
 	}
 	return nil, false
 }
-
-// takeoverTimeout bounds the search for the router that has parked a stream.
-const takeoverTimeout = 300 * time.Millisecond
-
-// takeover asks the other routers to hand over the request's stream, and
-// returns the reservation that came with it.
-func (s *Server) takeover(ctx context.Context, r *Request) (*ledger.Reservation, bool) {
-	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
-	defer cancel()
-	req := &pb.TakeoverRequest{RequestId: r.ID, Taker: s.Incarnation}
-	for _, m := range s.Peers.Members() {
-		if ctx.Err() != nil {
-			return nil, false
-		}
-		resp, err := s.Peers.Takeover(ctx, m, req)
-		if err != nil || !resp.Granted {
-			continue
-		}
-		res, err := s.Ledger.TakeUp(resp.Covering)
-		if err == nil {
-			return res, true
-		}
-		s.Log.Warn("serve: a handed over reservation can't be taken up.", zap.Error(err))
-		return nil, false
-	}
-	return nil, false
-}
-
-// runName names one run of a request by its engine's stream.
-func runName(targetName, stream string) string { return targetName + "/" + stream }
