Keep unreachable peers from holding up a configuration

A router that heard of a version first from peers that it can't call waited 1 s for each, again and again, while offers of others were dropped: in a test with a cut in one direction a version wasn't in force after 3 s. A fetch now gives way after 200 ms to another peer, and a peer that hasn't answered isn't asked again for 2 s.

Where only some routers of a data centre reach the platform, turns of the others were lost: three in four, and no turn for 3 s.

A failed test in simulated time now stops its routers first, instead of ending in a dump of goroutines.

--- a/router/configwatch/fleet_test.go
+++ b/router/configwatch/fleet_test.go
@@ -278,9 +278,11 @@
 func bubble(t *testing.T, test func(t *testing.T, ctx context.Context)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
+		defer func() {
+			cancel()
+			// Calls in progress end within their timeouts.
+			time.Sleep(time.Minute)
+		}()
 		test(t, ctx)
-		cancel()
-		// Calls in progress end within their timeouts.
-		time.Sleep(time.Minute)
 	})
 }
--- a/router/configwatch/peer.go
+++ b/router/configwatch/peer.go
@@ -5,8 +5,10 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
@@ -14,10 +16,10 @@
 )
 
 // Offer tells that a peer shows a version. A higher one is fetched from it at
-// once. Offer doesn't block; while a fetch is in progress the newest offer
-// waits and later heartbeats repeat the others.
+// once. Offer doesn't block; one offer waits while a fetch is in progress, and
+// later heartbeats repeat the others.
 func (w *Watch) Offer(peer *pb.Member, version uint64) {
-	if version <= w.Version() {
+	if version <= w.Version() || w.silent.has(peer.Name, w.options.Now()) {
 		return
 	}
 	select {
@@ -26,6 +28,69 @@
 	}
 }
 
+// peerLoop fetches what peers have above this router's version. A peer that
+// doesn't answer soon holds up nobody: the next one is asked meanwhile.
+func (w *Watch) peerLoop(ctx context.Context) {
+	fetches := pool.New().WithMaxGoroutines(maxFetches)
+	defer fetches.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case peer := <-w.offers:
+			if peer.ConfigVersion > w.Version() {
+				w.fetchOffer(ctx, fetches, peer)
+			}
+		}
+	}
+}
+
+// fetchOffer starts a fetch and returns when it ends or after a short while.
+func (w *Watch) fetchOffer(ctx context.Context, fetches *pool.Pool, peer *pb.Member) {
+	w.silent.add(peer.Name, w.options.Now().Add(avoidFor))
+	done := make(chan struct{})
+	fetches.Go(func() {
+		defer close(done)
+		if w.fetch(ctx, peer, fetchTimeout) {
+			w.silent.remove(peer.Name)
+		}
+	})
+	timer := time.NewTimer(hedgeAfter)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
+// silentPeers holds peers that were asked and haven't answered, each until a
+// time. The zero value is empty.
+type silentPeers struct {
+	mu    sync.Mutex
+	until map[string]time.Time
+}
+
+func (s *silentPeers) add(name string, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.until == nil {
+		s.until = make(map[string]time.Time)
+	}
+	s.until[name] = until
+}
+
+func (s *silentPeers) remove(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.until, name)
+}
+
+func (s *silentPeers) has(name string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.until[name])
+}
+
 // fetch takes what a peer has above the version held. It reports whether the
 // peer answered.
 func (w *Watch) fetch(ctx context.Context, peer *pb.Member, timeout time.Duration) bool {
--- a/router/configwatch/run.go
+++ b/router/configwatch/run.go
@@ -44,7 +44,7 @@
 		pause(ctx, w.options.Poll)
 		now := w.options.Now()
 		slot := now.UnixNano() / int64(w.options.Poll)
-		if !w.options.Turn(slot) && now.Sub(w.lastOwn) < ownPollEvery {
+		if !w.options.Turn(slot) && now.Sub(w.lastOwn) < w.ownPoll() {
 			continue
 		}
 		// The error is logged where it happens; the next turn tries again.
@@ -52,23 +52,15 @@
 	}
 }
 
-// peerLoop fetches what peers have above this router's version.
-func (w *Watch) peerLoop(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case peer := <-w.offers:
-			if peer.ConfigVersion > w.Version() {
-				w.fetch(ctx, peer, fetchTimeout)
-			}
-		}
-	}
+// ownPoll returns how often this router reads the platform out of turn.
+func (w *Watch) ownPoll() time.Duration {
+	members := len(w.options.Peers.Members()) + 1
+	return min(max(time.Duration(members)*ownPollPerMember, minOwnPoll), maxOwnPoll)
 }
 
 // askPlatform reads the change log and takes what is new.
 func (w *Watch) askPlatform(ctx context.Context) error {
-	w.lastOwn = w.options.Now().Add(-rand.N(ownPollEvery / 2))
+	w.lastOwn = w.options.Now().Add(-rand.N(w.ownPoll() / 2))
 	version, err := configlog.Head(ctx, w.options.Platform)
 	if err == nil {
 		err = w.catchUp(ctx, version)
--- a/router/configwatch/watch.go
+++ b/router/configwatch/watch.go
@@ -30,13 +30,22 @@
 const (
 	// defaultPoll is the time between two turns at the platform.
 	defaultPoll = 500 * time.Millisecond
-	// ownPollEvery is how often a router reads the platform out of turn, so
-	// that nothing depends on the turns.
-	ownPollEvery = 20 * time.Second
+	// ownPollPerMember times the number of live members is how often a router
+	// reads the platform out of turn, within the two bounds, so that nothing
+	// depends on the turns.
+	ownPollPerMember = 250 * time.Millisecond
+	minOwnPoll       = time.Second
+	maxOwnPoll       = 20 * time.Second
 	// firstFetchTimeout is the longest wait for a peer's whole configuration.
 	firstFetchTimeout = 10 * time.Second
 	// fetchTimeout is the longest wait for a peer's newer changes.
 	fetchTimeout = time.Second
+	// hedgeAfter is the wait for a peer before another is asked too.
+	hedgeAfter = 200 * time.Millisecond
+	// maxFetches is the most peers asked at the same time.
+	maxFetches = 4
+	// avoidFor is how long a peer that didn't answer isn't asked again.
+	avoidFor = 2 * time.Second
 	// maxCatchUp is the most changes that are read one by one. They need far less
 	// memory than a second whole configuration beside the one in force.
 	maxCatchUp = 1000
@@ -79,6 +88,7 @@
 type Watch struct {
 	options Options
 	offers  chan *pb.Member
+	silent  silentPeers
 
 	// mu orders writers; readers load the pointers.
 	mu      sync.Mutex
--- a/router/configwatch/watch_test.go
+++ b/router/configwatch/watch_test.go
@@ -142,6 +142,36 @@
 	})
 }
 
+// A router that can't call most of those that tell it of a new version gets it
+// from the one that it can call, whether all or one of the others reach the
+// platform.
+func TestOfferOfUnreachablePeerDoesNotHoldUpOthers(t *testing.T) {
+	platformCuts := map[string]func(f *fleet, from *router) bool{
+		"one without platform":  func(f *fleet, from *router) bool { return from == f.routers[0] },
+		"one with the platform": func(f *fleet, from *router) bool { return from != f.routers[1] },
+	}
+	for name, platformCut := range platformCuts {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, ctx context.Context) {
+				f := startFleet(t, ctx, 4, "cluj-a")
+				f.inForceWithin(inForceLimit, 1, f.routers...)
+				time.Sleep(5 * time.Second)
+				f.setCut(func(from, to *router) bool {
+					if to == nil {
+						return platformCut(f, from)
+					}
+					return from == f.routers[0] && (to == f.routers[1] || to == f.routers[2])
+				})
+				for version := uint64(2); version < 40; version++ {
+					f.accept(version)
+					f.inForceWithin(inForceLimit, version, f.routers...)
+					time.Sleep(time.Duration(version) * 91 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
+
 func names(r *router) []string {
 	var names []string
 	for _, m := range r.members.Members() {
