--- a/fleet/member/member_test.go
+++ b/fleet/member/member_test.go
@@ -83,6 +83,15 @@
 	is.True(!table.Settled())
 }
 
+func TestNewsIsToldFasterForAWhile(t *testing.T) {
+	is := is.New(t)
+	table := fullTable(51, "a")
+	table.Hurry(begin)
+	is.Equal(len(table.Due(begin)), hurryCallsPerTick)
+	later := begin.Add(hurryFor + time.Minute)
+	is.Equal(len(table.Due(later)), callsPerTick)
+}
+
 func TestSuspectIsCalledNext(t *testing.T) {
 	is := is.New(t)
 	table := fullTable(51, "a")
--- a/fleet/member/table.go
+++ b/fleet/member/table.go
@@ -29,6 +29,10 @@
 	TickInterval = 250 * time.Millisecond
 	// callsPerTick bounds the calls to the own data centre in one tick.
 	callsPerTick = 2
+	// hurryFor is how long calls go out at a higher rate after news, and
+	// hurryCallsPerTick is that rate.
+	hurryFor          = 2 * time.Second
+	hurryCallsPerTick = 4
 	// minRound is the shortest time between two calls to the same member.
 	minRound = 500 * time.Millisecond
 	// remoteInterval is the time between two calls of a gateway to one other
@@ -75,9 +79,10 @@
 	seeds  []string
 	peers  map[string]*peer
 	// remoteDue is the time of the next call to another data centre.
-	remoteDue map[string]time.Time
-	roster    *Roster
-	stale     bool
+	remoteDue  map[string]time.Time
+	hurryUntil time.Time
+	roster     *Roster
+	stale      bool
 }
 
 // NewTable returns the table of a router that knows the addresses of its
@@ -106,6 +111,13 @@
 	t.stale = true
 }
 
+// Hurry has news told faster for a short while: more calls to the own data
+// centre, and one at once to each other.
+func (t *Table) Hurry(now time.Time) {
+	t.hurryUntil = now.Add(hurryFor)
+	clear(t.remoteDue)
+}
+
 // SetVms takes the entry VMs of a VM list. Members that are neither listed nor
 // heard of any more are forgotten.
 func (t *Table) SetVms(vms []*pb.Vm, now time.Time) {
@@ -160,16 +172,20 @@
 // dueNear returns the members of the own data centre, and those whose data
 // centre isn't known yet, that wait longest.
 func (t *Table) dueNear(now time.Time) []*peer {
+	calls, horizon := callsPerTick, now
+	if now.Before(t.hurryUntil) {
+		calls, horizon = hurryCallsPerTick, now.Add(maxBackoff)
+	}
 	var due []*peer
 	for _, p := range t.peers {
-		if t.near(p) && !p.calling && !p.due.After(now) {
+		if t.near(p) && !p.calling && !p.due.After(horizon) {
 			due = append(due, p)
 		}
 	}
 	slices.SortFunc(due, func(a, b *peer) int {
 		return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.address, b.address))
 	})
-	return due[:min(len(due), callsPerTick)]
+	return due[:min(len(due), calls)]
 }
 
 func (t *Table) near(p *peer) bool {
--- a/router/membership/heartbeat.go
+++ b/router/membership/heartbeat.go
@@ -97,7 +97,7 @@
 func (m *Membership) hear(targets []string, now time.Time) {
 	for _, target := range targets {
 		if m.leaving.Hear(target, now) {
-			m.recordLeaving(target, "peer")
+			m.leavingNews(target, "peer", now)
 		}
 	}
 }
@@ -105,11 +105,13 @@
 // report takes a leaving target from a source. The caller holds the lock.
 func (m *Membership) report(target string, now time.Time) {
 	if m.leaving.Report(target, now) {
-		m.recordLeaving(target, "source")
+		m.leavingNews(target, "source", now)
 	}
 }
 
-func (m *Membership) recordLeaving(target, from string) {
+// leavingNews tells peers of a target soon. The caller holds the lock.
+func (m *Membership) leavingNews(target, from string, now time.Time) {
+	m.table.Hurry(now)
 	m.options.Log.Info("membership: target is leaving", zap.String("target", target), zap.String("from", from))
 	m.record(&pb.Event{Kind: pb.EventKind_EVENT_KIND_TARGET_LEAVING, Target: target, Detail: from})
 }
--- a/router/membership/membership.go
+++ b/router/membership/membership.go
@@ -192,9 +192,15 @@
 	m.setSelf(func(self *pb.Member) { self.Draining = true })
 }
 
-// SetConfigVersion shows peers which configuration is in force here.
+// SetConfigVersion shows peers which configuration is in force here. A higher
+// one is told to them at once.
 func (m *Membership) SetConfigVersion(version uint64) {
-	m.setSelf(func(self *pb.Member) { self.ConfigVersion = max(self.ConfigVersion, version) })
+	m.setSelf(func(self *pb.Member) {
+		if version > self.ConfigVersion {
+			self.ConfigVersion = version
+			m.table.Hurry(m.options.Now())
+		}
+	})
 }
 
 func (m *Membership) setSelf(change func(self *pb.Member)) {
