Hand a parked stream only to the request that it answers

Cause: a parked stream was found by its key alone, so another body under the same key would have been given the first one's answer, here and at a peer. The request's digest is now kept with the run and sent with a takeover. TestParkedStreamIsForItsRequestOnly failed before (200 in place of key_reused).

--- a/router/callerdoor/door.go
+++ b/router/callerdoor/door.go
@@ -56,7 +56,7 @@
 // Options is what a Door works with. All fields are required.
 type Options struct {
 	Config   func() *config.View
-	Server   *serve.Server
+	Requests *serve.Server
 	Limits   *pb.CallerLimits
 	Recorder *timeline.Recorder
 	Log      *zap.Logger
@@ -74,8 +74,8 @@
 // New returns a door.
 func New(o Options) *Door { return &Door{Options: o} }
 
-// Server returns an HTTP server for the door, with its limits set.
-func (d *Door) Server() *http.Server {
+// HTTPServer returns an HTTP server for the door, with its limits set.
+func (d *Door) HTTPServer() *http.Server {
 	return &http.Server{
 		Handler:           d.Handler(),
 		ReadHeaderTimeout: d.Limits.ReadTimeout.AsDuration(),
@@ -138,7 +138,7 @@
 		d.stream(ctx, w, req)
 		return
 	}
-	answer, err := d.Options.Server.Whole(ctx, req)
+	answer, err := d.Requests.Whole(ctx, req)
 	if err != nil {
 		d.refuseRequest(w, req, err)
 		return
--- a/router/callerdoor/stream.go
+++ b/router/callerdoor/stream.go
@@ -77,7 +77,7 @@
 
 // stream answers a streamed model call.
 func (d *Door) stream(ctx context.Context, w http.ResponseWriter, req *serve.Request) {
-	st, err := d.Options.Server.OpenStream(ctx, req)
+	st, err := d.Requests.OpenStream(ctx, req)
 	if err != nil {
 		d.refuseRequest(w, req, err)
 		return
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -254,13 +254,13 @@
 func (n *Node) buildDoors() {
 	n.callers = callerdoor.New(callerdoor.Options{
 		Config:   n.current,
-		Server:   n.server,
+		Requests: n.server,
 		Limits:   n.settings.CallerLimits,
 		Recorder: n.recorder,
 		Log:      n.log,
 		Now:      time.Now,
 	})
-	n.callerHTTP = n.callers.Server()
+	n.callerHTTP = n.callers.HTTPServer()
 	operators := operatordoor.New(n, n.recorder, n.settings.Doors.OperatorToken, n.vars)
 	n.operatorHTTP = &http.Server{Handler: operators.Handler(), ReadHeaderTimeout: operatorReadTimeout}
 	n.peerGRPC = peer.NewServer(n.membership, n.ledger, n.config, n.server)
--- a/router/node/node_test.go
+++ b/router/node/node_test.go
@@ -151,3 +151,21 @@
 	})
 	is.Equal(f.service.Counts().Executions, uint64(1))
 }
+
+// A key whose stream is parked doesn't hand that stream to another request, at
+// either router.
+func TestParkedStreamIsForItsRequestOnly(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 2, 100_000, engine.Options{Seed: 1, TokensPerSecond: 100})
+	ctx, leave := context.WithCancel(t.Context())
+	c := call{path: modelPath, idempotency: "o1", body: streamBody}
+	e, ok := newSSE(f.do(ctx, f.nodes[0], c).Body).next()
+	is.True(ok)
+	leave()
+	other := call{path: modelPath, idempotency: "o1", body: strings.Replace(streamBody, "lineage", "ledger", 1)}
+	f.eventually(func() bool { return f.refusal(f.do(t.Context(), f.nodes[0], other)).Kind == "key_reused" })
+	c.resume = e.id
+	_, end := newSSE(f.do(t.Context(), f.nodes[1], c).Body).rest()
+	is.Equal(end.name, "end")
+	is.Equal(f.engine.Runs("demo:o1"), 1)
+}
--- a/router/serve/park.go
+++ b/router/serve/park.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
-	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/router/ledger"
 )
 
@@ -38,7 +35,8 @@
 func (s *Server) park(r *Request, p *parked) {
 	select {
 	case <-s.stopping:
-		s.finishAbandoned(r, p)
+		s.runs.remove(r.ID)
+		s.finishInBackground(r, p)
 		return
 	default:
 	}
@@ -56,17 +54,12 @@
 	}()
 }
 
-// finishAbandoned cancels and bills a stream that nobody will read.
-func (s *Server) finishAbandoned(r *Request, p *parked) {
-	s.runs.remove(r.ID)
-	s.settleAbandoned(r, p)
-}
-
+// finishInBackground cancels and bills a stream that nobody will read.
 func (s *Server) finishInBackground(r *Request, p *parked) {
 	s.active.Add(1)
 	go func() {
 		defer s.active.Done()
-		s.finishAbandoned(r, p)
+		s.settleAbandoned(r, p)
 	}()
 }
 
@@ -132,7 +125,7 @@
 
 // HandleTakeover hands a parked stream and its reservation to a peer.
 func (s *Server) HandleTakeover(_ context.Context, req *pb.TakeoverRequest) (*pb.TakeoverResponse, error) {
-	p := s.runs.handOver(req.RequestId)
+	p := s.runs.handOver(req.RequestId, req.RequestSha256)
 	if p == nil {
 		return &pb.TakeoverResponse{}, nil
 	}
@@ -147,105 +140,3 @@
 		Covering: covering,
 	}, nil
 }
-
-// run is what this router knows of one streamed request.
-type run struct {
-	target, stream string
-	// parked is set while nobody reads the stream.
-	parked *parked
-}
-
-// registry holds the streamed requests in progress at this router.
-type registry struct {
-	mu   sync.Mutex
-	runs map[string]*run
-}
-
-func (g *registry) init() { g.runs = make(map[string]*run) }
-
-// claim registers a request, and returns its parked stream if there is one.
-// One that is being read is refused.
-func (g *registry) claim(id string) (*parked, error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	known, ok := g.runs[id]
-	if !ok {
-		g.runs[id] = &run{}
-		return nil, nil
-	}
-	if known.parked == nil {
-		return nil, errkind.New(errkind.InProgress, "this request is being answered on another connection").After(time.Second)
-	}
-	p := known.parked
-	known.parked = nil
-	return p, nil
-}
-
-func (g *registry) dispatched(id, targetName, stream string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.runs[id] = &run{target: targetName, stream: stream}
-}
-
-func (g *registry) park(id string, p *parked) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.runs[id] = &run{target: p.target.Name, stream: p.stream, parked: p}
-}
-
-// take removes a request if it is still parked as p.
-func (g *registry) take(id string, p *parked) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	known, ok := g.runs[id]
-	if !ok || known.parked != p {
-		return false
-	}
-	delete(g.runs, id)
-	return true
-}
-
-func (g *registry) remove(id string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	delete(g.runs, id)
-}
-
-// handOver removes and returns a parked stream; nil when there is none.
-func (g *registry) handOver(id string) *parked {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	known, ok := g.runs[id]
-	if !ok || known.parked == nil {
-		return nil
-	}
-	delete(g.runs, id)
-	return known.parked
-}
-
-func (g *registry) locate(id string) *pb.LocateResponse {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	known, ok := g.runs[id]
-	if !ok {
-		return &pb.LocateResponse{}
-	}
-	return &pb.LocateResponse{
-		Known:    true,
-		Running:  true,
-		Target:   known.target,
-		Stream:   known.stream,
-		RunState: pb.RunState_RUN_STATE_UNKNOWN,
-	}
-}
-
-// requestDigest names what an action asks for.
-func requestDigest(r *Request) []byte {
-	h := sha256.New()
-	h.Write([]byte(r.Service.Name))
-	h.Write([]byte{0})
-	h.Write([]byte(r.Call.Path))
-	h.Write([]byte{0})
-	h.Write(r.Body)
-	return h.Sum(nil)
-}
--- a/router/serve/request.go
+++ b/router/serve/request.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"crypto/sha256"
 	"strconv"
 	"strings"
 	"time"
@@ -91,3 +92,14 @@
 	}
 	return &Position{Target: parts[0], Stream: parts[1], Offset: offset}, nil
 }
+
+// requestDigest names what a request asks for, whatever its key.
+func requestDigest(r *Request) []byte {
+	h := sha256.New()
+	h.Write([]byte(r.Service.Name))
+	h.Write([]byte{0})
+	h.Write([]byte(r.Call.Path))
+	h.Write([]byte{0})
+	h.Write(r.Body)
+	return h.Sum(nil)
+}
--- a/router/serve/serve.go
+++ b/router/serve/serve.go
@@ -64,7 +64,7 @@
 	// active counts requests and background settlements in progress.
 	active  sync.WaitGroup
 	streams atomic.Int64
-	runs    registry
+	runs    *runs
 	flights *flights
 
 	stopping     chan struct{}
@@ -73,8 +73,7 @@
 
 // New returns a server.
 func New(o Options) *Server {
-	s := &Server{Options: o, stopping: make(chan struct{}), flights: newFlights(o.Now)}
-	s.runs.init()
+	s := &Server{Options: o, stopping: make(chan struct{}), runs: newRuns(), flights: newFlights(o.Now)}
 	return s
 }
 
--- a/router/serve/stream.go
+++ b/router/serve/stream.go
@@ -48,7 +48,7 @@
 }
 
 func (s *Server) open(ctx context.Context, r *Request) (*Stream, error) {
-	parked, err := s.runs.claim(r.ID)
+	parked, err := s.runs.claim(r.ID, requestDigest(r))
 	if err != nil {
 		return nil, err
 	}
@@ -235,6 +235,7 @@
 	s := st.server
 	st.up.Close()
 	s.record(st.req, pb.EventKind_EVENT_KIND_CUT, st.up.Target().Name, st.next, why)
+	s.runs.remove(st.req.ID)
 	s.finishInBackground(st.req, st.asParked())
 	st.close()
 }
--- a/router/serve/takeover.go
+++ b/router/serve/takeover.go
@@ -25,7 +25,7 @@
 func (s *Server) takeover(ctx context.Context, r *Request) (*ledger.Reservation, bool) {
 	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
 	defer cancel()
-	req := &pb.TakeoverRequest{RequestId: r.ID, Taker: s.Incarnation}
+	req := &pb.TakeoverRequest{RequestId: r.ID, Taker: s.Incarnation, RequestSha256: requestDigest(r)}
 	granted := make(chan *pb.TakeoverResponse, 1)
 	workers := pool.New().WithMaxGoroutines(takeoverWorkers)
 	for _, m := range s.Peers.Members() {
