--- a/router/ledger/operator.go
+++ b/router/ledger/operator.go
@@ -72,13 +72,14 @@
 
 // TopUp adds tokens to a budget, once per id, and creates the budget with its
 // first top-up. Negative tokens lower it. It reports false where the id had
-// taken effect before. Without the platform it is refused as not applied,
+// taken effect before, by an earlier call or by this one with a lost answer.
+// Without the platform it is refused as not applied,
 // unless an answer was lost: then OutcomeUnknown, and the same call again is
 // safe.
 func TopUp(ctx context.Context, tables platform.Tables, id, budgetName string, tokens int64) (applied bool, err error) {
 	err = change(ctx, tables, func(t *budget.Txn) error {
 		now, err := t.TopUp(id, budgetName, tokens)
-		applied = applied || now
+		applied = now
 		return err
 	})
 	if errors.Is(err, platform.ErrUnknown) {
