Don't tell a failed draw as done or exhausted

Cause: a draw's result was set while its transaction was being built and stayed when the commit failed, so a platform outage was told as budget_exhausted (seen in TestServesGrantsWhilePlatformIsOut, 5 of 6 runs, since draws are repeated). Ruled out: the repeated draw itself; the stale result was there before and was hidden by a second condition.

--- a/router/ledger/writer.go
+++ b/router/ledger/writer.go
@@ -244,7 +244,9 @@
 	}
 	w.mu.Unlock()
 	if err != nil {
+		// What the failed tries made of the wishes doesn't count.
 		for _, wish := range b.wishes {
+			wish.result = drawFailed
 			close(wish.done)
 		}
 		return err
