Refuse a sheet that sends traffic to a provider whose targets all leave

A share above 0 needed a target of the provider, leaving or not, so marking the old provider's targets before its shares were 0 would have refused the requests of those workspaces. A default provider may leave once every workspace has shares of its own. TestProviderIsRetiredInOrder fails on the old check; the process test of a retired provider passes unchanged.

--- a/fleet/config/check.go
+++ b/fleet/config/check.go
@@ -52,10 +52,12 @@
 	workspaces map[string]bool
 	budgets    map[string]*pb.Budget
 	services   map[string]*pb.Service
-	providers  map[serviceProvider]bool
-	keyOwner   map[string]string
-	addresses  map[string]string
-	faults     []Fault
+	providers  map[serviceProvider]supply
+	// divided counts the workspaces with shares of their own for a service.
+	divided   map[string]int
+	keyOwner  map[string]string
+	addresses map[string]string
+	faults    []Fault
 }
 
 type recordID struct {
@@ -65,13 +67,30 @@
 
 type serviceProvider struct{ service, provider string }
 
+// supply is what a provider's targets for a service give.
+type supply int
+
+const (
+	noTarget supply = iota
+	allLeaving
+	takesNewWork
+)
+
+func supplyOf(t *pb.Target) supply {
+	if t.GetLeaving() {
+		return allLeaving
+	}
+	return takesNewWork
+}
+
 func newChecker(records []*pb.Record) *checker {
 	c := &checker{
 		seen:       make(map[recordID]bool, len(records)),
 		workspaces: make(map[string]bool),
 		budgets:    make(map[string]*pb.Budget),
 		services:   make(map[string]*pb.Service),
-		providers:  make(map[serviceProvider]bool),
+		providers:  make(map[serviceProvider]supply),
+		divided:    make(map[string]int),
 		keyOwner:   make(map[string]string),
 		addresses:  make(map[string]string),
 	}
@@ -79,12 +98,16 @@
 		switch r := r.GetRecord().(type) {
 		case *pb.Record_Workspace:
 			c.workspaces[r.Workspace.GetName()] = true
+			for _, s := range r.Workspace.GetShares() {
+				c.divided[s.GetService()]++
+			}
 		case *pb.Record_Budget:
 			c.budgets[r.Budget.GetName()] = r.Budget
 		case *pb.Record_Service:
 			c.services[r.Service.GetName()] = r.Service
 		case *pb.Record_Target:
-			c.providers[serviceProvider{r.Target.GetService(), r.Target.GetProvider()}] = true
+			at := serviceProvider{r.Target.GetService(), r.Target.GetProvider()}
+			c.providers[at] = max(c.providers[at], supplyOf(r.Target))
 		}
 	}
 	return c
@@ -184,8 +207,8 @@
 			c.itemFault(key, field, service, "provider %q stands twice for service %q", s.Provider, service)
 		}
 		seen[s.Provider] = true
-		if s.Permille > 0 && !c.providers[serviceProvider{service, s.Provider}] {
-			c.itemFault(key, field, service, "provider %q has no target for service %q", s.Provider, service)
+		if s.Permille > 0 && c.providers[serviceProvider{service, s.Provider}] != takesNewWork {
+			c.itemFault(key, field, service, "provider %q has no target that takes new work for service %q", s.Provider, service)
 		}
 	}
 	if sum != fullShare {
@@ -218,8 +241,16 @@
 		c.shares(key, "default_shares", s.Name, s.DefaultShares)
 		return
 	}
-	if !c.providers[serviceProvider{s.Name, s.DefaultProvider}] {
-		c.fault(key, "default_provider", "provider %q has no target for this service", s.DefaultProvider)
+	c.defaultProvider(key, s)
+}
+
+// defaultProvider allows one whose targets all leave once no workspace depends
+// on it.
+func (c *checker) defaultProvider(key *pb.RecordKey, s *pb.Service) {
+	given := c.providers[serviceProvider{s.Name, s.DefaultProvider}]
+	unused := c.divided[s.Name] >= len(c.workspaces)
+	if given == noTarget || given == allLeaving && !unused {
+		c.fault(key, "default_provider", "provider %q has no target that takes new work for this service", s.DefaultProvider)
 	}
 }
 
--- a/fleet/sheet/sheet_test.go
+++ b/fleet/sheet/sheet_test.go
@@ -175,6 +175,30 @@
 	is.Equal(len(plan.Items), 10)
 }
 
+// An old provider is retired in order: its share goes to zero, its targets
+// leave, its lines go. A step too early is a fault, since it would cut off
+// those whose share it still has.
+func TestProviderIsRetiredInOrder(t *testing.T) {
+	is := is.New(t)
+	text := readSample(t, clujSheet)
+	leaving := func(text string) string {
+		lines := strings.SplitAfter(text, "\n")
+		for i, line := range lines {
+			if strings.HasPrefix(line, "target,model-pool-old-") {
+				lines[i] = strings.TrimSuffix(line, "no,\n") + "no,yes\n"
+			}
+		}
+		return strings.Join(lines, "")
+	}
+	err := Check(parse(t, leaving(text)))
+	is.True(strings.Contains(err.Error(), `provider "old" has no target that takes new work for service "model-pool"`))
+
+	zero := strings.NewReplacer("old,,,,,,700", "old,,,,,,0", "new,,,,,,300", "new,,,,,,1000",
+		"old,,,,,,1000", "old,,,,,,0", "new,,,,,,0", "new,,,,,,1000", "old,,,,,,200", "old,,,,,,0", "new,,,,,,800", "new,,,,,,1000").Replace(text)
+	is.NoErr(Check(parse(t, zero)))
+	is.NoErr(Check(parse(t, leaving(zero))))
+}
+
 func TestRemovedBudgetInUseIsAFault(t *testing.T) {
 	is := is.New(t)
 	view := inForce(t, readSample(t, clujSheet))
