--- a/fleet/route/pick.go
+++ b/fleet/route/pick.go
@@ -35,6 +35,8 @@
 type Lease struct {
 	entry *entry
 	table *Table
+	// sent is when the place was taken, in Unix nanoseconds.
+	sent int64
 }
 
 // Target returns the picked target.
@@ -95,13 +97,13 @@
 	now := o.Now.UnixNano()
 	switch o.Result {
 	case OK:
-		s.succeeded(o, &l.table.opts)
+		s.succeeded(o, l.sent, &l.table.opts)
 	case Refused:
-		s.congested(now)
+		s.congested(now, l.sent)
 	case Failed:
 		s.strike(now, strikesFailed, &l.table.opts)
 	case Silent:
-		s.strike(now, strikesSilent, &l.table.opts)
+		s.fellSilent(now, l.sent, &l.table.opts)
 	case Unreachable:
 		s.strike(now, strikesUnreachable, &l.table.opts)
 	}
@@ -114,14 +116,14 @@
 	chosen := provider(r)
 	e, busy := t.pickFrom(s, chosen, r)
 	if e != nil {
-		return Lease{entry: e, table: t}, nil
+		return Lease{entry: e, table: t, sent: r.Now.UnixNano()}, nil
 	}
 	if busy {
 		return Lease{}, errkind.New(errkind.Overloaded, "every target of %s is at its limit", r.Service).After(t.opts.RetryAfter)
 	}
 	e = t.pickOther(s, chosen, r)
 	if e != nil {
-		return Lease{entry: e, table: t}, nil
+		return Lease{entry: e, table: t, sent: r.Now.UnixNano()}, nil
 	}
 	return Lease{}, errkind.New(errkind.NoTarget, "no target of %s takes new work", r.Service).After(t.opts.RetryAfter)
 }
--- a/fleet/route/ring.go
+++ b/fleet/route/ring.go
@@ -47,7 +47,7 @@
 	if r.PrefixHash == 0 {
 		return nil
 	}
-	bound := pairLoad*affinePermille/(2*permille) + affineSlack
+	bound := pairLoad*affinePermille/(2*permille) + affineSlack*reportUnit
 	hash := mix(r.PrefixHash)
 	start := sort.Search(len(p.ring), func(i int) bool { return p.ring[i].hash >= hash })
 	for i := range ringSteps {
--- a/fleet/route/table.go
+++ b/fleet/route/table.go
@@ -39,8 +39,8 @@
 	// MaxInFlight is the highest limit of requests at one target from this
 	// router. Default 64.
 	MaxInFlight int
-	// FirstByteGoal is the first-byte time above which a target counts as
-	// congested. Default 1.4 s.
+	// FirstByteGoal is the first-byte time to keep; a target counts as
+	// congested from half of it on. Default 1.4 s.
 	FirstByteGoal time.Duration
 	// SuspectMin and SuspectMax bound how long a target that can't be reached
 	// or fell silent gets no work. Defaults 1 s and 30 s.
@@ -177,6 +177,15 @@
 	e.state.report(inFlight, leaving)
 }
 
+// ReportMissing takes that a target gave no report. Two in a row take it out of
+// use until it reports again.
+func (t *Table) ReportMissing(name string) {
+	e := t.snap.Load().byName[name]
+	if e != nil {
+		e.state.missing.Add(1)
+	}
+}
+
 // Leaving returns the names of the targets that get no new work, whatever
 // source said so.
 func (t *Table) Leaving() []string {
