--- a/fleet/route/table.go
+++ b/fleet/route/table.go
@@ -152,8 +152,13 @@
 	return e.state
 }
 
+// add places a target among those that serve the same requests, unless it is
+// leaving.
 func (s *snapshot) add(e *entry, dataCentre string) {
 	s.byName[e.target.Name] = e
+	if e.leaving {
+		return
+	}
 	key := groupKey{service: e.target.Service, provider: e.target.Provider}
 	g := s.groups[key]
 	if g == nil {
--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 	"context"
 	"expvar"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
@@ -24,6 +25,8 @@
 	Call target.Call
 	// Kind says how the call may be repeated.
 	Kind pb.CallKind
+	// Priority orders requests while no target has room.
+	Priority pb.Priority
 	// OnSend is called before each send; may be nil.
 	OnSend func(*pb.Target)
 }
@@ -42,6 +45,8 @@
 	budget *retry.Budget
 	policy retry.Policy
 	stats  Stats
+	// rooms has a *waitRoom for each service.
+	rooms sync.Map
 }
 
 // New returns a dispatcher over a table and a client.
@@ -128,12 +133,11 @@
 // try sends to one target. The sent is nil when no target was picked.
 func try[T any](ctx context.Context, d *Dispatcher, plan *Plan, call caller[T]) (T, *sent, error) {
 	var none T
-	plan.Pick.Now = time.Now()
-	lease, err := d.table.Pick(&plan.Pick)
-	if err != nil && len(plan.Pick.Exclude) > 0 {
+	lease, err := d.pick(ctx, plan)
+	if errkind.Of(err) == errkind.NoTarget && len(plan.Pick.Exclude) > 0 {
 		// Better the same target again than none.
 		plan.Pick.Exclude = nil
-		lease, err = d.table.Pick(&plan.Pick)
+		lease, err = d.pick(ctx, plan)
 	}
 	if err != nil {
 		return none, nil, err
@@ -141,7 +145,7 @@
 	if plan.OnSend != nil {
 		plan.OnSend(lease.Target())
 	}
-	s := &sent{lease: lease, start: plan.Pick.Now}
+	s := &sent{lease: lease, start: plan.Pick.Now, room: d.room(plan.Pick.Service)}
 	plan.Call.Target = lease.Target()
 	answer, err := call(ctx, plan.Call)
 	if err != nil {
--- a/router/dispatch/dispatch_test.go
+++ b/router/dispatch/dispatch_test.go
@@ -34,6 +34,8 @@
 	// received counts requests on every connection.
 	received atomic.Int64
 	status   atomic.Int64
+	// delay is how long each answer takes, in nanoseconds.
+	delay atomic.Int64
 }
 
 type connNumber struct{}
@@ -56,6 +58,7 @@
 		<-r.Context().Done()
 		return
 	}
+	time.Sleep(time.Duration(s.delay.Load()))
 	w.Header().Set("Cuminrock-Request-Id", r.Header.Get("Cuminrock-Request-Id"))
 	status := int(s.status.Load())
 	if status == http.StatusServiceUnavailable {
@@ -73,10 +76,20 @@
 
 func newBench(t *testing.T, servers, permille, burst int) *bench {
 	b := &bench{table: route.New(route.Options{Seed: 1, SuspectMin: time.Millisecond, SuspectMax: time.Millisecond})}
+	for range servers {
+		b.addServer(t)
+	}
+	client := target.New(target.Options{FirstByteTimeout: testSilence})
+	t.Cleanup(client.Close)
+	b.dispatcher = New(b.table, client, retry.NewBudget(permille, burst), retry.DefaultPolicy())
+	return b
+}
+
+// addServer starts a server and brings it into the table.
+func (b *bench) addServer(t *testing.T) {
+	b.servers = append(b.servers, newServer(t))
 	var targets []*pb.Target
-	for i := range servers {
-		s := newServer(t)
-		b.servers = append(b.servers, s)
+	for i, s := range b.servers {
 		targets = append(targets, &pb.Target{
 			Name:     fmt.Sprint("registry-", i),
 			Service:  "registry-app",
@@ -85,10 +98,6 @@
 		})
 	}
 	b.table.Update(targets)
-	client := target.New(target.Options{FirstByteTimeout: testSilence})
-	t.Cleanup(client.Close)
-	b.dispatcher = New(b.table, client, retry.NewBudget(permille, burst), retry.DefaultPolicy())
-	return b
 }
 
 func plan(id string) Plan {
@@ -178,3 +187,54 @@
 	is.Equal(b.servers[0].received.Load(), int64(0))
 	is.Equal(b.servers[1].received.Load(), int64(32))
 }
+
+// Requests beyond the limit of the targets wait and are served; none is lost.
+func TestRequestsWaitForRoom(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1, 100, 10)
+	b.servers[0].delay.Store(int64(2 * time.Millisecond))
+	is.Equal(b.lookups("a", 100), 0)
+	is.Equal(b.servers[0].received.Load(), int64(100))
+}
+
+// A caller that leaves while it waits is refused as not run and isn't sent.
+func TestCallerMayLeaveTheQueue(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1, 100, 10)
+	b.servers[0].delay.Store(int64(200 * time.Millisecond))
+	go b.lookups("busy", 16)
+	for b.servers[0].received.Load() < 16 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := b.dispatcher.Do(ctx, plan("leaves"))
+	is.Equal(target.RunState(err), pb.RunState_RUN_STATE_NOT_RUN)
+	is.Equal(b.servers[0].received.Load(), int64(16))
+}
+
+// Room that appears without the end of a request is found too.
+func TestWaitingRequestFindsANewTarget(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1, 0, 0)
+	b.servers[0].delay.Store(int64(time.Hour))
+	b.servers[0].frozen.Store(1 << 20)
+	ctx, cancel := context.WithCancel(context.Background())
+	var busy sync.WaitGroup
+	for i := range 16 {
+		busy.Go(func() {
+			p := plan(fmt.Sprint("busy-", i))
+			p.Call.Deadline = time.Time{}
+			_, _ = b.dispatcher.Action(ctx, p)
+		})
+	}
+	for b.servers[0].received.Load() < 16 {
+		time.Sleep(time.Millisecond)
+	}
+	time.AfterFunc(5*time.Millisecond, func() { b.addServer(t) })
+	_, err := b.dispatcher.Do(context.Background(), plan("waits"))
+	is.NoErr(err)
+	cancel()
+	busy.Wait()
+	is.Equal(b.servers[1].received.Load(), int64(1))
+}
--- a/router/dispatch/stream.go
+++ b/router/dispatch/stream.go
@@ -14,6 +14,7 @@
 // sent is one send and its place at the target.
 type sent struct {
 	lease     route.Lease
+	room      *waitRoom
 	start     time.Time
 	firstByte time.Duration
 	once      sync.Once
@@ -23,6 +24,7 @@
 func (s *sent) done(err error) {
 	s.once.Do(func() {
 		s.lease.Done(route.Outcome{Result: resultOf(err), FirstByte: s.firstByte, Now: time.Now()})
+		s.room.wake()
 	})
 }
 
