--- a/router/dispatch/dispatch_test.go
+++ b/router/dispatch/dispatch_test.go
@@ -211,6 +211,10 @@
 	_, err := b.dispatcher.Do(ctx, plan("leaves"))
 	is.Equal(target.RunState(err), pb.RunState_RUN_STATE_NOT_RUN)
 	is.Equal(b.servers[0].received.Load(), int64(16))
+	room := b.dispatcher.room("registry-app")
+	room.mu.Lock()
+	defer room.mu.Unlock()
+	is.Equal(room.queue.Len(), 0)
 }
 
 // Room that appears without the end of a request is found too.
--- a/router/target/control.go
+++ b/router/target/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/errkind"
@@ -38,13 +39,16 @@
 // loadRequestID is the request id of load reports.
 const loadRequestID = "load"
 
-// Load asks a target for its report.
-func (c *Client) Load(ctx context.Context, target *pb.Target) (Load, error) {
+// Load asks a target for its report, on a connection of its own: the report is
+// to tell of the target, not of a pooled connection.
+func (c *Client) Load(ctx context.Context, target *pb.Target, timeout time.Duration) (Load, error) {
 	answer, err := c.Do(ctx, Call{
 		Target:    target,
 		RequestID: loadRequestID,
 		Method:    http.MethodGet,
 		Path:      "/v1/load",
+		Deadline:  time.Now().Add(timeout),
+		Fresh:     true,
 	})
 	if err != nil {
 		return Load{}, err
--- a/router/target/fake_test.go
+++ b/router/target/fake_test.go
@@ -30,6 +30,8 @@
 	// frozen connections are read no more, those below this number.
 	frozen int
 	conns  []net.Conn
+	// report is the answer to /v1/load.
+	report string
 }
 
 func newFakeTarget(t testing.TB) *fakeTarget {
@@ -121,6 +123,12 @@
 func (f *fakeTarget) answer(c net.Conn, req *http.Request) bool {
 	id := req.Header.Get(headerRequestID)
 	mode := strings.TrimPrefix(req.URL.Path, "/")
+	if mode == "v1/load" {
+		return f.loadReport(c, id)
+	}
+	if req.Method == http.MethodDelete {
+		return write(c, "200 OK", id, "", `{"usage":{"prompt_tokens":2,"completion_tokens":4}}`)
+	}
 	if strings.HasPrefix(mode, "v1/streams/") {
 		from, _ := strconv.Atoi(req.URL.Query().Get("from"))
 		return f.stream(c, id, "whole", from)
@@ -163,6 +171,17 @@
 	return false
 }
 
+// loadReport answers as f.report says; an empty one makes it silent.
+func (f *fakeTarget) loadReport(c net.Conn, id string) bool {
+	f.mu.Lock()
+	report := f.report
+	f.mu.Unlock()
+	if report == "" {
+		time.Sleep(time.Hour)
+	}
+	return write(c, "200 OK", id, "", report)
+}
+
 func write(c net.Conn, status, id, headers, body string) bool {
 	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, headerRequestID, id, headers, len(body), body)
 	return err == nil
