--- a/router/membership/membership.go
+++ b/router/membership/membership.go
@@ -148,8 +148,8 @@
 // Roster returns the live members.
 func (m *Membership) Roster() *member.Roster { return m.roster.Load() }
 
-// Members returns the other live members, draining ones included. The slice
-// must not be modified.
+// Members returns the other live members, draining ones included, those of the
+// own data centre first. The slice must not be modified.
 func (m *Membership) Members() []*pb.Member { return m.Roster().Others() }
 
 // Self returns this router as it shows itself. It must not be modified.
@@ -181,6 +181,12 @@
 	m.update(func(now time.Time) { m.report(target, now) })
 }
 
+// Suspect has a member called at once, after another message to it wasn't
+// answered, so that one that died is found before its turn.
+func (m *Membership) Suspect(peer *pb.Member) {
+	m.update(func(now time.Time) { m.table.Suspect(peer.GetPeerAddress(), now) })
+}
+
 // SetDraining shows peers that this router is stopping.
 func (m *Membership) SetDraining() {
 	m.setSelf(func(self *pb.Member) { self.Draining = true })
--- a/router/serve/whole.go
+++ b/router/serve/whole.go
@@ -8,7 +8,6 @@
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/errkind"
-	"cuminrock.example/fleet/route"
 	"cuminrock.example/router/actions"
 	"cuminrock.example/router/ledger"
 	"cuminrock.example/router/target"
@@ -33,7 +32,6 @@
 func (s *Server) Whole(ctx context.Context, r *Request) (*Answer, error) {
 	s.active.Add(1)
 	defer s.active.Done()
-	s.Retries.Request()
 	if r.Call.Kind == pb.CallKind_CALL_KIND_ACTION {
 		return s.action(ctx, r)
 	}
@@ -61,13 +59,12 @@
 	}
 	ctx, cancel := context.WithDeadline(detach(ctx), r.Deadline)
 	defer cancel()
-	d, err := dispatch(ctx, s, r, func(c target.Call) (*target.Answer, error) { return s.Targets.Do(ctx, c) })
+	answer, err := s.Dispatch.Do(ctx, s.plan(r))
 	if err != nil {
 		endReservation(res, target.RunState(err))
 		return nil, err
 	}
-	d.lease.Done(route.Outcome{Result: route.OK, FirstByte: d.took, Now: s.Now()})
-	return s.settle(r, res, d.answer), nil
+	return s.settle(r, res, answer), nil
 }
 
 // settle bills a whole answer.
@@ -121,7 +118,7 @@
 	if err != nil {
 		return nil, err
 	}
-	answer, err := s.dispatchAction(ctx, r)
+	answer, err := s.Dispatch.Action(ctx, s.plan(r))
 	if err != nil {
 		endReservation(res, target.RunState(err))
 		return nil, err
@@ -130,27 +127,6 @@
 	return answer, nil
 }
 
-// dispatchAction tries one target after another only while each one can't
-// have started the action.
-func (s *Server) dispatchAction(ctx context.Context, r *Request) (*target.Answer, error) {
-	var tried []string
-	for {
-		lease, err := s.pick(r, tried)
-		if err != nil {
-			return nil, err
-		}
-		t := lease.Target()
-		s.record(r, pb.EventKind_EVENT_KIND_DISPATCHED, t.Name, 0, "")
-		start := s.Now()
-		answer, err := s.Targets.Action(ctx, s.call(r, t))
-		lease.Done(s.outcome(err, start))
-		tried = append(tried, t.Name)
-		if err == nil || len(tried) == maxAttempts || target.RunState(err) != pb.RunState_RUN_STATE_NOT_RUN {
-			return answer, err
-		}
-	}
-}
-
 // total is what a usage is billed as.
 func total(u target.Usage) int64 { return u.PromptTokens + u.CompletionTokens }
 
