Settle the next batch of bills at once where one was full

Cause: a home settled one batch of at most 400 bills a settle interval, so a router that served more let its backlog grow without bound: at 1,381 requests a second 0.34 rows of bills a request reached the platform (0.67 transactions a second, BenchmarkSlopeRequests/callers=32). The writer now goes on at once after a full batch; its limit of transactions a second bounds it. After: 3.7 transactions a second at 1,377 requests a second; what is left is the last second's. Ruled out: the platform stand-in, which was idle.

--- a/router/ledger/writer.go
+++ b/router/ledger/writer.go
@@ -209,6 +209,10 @@
 // transaction is for bills alone.
 func (w *writer) collect() *batch {
 	b := &batch{entries: w.l.box.settleable(mostBills, w.l.draining.Load(), w.isHome)}
+	if len(b.entries) >= mostBills {
+		// More are likely to wait; the limiter spaces the transactions.
+		w.wake()
+	}
 	w.turn++
 	if w.slow && len(b.entries) > 0 && w.turn%2 == 0 {
 		return b
