--- a/ctl/processtest/fleet.go
+++ b/ctl/processtest/fleet.go
@@ -169,13 +169,21 @@
 	return s
 }
 
-// WaitWhole waits until every router is ready and sees all others.
+// gateways is how many routers of a data centre keep in touch with others.
+const gateways = 3
+
+// WaitWhole waits until every router is ready and sees all others. Where a
+// data centre has more routers than gateways, the others of its own suffice.
 func (f *Fleet) WaitWhole() {
 	f.t.Helper()
+	others := len(f.Routers) - 1
+	if f.opts.RoutersPerCentre > gateways {
+		others = f.opts.RoutersPerCentre - 1
+	}
 	for _, r := range f.Routers {
-		Eventually(f.t, r.Name+" is ready and sees all others", func() bool {
+		Eventually(f.t, r.Name+" is ready and sees the others", func() bool {
 			s, ok := r.Status()
-			return ok && s.Ready && len(s.Members) == len(f.Routers)-1
+			return ok && s.Ready && len(s.Members) >= others
 		})
 	}
 }
--- a/ctl/processtest/relay.go
+++ b/ctl/processtest/relay.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 )
 
@@ -18,6 +19,9 @@
 	resumed chan struct{}
 	closed  chan struct{}
 	conns   map[net.Conn]struct{}
+
+	// bytes counts what has passed, both ways.
+	bytes atomic.Int64
 }
 
 // newRelay opens a relay without a backend. It ends with the test.
@@ -37,6 +41,10 @@
 // Addr returns the relay's host:port.
 func (r *Relay) Addr() string { return r.lis.Addr().String() }
 
+// Bytes returns what has passed in both directions, without the headers of TCP
+// and IP.
+func (r *Relay) Bytes() int64 { return r.bytes.Load() }
+
 // SetBackend sends the connections that follow to host:port. Those to an
 // earlier backend are closed, as with a process that ended.
 func (r *Relay) SetBackend(address string) {
@@ -135,6 +143,7 @@
 			return
 		}
 		if n > 0 {
+			r.bytes.Add(int64(n))
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
--- a/ctl/processtest/router.go
+++ b/ctl/processtest/router.go
@@ -85,7 +85,9 @@
 // Vars is the part of the router's variables that tests read.
 type Vars struct {
 	Streams int64 `json:"streams"`
-	Ledger  struct {
+	// CPUSeconds is the processor time of the process.
+	CPUSeconds float64 `json:"cpu_seconds"`
+	Ledger     struct {
 		FreeTokens         int64
 		ReservedTokens     int64
 		WaitingBills       int
@@ -103,6 +105,24 @@
 	return v
 }
 
+// Memory is the part of the process's memory statistics that tests read, in
+// bytes.
+type Memory struct {
+	Memstats struct {
+		HeapAlloc  int64
+		HeapInuse  int64
+		StackInuse int64
+		Sys        int64
+	} `json:"memstats"`
+}
+
+// Memory returns the process's memory statistics.
+func (r *Router) Memory() Memory {
+	var m Memory
+	r.ask("/debug/vars?process", &m)
+	return m
+}
+
 func (r *Router) ask(path string, into any) bool {
 	resp, err := operatorClient.Get("http://" + r.doors.Load().Operator + path)
 	if err != nil {
--- /dev/null
+++ b/ctl/processtest/slope_test.go
@@ -0,0 +1,147 @@
+package processtest
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+)
+
+// slopeWindow is the time over which a running fleet is measured.
+const slopeWindow = 6 * time.Second
+
+// BenchmarkSlopeIdle measures routers of two data centres that only keep in
+// touch: bytes at the peer doors, processor time and memory of a router, and
+// what the platform is asked. Run it with -benchtime 1x.
+func BenchmarkSlopeIdle(b *testing.B) {
+	for _, n := range []int{1, 4, 12} {
+		b.Run(fmt.Sprintf("routers=2x%d", n), func(b *testing.B) {
+			f := Start(b, Options{Binaries: binaries, Seed: 401, RoutersPerCentre: n})
+			time.Sleep(slopeWindow / 2)
+			for b.Loop() {
+				before, start := f.usage(), time.Now()
+				time.Sleep(slopeWindow)
+				f.usage().report(b, before, time.Since(start), len(f.Routers))
+			}
+		})
+	}
+}
+
+// usage is what a fleet has used so far, over all its routers.
+type usage struct {
+	bytes       int64
+	cpuSeconds  float64
+	heap, sys   int64
+	reads, vms  uint64
+	transaction uint64
+}
+
+func (f *Fleet) usage() usage {
+	u := usage{}
+	for _, r := range f.Routers {
+		u.bytes += r.Relay.Bytes()
+		u.cpuSeconds += r.Vars().CPUSeconds
+		m := r.Memory().Memstats
+		u.heap += m.HeapInuse + m.StackInuse
+		u.sys += m.Sys
+	}
+	c := f.Platform.Counts()
+	u.reads, u.vms, u.transaction = c.Reads+c.Scans, c.VmLists, c.Committed
+	return u
+}
+
+func (u usage) report(b *testing.B, before usage, window time.Duration, routers int) {
+	seconds := window.Seconds()
+	n := float64(routers)
+	b.ReportMetric(float64(u.bytes-before.bytes)/seconds/n, "peer-B/s/router")
+	b.ReportMetric((u.cpuSeconds-before.cpuSeconds)/seconds/n*100, "core%/router")
+	b.ReportMetric(float64(u.heap)/n/(1<<20), "MB-inuse/router")
+	b.ReportMetric(float64(u.sys)/n/(1<<20), "MB-sys/router")
+	b.ReportMetric(float64(u.reads-before.reads)/seconds, "platform-reads/s")
+	b.ReportMetric(float64(u.vms-before.vms)/seconds, "vm-lists/s")
+	b.ReportMetric(float64(u.transaction-before.transaction)/seconds, "transactions/s")
+}
+
+// BenchmarkSlopeStreams keeps streams open at one router, 25 tokens a second
+// each, and measures processor time a token and memory a stream. Run it with
+// -benchtime 1x.
+func BenchmarkSlopeStreams(b *testing.B) {
+	for _, n := range []int{50, 150, 450} {
+		b.Run(fmt.Sprintf("streams=%d", n), func(b *testing.B) {
+			f := Start(b, Options{Binaries: binaries, Seed: 402, Centres: []string{"cluj-a"}, EnginesPerCentre: 8, TokensPerSecond: 25, Prepaid: 1 << 40})
+			r := f.Routers[0]
+			idle := r.Memory().Memstats
+			stop := f.openStreams(b, r, n)
+			for b.Loop() {
+				tokens, cpu, start := f.tokens(), r.Vars().CPUSeconds, time.Now()
+				time.Sleep(slopeWindow)
+				passed := float64(f.tokens() - tokens)
+				used := r.Vars().CPUSeconds - cpu
+				m := r.Memory().Memstats
+				b.ReportMetric(used/passed*1e6, "cpu-us/token")
+				b.ReportMetric(passed/time.Since(start).Seconds(), "tokens/s")
+				b.ReportMetric(float64(m.HeapInuse+m.StackInuse-idle.HeapInuse-idle.StackInuse)/float64(n), "B/stream")
+			}
+			stop()
+		})
+	}
+}
+
+// openStreams holds streams open until the returned function is called.
+func (f *Fleet) openStreams(b *testing.B, r *Router, n int) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var streams conc.WaitGroup
+	for i := range n {
+		streams.Go(func() {
+			var a Answer
+			_ = r.Read(ctx, Chat(fmt.Sprintf("open-%d", i), 4000, true), &a, nil)
+		})
+	}
+	Eventually(b, "all streams run", func() bool { return f.totalRuns() == n })
+	time.Sleep(slopeWindow / 3)
+	return func() {
+		cancel()
+		streams.Wait()
+	}
+}
+
+func (f *Fleet) tokens() uint64 {
+	var sum uint64
+	for _, g := range f.Engines {
+		sum += g.EngineCounts().Tokens
+	}
+	return sum
+}
+
+// BenchmarkSlopeRequests makes short streamed calls at one router and measures
+// its processor time a request, with reservation, dispatch and bill. Run it
+// with -benchtime 1x.
+func BenchmarkSlopeRequests(b *testing.B) {
+	for _, callers := range []int{2, 8, 32} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			f := Start(b, Options{Binaries: binaries, Seed: 403, Centres: []string{"cluj-a"}, EnginesPerCentre: 4, TokensPerSecond: 1000, Prepaid: 1 << 40,
+				Settings: func(s *pb.RouterSettings) { s.Budget = nil }})
+			r := f.Routers[0]
+			load := StartLoad(r, "load", callers, 2)
+			Eventually(b, "it serves", func() bool { return load.Count() > 10*callers })
+			for b.Loop() {
+				served, cpu, before, start := load.Count(), r.Vars().CPUSeconds, f.Platform.Counts(), time.Now()
+				time.Sleep(slopeWindow)
+				requests := float64(load.Count() - served)
+				after := f.Platform.Counts()
+				seconds := time.Since(start).Seconds()
+				b.ReportMetric((r.Vars().CPUSeconds-cpu)/requests*1e6, "cpu-us/request")
+				b.ReportMetric(requests/seconds, "requests/s")
+				b.ReportMetric(float64(after.Committed-before.Committed)/seconds, "transactions/s")
+				b.ReportMetric(float64(after.RowsWritten-before.RowsWritten)/requests, "rows/request")
+				b.ReportMetric(float64(after.BytesWritten-before.BytesWritten)/requests, "platform-B/request")
+				b.ReportMetric(float64(after.Reads+after.Scans-before.Reads-before.Scans)/seconds, "platform-reads/s")
+			}
+			load.Stop()
+		})
+	}
+}
--- /dev/null
+++ b/fleet/slope/conn.go
@@ -0,0 +1,53 @@
+package slope
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// CountingListener counts the bytes that pass its connections, both ways,
+// without the headers of TCP and IP.
+type CountingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+// Listen opens a listener on loopback that counts.
+func Listen() (*CountingListener, error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	return &CountingListener{Listener: lis}, nil
+}
+
+// Bytes returns what has passed so far.
+func (l *CountingListener) Bytes() int64 { return l.bytes.Load() }
+
+// Accept implements net.Listener.
+func (l *CountingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: c, bytes: &l.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/fleet/slope/cpu.go
@@ -0,0 +1,17 @@
+package slope
+
+import (
+	"syscall"
+	"time"
+)
+
+// CPU returns the processor time that this process has used. It is 0 where
+// the system doesn't tell.
+func CPU() time.Duration {
+	var usage syscall.Rusage
+	err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- /dev/null
+++ b/router/target/slope_test.go
@@ -0,0 +1,72 @@
+package target
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/slope"
+)
+
+// BenchmarkSlopeLoad asks many targets for their load, once each an
+// operation, as a router does every second. Processor time is that of both
+// ends; memory is that of the connections, both ends.
+func BenchmarkSlopeLoad(b *testing.B) {
+	for _, n := range []int{6, 60, 600} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			listeners := make([]*slope.CountingListener, n)
+			targets := make([]*pb.Target, n)
+			for i := range targets {
+				listeners[i] = startLoadDoor(b)
+				targets[i] = &pb.Target{Name: fmt.Sprintf("t-%d", i), Address: listeners[i].Addr().String()}
+			}
+			before := slope.LiveHeap()
+			client := New(Options{})
+			defer client.Close()
+			askAll(b, client, targets)
+			bytes, cpu := passed(listeners), slope.CPU()
+			for b.Loop() {
+				askAll(b, client, targets)
+			}
+			polls := float64(b.N * n)
+			b.ReportMetric(float64(passed(listeners)-bytes)/polls, "B/poll")
+			b.ReportMetric(float64((slope.CPU()-cpu).Nanoseconds())/polls, "cpu-ns/poll")
+			slope.ReportBytesPer(b, "target", before, n)
+		})
+	}
+}
+
+func startLoadDoor(b *testing.B) *slope.CountingListener {
+	b.Helper()
+	lis, err := slope.Listen()
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(`{"in_flight":123,"queued":4,"leaving":false}`))
+	})}
+	go func() { _ = server.Serve(lis) }()
+	b.Cleanup(func() { _ = server.Close() })
+	return lis
+}
+
+func askAll(b *testing.B, client *Client, targets []*pb.Target) {
+	b.Helper()
+	for _, t := range targets {
+		if _, err := client.Load(context.Background(), t); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func passed(listeners []*slope.CountingListener) int64 {
+	var sum int64
+	for _, lis := range listeners {
+		sum += lis.Bytes()
+	}
+	return sum
+}
