--- a/router/node/state.go
+++ b/router/node/state.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/sourcegraph/conc/pool"
-
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/config"
 	"cuminrock.example/fleet/errkind"
@@ -19,10 +17,6 @@
 	// routesInterval is how often a new configuration or a leaving target is
 	// looked for, well inside the 3 s that both are allowed.
 	routesInterval = 100 * time.Millisecond
-	// loadInterval is how often targets are asked for their load.
-	loadInterval = time.Second
-	// pollWorkers is how many targets are asked at the same time.
-	pollWorkers = 16
 )
 
 // Health implements operatordoor.Node.
@@ -113,45 +107,6 @@
 	n.membership.SetConfigVersion(view.Version())
 }
 
-// pollTargets asks the targets for their load, each once an interval.
-func (n *Node) pollTargets(ctx context.Context) {
-	ticker := time.NewTicker(loadInterval)
-	defer ticker.Stop()
-	for {
-		view := n.current()
-		if view != nil {
-			n.pollOnce(ctx, view.AllTargets())
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-// pollOnce asks all targets, a few at a time.
-func (n *Node) pollOnce(ctx context.Context, targets []*pb.Target) {
-	ctx, cancel := context.WithTimeout(ctx, loadInterval)
-	defer cancel()
-	workers := pool.New().WithMaxGoroutines(pollWorkers)
-	for _, t := range targets {
-		workers.Go(func() { n.pollTarget(ctx, t) })
-	}
-	workers.Wait()
-}
-
-func (n *Node) pollTarget(ctx context.Context, t *pb.Target) {
-	load, err := n.targets.Load(ctx, t)
-	if err != nil {
-		return
-	}
-	n.routes.Report(t.Name, load.InFlight, load.Leaving)
-	if load.Leaving {
-		n.membership.MarkLeaving(t.Name)
-	}
-}
-
 // publish puts the router's counters into its metrics.
 func (n *Node) publish() {
 	n.vars.Set("streams", expvar.Func(func() any { return n.server.Streams() }))
--- a/router/target/slope_test.go
+++ b/router/target/slope_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/slope"
@@ -57,7 +58,7 @@
 func askAll(b *testing.B, client *Client, targets []*pb.Target) {
 	b.Helper()
 	for _, t := range targets {
-		if _, err := client.Load(context.Background(), t); err != nil {
+		if _, err := client.Load(context.Background(), t, time.Second); err != nil {
 			b.Fatal(err)
 		}
 	}
