Hedge lookups within a budget of their own

Model calls aren't hedged: a second run costs tokens.

The slower send runs on to its own end, so that a silent target whose lookups are answered by others is still found silent.

--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/retry"
@@ -36,6 +38,8 @@
 	// Requests counts plans, Retries sends beyond the first of each.
 	Requests expvar.Int
 	Retries  expvar.Int
+	// Hedges counts second sends of lookups that weren't answered in time.
+	Hedges expvar.Int
 }
 
 // Dispatcher sends requests. It is safe for concurrent use.
@@ -45,34 +49,54 @@
 	budget *retry.Budget
 	policy retry.Policy
 	stats  Stats
+	hedge  *retry.Hedge
+	// hedges bounds second sends of lookups.
+	hedges *retry.Budget
+	// background has the sends whose answer is wanted no more.
+	background conc.WaitGroup
 	// rooms has a *waitRoom for each service.
 	rooms sync.Map
 }
 
 // New returns a dispatcher over a table and a client.
 func New(table *route.Table, client *target.Client, budget *retry.Budget, policy retry.Policy) *Dispatcher {
-	return &Dispatcher{table: table, client: client, budget: budget, policy: policy}
+	return &Dispatcher{
+		table:  table,
+		client: client,
+		budget: budget,
+		policy: policy,
+		hedge:  retry.NewHedge(),
+		hedges: retry.NewBudget(hedgePermille, hedgeBurst),
+	}
 }
 
 // Stats returns the dispatcher's counters.
 func (d *Dispatcher) Stats() *Stats { return &d.stats }
 
-// Do sends an idempotent or model call and returns its whole answer.
+// Close waits for sends whose answer is wanted no more. They end at the
+// client's limits. No request may be in progress or follow.
+func (d *Dispatcher) Close() { d.background.Wait() }
+
+// Do sends an idempotent or model call and returns its whole answer. A lookup
+// that isn't answered in time is sent to a second target.
 func (d *Dispatcher) Do(ctx context.Context, plan Plan) (*target.Answer, error) {
-	return whole(ctx, d, plan, d.client.Do)
+	if plan.Kind == pb.CallKind_CALL_KIND_LOOKUP {
+		return whole(ctx, d, plan, d.tryHedged)
+	}
+	return whole(ctx, d, plan, plainly(d, d.client.Do))
 }
 
 // Action sends an action. It is sent to another target only while each failure
 // before proves that it didn't run.
 func (d *Dispatcher) Action(ctx context.Context, plan Plan) (*target.Answer, error) {
 	plan.Kind = pb.CallKind_CALL_KIND_ACTION
-	return whole(ctx, d, plan, d.client.Action)
+	return whole(ctx, d, plan, plainly(d, d.client.Action))
 }
 
 // Stream sends a model call and returns when its first event came. After that
 // nothing is sent again.
 func (d *Dispatcher) Stream(ctx context.Context, plan Plan) (*Stream, error) {
-	s, sent, err := send(ctx, d, plan, d.open)
+	s, sent, err := send(ctx, d, plan, plainly(d, d.open))
 	if err != nil {
 		return nil, err
 	}
@@ -95,8 +119,8 @@
 }
 
 // whole sends a call whose answer ends with it.
-func whole(ctx context.Context, d *Dispatcher, plan Plan, call caller[*target.Answer]) (*target.Answer, error) {
-	answer, sent, err := send(ctx, d, plan, call)
+func whole(ctx context.Context, d *Dispatcher, plan Plan, once trier[*target.Answer]) (*target.Answer, error) {
+	answer, sent, err := send(ctx, d, plan, once)
 	if err != nil {
 		return nil, err
 	}
@@ -107,13 +131,29 @@
 // caller is one method of the target client.
 type caller[T any] func(context.Context, target.Call) (T, error)
 
+// trier makes one try. The sent is nil when no target was picked.
+type trier[T any] func(context.Context, *Plan) (T, *sent, error)
+
+// plainly returns the trier that sends to one target.
+func plainly[T any](d *Dispatcher, call caller[T]) trier[T] {
+	return func(ctx context.Context, plan *Plan) (T, *sent, error) {
+		s, err := d.take(ctx, plan)
+		if err != nil {
+			var none T
+			return none, nil, err
+		}
+		answer, err := finish(ctx, s, plan.Call, call)
+		return answer, s, err
+	}
+}
+
 // send tries targets until one answers or the failure is final.
-func send[T any](ctx context.Context, d *Dispatcher, plan Plan, call caller[T]) (T, *sent, error) {
+func send[T any](ctx context.Context, d *Dispatcher, plan Plan, once trier[T]) (T, *sent, error) {
 	d.stats.Requests.Add(1)
 	d.budget.Deposit()
 	var last error
 	for tries := 1; ; tries++ {
-		answer, s, err := try(ctx, d, &plan, call)
+		answer, s, err := once(ctx, &plan)
 		if err == nil {
 			return answer, s, nil
 		}
@@ -130,9 +170,8 @@
 	}
 }
 
-// try sends to one target. The sent is nil when no target was picked.
-func try[T any](ctx context.Context, d *Dispatcher, plan *Plan, call caller[T]) (T, *sent, error) {
-	var none T
+// take takes a place at a target for the plan's call.
+func (d *Dispatcher) take(ctx context.Context, plan *Plan) (*sent, error) {
 	lease, err := d.pick(ctx, plan)
 	if errkind.Of(err) == errkind.NoTarget && len(plan.Pick.Exclude) > 0 {
 		// Better the same target again than none.
@@ -140,20 +179,29 @@
 		lease, err = d.pick(ctx, plan)
 	}
 	if err != nil {
-		return none, nil, err
+		return nil, err
 	}
+	return d.taken(plan, lease), nil
+}
+
+// taken begins the send to the target of a lease.
+func (d *Dispatcher) taken(plan *Plan, lease route.Lease) *sent {
+	plan.Call.Target = lease.Target()
 	if plan.OnSend != nil {
 		plan.OnSend(lease.Target())
 	}
-	s := &sent{lease: lease, start: plan.Pick.Now, room: d.room(plan.Pick.Service)}
-	plan.Call.Target = lease.Target()
-	answer, err := call(ctx, plan.Call)
+	return &sent{lease: lease, start: time.Now(), room: d.room(plan.Pick.Service)}
+}
+
+// finish makes the call of a send. A failure gives the place back.
+func finish[T any](ctx context.Context, s *sent, call target.Call, do caller[T]) (T, error) {
+	answer, err := do(ctx, call)
 	if err != nil {
 		s.done(err)
-		return none, s, err
+		return answer, err
 	}
 	s.firstByte = time.Since(s.start)
-	return answer, s, nil
+	return answer, nil
 }
 
 // again waits for the next try. It reports false when the failure is final.
