--- a/fleet/budget/budgetlab/escrow.go
+++ b/fleet/budget/budgetlab/escrow.go
@@ -45,7 +45,9 @@
 	bills  int
 	// closing and late are due at a second.
 	closing map[int][]string
-	late    map[int][]func()
+	// releasing is due at a second.
+	releasing map[int][]release
+	late      map[int][]func()
 	// inDoubt is the sum of the budgets' rows.
 	inDoubt int64
 	writes  int
@@ -60,14 +62,15 @@
 
 func newEscrow(net *network, p EscrowPolicy, seed int64) *escrow {
 	e := &escrow{
-		policy:  p,
-		net:     net,
-		store:   budgetsim.NewStore(),
-		cache:   budget.NewCache(),
-		rand:    rand.New(rand.NewSource(seed)),
-		parts:   make(map[request][]budget.Parts),
-		closing: make(map[int][]string),
-		late:    make(map[int][]func()),
+		policy:    p,
+		net:       net,
+		store:     budgetsim.NewStore(),
+		cache:     budget.NewCache(),
+		rand:      rand.New(rand.NewSource(seed)),
+		parts:     make(map[request][]budget.Parts),
+		closing:   make(map[int][]string),
+		releasing: make(map[int][]release),
+		late:      make(map[int][]func()),
 	}
 	for r := range routers {
 		e.start(r)
--- a/fleet/budget/budgetlab/scenario.go
+++ b/fleet/budget/budgetlab/scenario.go
@@ -29,9 +29,9 @@
 	tightHours        = 2.5
 	tightTopUpSeconds = 1200
 	// cutCentre is the data centre that a partition cuts off.
-	cutCentre = 0
-	warmUp    = 3600
-	coolDown  = 1800
+	cutCentre     = 0
+	defaultBefore = 3600
+	defaultAfter  = 1800
 )
 
 // Scenario is what befalls a run.
@@ -47,6 +47,9 @@
 	Tight bool
 	// Length is the least length of the run.
 	Length time.Duration
+	// Before and After are the calm times around a partition or a slow
+	// platform; 0 means an hour and half an hour.
+	Before, After time.Duration
 }
 
 // Scenarios returns what is measured. One death of 12 routers a day is 2.3
@@ -64,9 +67,23 @@
 	}
 }
 
+func (s Scenario) before() int {
+	if s.Before == 0 {
+		return defaultBefore
+	}
+	return int(s.Before.Seconds())
+}
+
+func (s Scenario) after() int {
+	if s.After == 0 {
+		return defaultAfter
+	}
+	return int(s.After.Seconds())
+}
+
 func (s Scenario) seconds() int {
 	event := max(s.Partition, s.Slow)
-	return max(warmUp+coolDown+int(event.Seconds()), int(s.Length.Seconds()))
+	return max(s.before()+s.after()+int(event.Seconds()), int(s.Length.Seconds()))
 }
 
 // request is one request of a second.
@@ -110,7 +127,7 @@
 		w.first[b] = int64(hours * 3600 * requestsPerSecond * w.weight[b] * meanTokens)
 	}
 	for range s.Deaths {
-		at := warmUp + w.rand.Intn(s.seconds()-warmUp-coolDown)
+		at := s.before() + w.rand.Intn(s.seconds()-s.before()-s.after()+1)
 		w.deaths[at] = w.rand.Intn(routers)
 	}
 	return w
@@ -190,10 +207,10 @@
 
 // cut reports whether the partition is on.
 func (w *world) cut(t int) bool {
-	return t >= warmUp && t < warmUp+int(w.Partition.Seconds())
+	return t >= w.before() && t < w.before()+int(w.Partition.Seconds())
 }
 
 // slow reports whether the platform is slow.
 func (w *world) slow(t int) bool {
-	return t >= warmUp && t < warmUp+int(w.Slow.Seconds())
+	return t >= w.before() && t < w.before()+int(w.Slow.Seconds())
 }
--- a/fleet/budget/policy.go
+++ b/fleet/budget/policy.go
@@ -23,9 +23,9 @@
 
 // Defaults of a policy.
 const (
-	defaultGrantHorizon = 10 * time.Second
-	defaultLoanHorizon  = 2 * time.Second
-	defaultDrawPermille = 250
+	defaultGrantHorizon = 2 * time.Hour
+	defaultLoanHorizon  = 10 * time.Second
+	defaultDrawPermille = 400
 )
 
 // PolicyOf returns the policy of the settings, with defaults.
