Close the grants of a router whose VM is gone

With release vm_gone the home of a registered router closes its grants once the VM list has shown its instance and has dropped it; an instance that was never shown proves nothing, since the list lags. Survivors then give up their loans of the grants, which are free at once. What the dead router may have run stays in doubt for an operator: a note before dispatch would be needed to release it exactly.

--- a/fleet/budget/fence.go
+++ b/fleet/budget/fence.go
@@ -49,15 +49,15 @@
 	return t.move(part.Budget, grant, part.GivenUp, toFree)
 }
 
-// Register records a router before it holds tokens. It returns nothing to do
-// where the row says the same already.
+// Register records a router before it holds tokens, or changes its row.
 func (t *Txn) Register(r *pb.RouterRow) {
 	row, ok := open(t, RouterKey(r.Incarnation), &pb.RouterRow{})
-	if !ok || (row.exists && row.row.Listed == r.Listed) {
+	if !ok || (row.exists && row.row.Listed == r.Listed && row.row.Closed == r.Closed) {
 		return
 	}
 	row.row.Incarnation, row.row.Name = r.Incarnation, r.Name
-	row.row.VmInstance, row.row.Listed = r.VmInstance, r.Listed
+	row.row.VmInstance = r.VmInstance
+	row.row.Listed, row.row.Closed = r.Listed, r.Closed
 	row.save()
 }
 
--- a/fleet/budget/keys.go
+++ b/fleet/budget/keys.go
@@ -20,7 +20,6 @@
 // the holder's grants of all budgets, so that one fence serves them all.
 const (
 	budgetPrefix = "budget/"
-	grantPrefix  = "grant/"
 	doubtPrefix  = "doubt/"
 	topUpPrefix  = "topup/"
 	billPrefix   = "bill/"
@@ -28,6 +27,8 @@
 
 	// RouterPrefix starts the keys of the registered routers.
 	RouterPrefix = "router/"
+	// AllGrantsPrefix starts the keys of all budgets' grants.
+	AllGrantsPrefix = "grant/"
 	// ClosedPrefix starts the keys of closed grants.
 	ClosedPrefix = "closed/"
 )
@@ -36,10 +37,10 @@
 func BudgetKey(budget string) string { return budgetPrefix + budget }
 
 // GrantKey returns the key of a grant's row.
-func GrantKey(budget, grant string) string { return grantPrefix + budget + "/" + grant }
+func GrantKey(budget, grant string) string { return AllGrantsPrefix + budget + "/" + grant }
 
 // GrantsPrefix starts the keys of a budget's grants.
-func GrantsPrefix(budget string) string { return grantPrefix + budget + "/" }
+func GrantsPrefix(budget string) string { return AllGrantsPrefix + budget + "/" }
 
 // DoubtKey returns the key of a row of tokens in doubt.
 func DoubtKey(budget, doubt string) string { return doubtPrefix + budget + "/" + doubt }
--- /dev/null
+++ b/router/ledger/gone.go
@@ -0,0 +1,112 @@
+package ledger
+
+import (
+	"context"
+	"slices"
+
+	"go.uber.org/zap"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/budget"
+	"cuminrock.example/router/platform"
+)
+
+// watchVms notes that this router's VM is listed and, with release vm_gone,
+// closes the grants of routers whose VM was listed and no longer is. The list
+// lags, but an instance that it has shown and has dropped never runs again. A
+// router that it has not shown yet proves nothing and is left alone.
+func (l *Ledger) watchVms(ctx context.Context) {
+	if l.vms == nil {
+		return
+	}
+	vms, err := l.vms.List(ctx)
+	if err != nil {
+		return
+	}
+	listed := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		listed[vm.Instance] = true
+	}
+	if listed[l.self.VmInstance] {
+		l.noteListed(ctx)
+	}
+	if l.release == pb.Release_RELEASE_VM_GONE {
+		l.closeGone(ctx, listed)
+	}
+}
+
+// noteListed writes that the VM list has shown this router's VM.
+func (l *Ledger) noteListed(ctx context.Context) {
+	if l.listed.Load() {
+		return
+	}
+	row := &pb.RouterRow{Incarnation: l.self.Incarnation, Name: l.self.Name, VmInstance: l.self.VmInstance, Listed: true}
+	err := l.writer.do(ctx, func(t *budget.Txn) error { t.Register(row); return nil })
+	l.listed.Store(err == nil)
+}
+
+func (l *Ledger) closeGone(ctx context.Context, listed map[string]bool) {
+	routers, err := scanRowsOf(ctx, l.tables, budget.RouterPrefix, func() *pb.RouterRow { return &pb.RouterRow{} })
+	if err != nil {
+		return
+	}
+	for _, r := range routers {
+		if !r.Listed || r.Closed || listed[r.VmInstance] || r.Incarnation == l.self.Incarnation {
+			continue
+		}
+		// One router does it; two do no harm.
+		if _, mine := l.peers.Home(r.Incarnation); !mine {
+			continue
+		}
+		l.closeRouter(ctx, r)
+	}
+}
+
+func (l *Ledger) closeRouter(ctx context.Context, r *pb.RouterRow) {
+	tokens, err := CloseHolder(ctx, l.tables, r.Incarnation)
+	if err != nil {
+		l.log.Warn("ledger: grants of a gone router can't be closed", zap.String("router", r.Name), zap.Error(err))
+		return
+	}
+	l.log.Info("ledger: closed the grants of a gone router", zap.String("router", r.Name), zap.Int64("tokens", tokens))
+	l.record(pb.EventKind_EVENT_KIND_GRANT_CLOSED, "", "", r.Name, tokens)
+	r.Closed = true
+	_ = l.writer.do(ctx, func(t *budget.Txn) error { t.Register(r); return nil })
+}
+
+// CloseHolder closes the grants of all budgets that a router incarnation
+// holds, and returns the tokens that are now in doubt.
+func CloseHolder(ctx context.Context, tables platform.Tables, incarnation string) (int64, error) {
+	grants, err := scanRowsOf(ctx, tables, budget.AllGrantsPrefix, func() *pb.GrantRow { return &pb.GrantRow{} })
+	if err != nil {
+		return 0, err
+	}
+	grants = slices.DeleteFunc(grants, func(g *pb.GrantRow) bool { return g.Holder != incarnation || g.Closed })
+	var sum int64
+	for part := range slices.Chunk(grants, mostDraws) {
+		tokens, err := closeGrants(ctx, tables, part)
+		if err != nil {
+			return sum, err
+		}
+		sum += tokens
+	}
+	return sum, nil
+}
+
+// closeGrants closes grants of many budgets in one transaction.
+func closeGrants(ctx context.Context, tables platform.Tables, grants []*pb.GrantRow) (int64, error) {
+	var sum int64
+	err := change(ctx, tables, func(t *budget.Txn) error {
+		closing := int64(0)
+		for _, g := range grants {
+			tokens, err := t.Close(g.Budget, g.Id)
+			if err != nil {
+				return err
+			}
+			closing += tokens
+		}
+		sum = max(sum, closing)
+		return nil
+	})
+	return sum, err
+}
--- a/router/ledger/grants.go
+++ b/router/ledger/grants.go
@@ -68,6 +68,7 @@
 func (l *Ledger) fenceLoop(ctx context.Context) {
 	written := make(map[string]*pb.FenceRow)
 	for pause(ctx, l.jittered(fenceInterval)) {
+		l.watchVms(ctx)
 		l.fenceClosed(ctx, written)
 	}
 }
--- a/router/ledger/ledger.go
+++ b/router/ledger/ledger.go
@@ -94,6 +94,7 @@
 	// fenced holds the grants that this router gave up.
 	fenced     grantSet
 	registered atomic.Bool
+	listed     atomic.Bool
 	draining   atomic.Bool
 	counters   counters
 
--- a/router/ledger/ledger_test.go
+++ b/router/ledger/ledger_test.go
@@ -156,3 +156,49 @@
 	is.Equal(s.Budget.Spent, int64(64))
 	is.Equal(s.Budget.Free, int64(936))
 }
+
+// vmList is a VM list that shows the given instances.
+type vmList struct{ instances []string }
+
+func (v *vmList) List(context.Context) ([]*pb.Vm, error) {
+	var vms []*pb.Vm
+	for _, instance := range v.instances {
+		vms = append(vms, &pb.Vm{Instance: instance})
+	}
+	return vms, nil
+}
+
+// With vm_gone the grants of a router are closed once the list has dropped
+// its VM, but not before the list has shown it.
+func TestClosesGrantsOfGoneVm(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	f := newFleet(t, "a", "b")
+	_, err := TopUp(ctx, f.tables, "t1", testBudget, 1000)
+	is.NoErr(err)
+	dead, live := f.ledgers["i-a"], f.ledgers["i-b"]
+	r, err := dead.Reserve(ctx, testBudget, "w", "r1", 10)
+	is.NoErr(err)
+	list := &vmList{instances: []string{"vm-b"}}
+	f.leave("i-a")
+	live.release, live.vms, dead.vms = pb.Release_RELEASE_VM_GONE, list, list
+	live.watchVms(ctx)
+	before, err := Status(ctx, f.tables, testBudget)
+	is.NoErr(err)
+	is.Equal(before.Budget.InDoubt, int64(0))
+	list.instances = []string{"vm-a", "vm-b"}
+	dead.watchVms(ctx)
+	list.instances = []string{"vm-b"}
+	live.watchVms(ctx)
+	live.fenceClosed(ctx, map[string]*pb.FenceRow{})
+	after, err := Status(ctx, f.tables, testBudget)
+	is.NoErr(err)
+	for _, g := range after.Grants {
+		is.True(g.Closed == (g.Holder == "i-a"))
+	}
+	is.NoErr(r.Settle(7))
+	is.NoErr(dead.Close(ctx))
+	after, err = Status(ctx, f.tables, testBudget)
+	is.NoErr(err)
+	is.Equal(after.Budget.Spent, int64(7))
+}
