--- /dev/null
+++ b/fleet/budget/budgetlab/table_test.go
@@ -0,0 +1,39 @@
+package budgetlab
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var tableSeed = flag.Int64("table", 0, "seed of the whole table; 0 skips it")
+
+// The whole table: go test ./budget/budgetlab -run Table -table 1
+func TestTable(t *testing.T) {
+	if *tableSeed == 0 {
+		t.Skip("no -table")
+	}
+	is := is.New(t)
+	for _, r := range Table(os.Stdout, *tableSeed) {
+		is.Equal(r.Overspent, int64(0))
+	}
+}
+
+// In a short partition nothing is overspent and the false refusals are below
+// a tenth of the even split's; with a death nothing is overspent either.
+func TestShortPartition(t *testing.T) {
+	is := is.New(t)
+	s := Scenario{Name: "short", Partition: 2 * time.Minute, Tight: true, Before: 20 * time.Minute, After: 5 * time.Minute}
+	results := Measure(s, 7)
+	even, best := results[1], results[len(results)-1]
+	is.Equal(even.Policy, "even split by router")
+	is.Equal(best.Policy, "best version, vm_gone")
+	is.True(best.Excess*10 < even.Excess)
+	s.Deaths = 1
+	for _, r := range append(results, Measure(s, 8)...) {
+		is.Equal(r.Overspent, int64(0))
+	}
+}
