--- a/router/dispatch/resume.go
+++ b/router/dispatch/resume.go
@@ -19,7 +19,7 @@
 	if !ok {
 		return nil, errkind.New(errkind.UnknownRequest, "the target of this stream isn't known")
 	}
-	s := &sent{lease: lease, start: time.Now()}
+	s := &sent{lease: lease, start: time.Now(), room: d.room(call.Target.GetService())}
 	up, err := d.client.Resume(ctx, call, stream, from)
 	if err != nil {
 		s.done(err)
--- a/router/dispatch/stream.go
+++ b/router/dispatch/stream.go
@@ -65,16 +65,6 @@
 	return e, nil
 }
 
-// Continue resumes a stream that broke at the target that runs it. The place
-// there was given back when it broke and isn't taken again.
-func (s *Stream) Continue(ctx context.Context) (*Stream, error) {
-	resumed, err := s.Stream.Continue(ctx)
-	if err != nil {
-		return nil, err
-	}
-	return &Stream{Stream: resumed, sent: s.sent}, nil
-}
-
 // Close ends the stream and gives its place back.
 func (s *Stream) Close() {
 	s.Stream.Close()
--- a/router/node/state.go
+++ b/router/node/state.go
@@ -115,6 +115,7 @@
 	dispatched := new(expvar.Map).Init()
 	dispatched.Set("requests", &n.dispatch.Stats().Requests)
 	dispatched.Set("retries", &n.dispatch.Stats().Retries)
+	dispatched.Set("hedges", &n.dispatch.Stats().Hedges)
 	n.vars.Set("dispatch", dispatched)
 	calls := new(expvar.Map).Init()
 	calls.Set("calls", &n.targets.Stats().Calls)
--- a/router/node/stop.go
+++ b/router/node/stop.go
@@ -41,6 +41,9 @@
 		n.actions.Close(ctx),
 		n.ledger.Close(ctx),
 	)
+	if err == nil {
+		n.dispatch.Close()
+	}
 	n.closeRest()
 	n.recorder.Record(&pb.Event{Kind: pb.EventKind_EVENT_KIND_STOPPED})
 	if err != nil {
