--- a/router/serve/serve.go
+++ b/router/serve/serve.go
@@ -125,10 +125,9 @@
 		pick.Shares = view.Shares(r.Workspace.Name, r.Service.Name)
 	}
 	return dispatch.Plan{
-		Pick: pick,
-		Call: s.call(r, nil),
-		Kind: r.Call.Kind,
-
+		Pick:     pick,
+		Call:     s.call(r, nil),
+		Kind:     r.Call.Kind,
 		Priority: r.Workspace.Priority,
 		OnSend:   func(t *pb.Target) { s.record(r, pb.EventKind_EVENT_KIND_DISPATCHED, t.Name, 0, "") },
 	}
