Keep a busy machine from failing the tests of silence

TestLookupsRecoverFromSilentConnections and TestRequestsWaitForRoom failed once each in six runs while the load average of the shared machine was above 30; 24 runs at 20 passed. Cause: silence limits of 40 and 50 ms, which a healthy target then passes; the lookups were rightly sent again or refused. Tests that need silence now wait for 500 ms, the others have none.

--- a/router/dispatch/dispatch_test.go
+++ b/router/dispatch/dispatch_test.go
@@ -21,7 +21,10 @@
 )
 
 const (
-	testSilence  = 50 * time.Millisecond
+	testSilence = 500 * time.Millisecond
+	// noSilence is for tests whose targets never fall silent: a busy machine
+	// must not make them so.
+	noSilence    = time.Minute
 	testDeadline = 10 * time.Second
 )
 
@@ -74,12 +77,12 @@
 	dispatcher *Dispatcher
 }
 
-func newBench(t *testing.T, servers, permille, burst int) *bench {
+func newBench(t *testing.T, servers, permille, burst int, silence time.Duration) *bench {
 	b := &bench{table: route.New(route.Options{Seed: 1, SuspectMin: time.Millisecond, SuspectMax: time.Millisecond})}
 	for range servers {
 		b.addServer(t)
 	}
-	client := target.New(target.Options{FirstByteTimeout: testSilence})
+	client := target.New(target.Options{FirstByteTimeout: silence})
 	t.Cleanup(func() {
 		b.dispatcher.Close()
 		client.Close()
@@ -139,7 +142,7 @@
 // lookups recover within their deadline on new connections.
 func TestLookupsRecoverFromSilentConnections(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t, 4, 100, 64)
+	b := newBench(t, 4, 100, 64, testSilence)
 	is.Equal(b.lookups("warm", 64), 0)
 	for _, s := range b.servers {
 		s.frozen.Store(s.conns.Load())
@@ -163,7 +166,7 @@
 		burst    = 10
 	)
 	is := is.New(t)
-	b := newBench(t, 4, permille, burst)
+	b := newBench(t, 4, permille, burst, noSilence)
 	for _, s := range b.servers {
 		s.status.Store(http.StatusServiceUnavailable)
 	}
@@ -186,7 +189,7 @@
 // first target isn't taken for a good one by that.
 func TestSlowLookupIsHedged(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t, 2, 0, 0)
+	b := newBench(t, 2, 0, 0, noSilence)
 	b.servers[0].delay.Store(int64(time.Second))
 	for range 200 {
 		b.dispatcher.hedge.Observe(0)
@@ -204,7 +207,7 @@
 // A target that any source calls leaving gets no new request.
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t, 2, 100, 10)
+	b := newBench(t, 2, 100, 10, noSilence)
 	b.table.Report("registry-0", 0, true)
 	is.Equal(b.lookups("a", 32), 0)
 	is.Equal(b.servers[0].received.Load(), int64(0))
@@ -214,7 +217,7 @@
 // Requests beyond the limit of the targets wait and are served; none is lost.
 func TestRequestsWaitForRoom(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t, 1, 100, 10)
+	b := newBench(t, 1, 100, 10, noSilence)
 	b.servers[0].delay.Store(int64(2 * time.Millisecond))
 	is.Equal(b.lookups("a", 100), 0)
 	stats := b.dispatcher.Stats()
@@ -224,7 +227,7 @@
 // A caller that leaves while it waits is refused as not run and isn't sent.
 func TestCallerMayLeaveTheQueue(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t, 1, 100, 10)
+	b := newBench(t, 1, 100, 10, noSilence)
 	b.servers[0].delay.Store(int64(200 * time.Millisecond))
 	var busy sync.WaitGroup
 	defer busy.Wait()
@@ -246,7 +249,7 @@
 // Room that appears without the end of a request is found too.
 func TestWaitingRequestFindsANewTarget(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t, 1, 0, 0)
+	b := newBench(t, 1, 0, 0, noSilence)
 	b.servers[0].delay.Store(int64(time.Hour))
 	b.servers[0].frozen.Store(1 << 20)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/router/target/notrun_test.go
+++ b/router/target/notrun_test.go
@@ -16,6 +16,9 @@
 
 const (
 	testSilence = 40 * time.Millisecond
+	// longSilence is for tests that name the kind of a failure: a busy machine
+	// must not make another target silent.
+	longSilence = 500 * time.Millisecond
 	// testSettle lets a late write of a call reach the target.
 	testSettle = 5 * time.Millisecond
 )
--- a/router/target/poller_test.go
+++ b/router/target/poller_test.go
@@ -29,7 +29,7 @@
 	c := New(Options{})
 	defer c.Close()
 	seen := &seenReports{}
-	p := NewPoller(c, seen, nil, PollOptions{Timeout: testSilence})
+	p := NewPoller(c, seen, nil, PollOptions{Timeout: longSilence})
 	f.report = `{"in_flight":3,"queued":2,"leaving":true}`
 	p.round(context.Background(), []*pb.Target{f.target()})
 	is.Equal(*seen, seenReports{inFlight: 5, leaving: true})
--- a/router/target/silent_test.go
+++ b/router/target/silent_test.go
@@ -30,7 +30,7 @@
 func TestSilentPoolIsReplacedByOneFinding(t *testing.T) {
 	is := is.New(t)
 	f := newFakeTarget(t)
-	c := New(Options{FirstByteTimeout: testSilence})
+	c := New(Options{FirstByteTimeout: longSilence})
 	defer c.Close()
 	warm(t, c, f, 8)
 	f.freeze()
@@ -47,7 +47,7 @@
 func TestActionTakesNoPooledConnection(t *testing.T) {
 	is := is.New(t)
 	f := newFakeTarget(t)
-	c := New(Options{FirstByteTimeout: testSilence})
+	c := New(Options{FirstByteTimeout: longSilence})
 	defer c.Close()
 	warm(t, c, f, 4)
 	f.freeze()
--- a/router/target/stream_test.go
+++ b/router/target/stream_test.go
@@ -13,7 +13,7 @@
 
 func openStream(t *testing.T, path string) *Stream {
 	f := newFakeTarget(t)
-	c := New(Options{FirstByteTimeout: testSilence, TokenGapTimeout: testSilence})
+	c := New(Options{FirstByteTimeout: longSilence, TokenGapTimeout: longSilence})
 	t.Cleanup(c.Close)
 	s, err := c.Stream(context.Background(), Call{Target: f.target(), RequestID: "r1", Path: path, Body: []byte("{}")})
 	is.New(t).NoErr(err)
