--- a/router/actions/actions.go
+++ b/router/actions/actions.go
@@ -31,8 +31,8 @@
 type Options struct {
 	// Incarnation names this router process.
 	Incarnation string
-	// PollInterval is the wait between two reads of a row that another attempt
-	// has claimed. Default 100 ms.
+	// PollInterval is the first wait between two reads of a row that another
+	// attempt has claimed; it doubles four times. Default 100 ms.
 	PollInterval time.Duration
 	// RetryInterval is the wait between two tries against a platform that is
 	// out, and the retry-after told to callers. Default 1 s.
--- a/router/actions/run.go
+++ b/router/actions/run.go
@@ -20,6 +20,9 @@
 	req     Request
 	told    chan action.Outcome
 
+	// polls counts the reads of a row that another attempt has claimed.
+	polls int
+
 	mu      sync.Mutex
 	machine *action.Machine
 }
@@ -55,7 +58,7 @@
 	life := r.actions.life
 	s := r.step((*action.Machine).Start)
 	for s.Effect != action.Finished {
-		if !sleep(life, r.actions.pause(s.Pause)) {
+		if !sleep(life, r.pause(s.Pause)) {
 			r.abandon()
 			return
 		}
@@ -63,6 +66,24 @@
 	}
 }
 
+// maxPollDoublings bounds how far the wait between two reads grows.
+const maxPollDoublings = 4
+
+// pause returns how long to wait before a step. Polls become rarer, so that
+// callers that wait for a lost router cost the platform little.
+func (r *run) pause(p action.Pause) time.Duration {
+	switch p {
+	case action.PollPause:
+		wait := r.actions.opts.PollInterval << min(r.polls, maxPollDoublings)
+		r.polls++
+		return wait
+	case action.RetryPause:
+		return r.actions.opts.RetryInterval
+	default:
+		return 0
+	}
+}
+
 // abandon tells a caller that still waits when the router ends.
 func (r *run) abandon() {
 	r.step((*action.Machine).Cancel)
--- a/router/actions/store.go
+++ b/router/actions/store.go
@@ -132,14 +132,3 @@
 		*d = fallback
 	}
 }
-
-func (a *Actions) pause(p action.Pause) time.Duration {
-	switch p {
-	case action.PollPause:
-		return a.opts.PollInterval
-	case action.RetryPause:
-		return a.opts.RetryInterval
-	default:
-		return 0
-	}
-}
