Keep the platform's writes below a commit for each home in two seconds

Bills are pushed to their home at most six times, so that an outage of the platform doesn't fill the network with repeats.

--- a/fleet/budget/attempt.go
+++ b/fleet/budget/attempt.go
@@ -32,7 +32,7 @@
 // NewAttempt returns an attempt at a change over the cache. The function runs
 // anew for each try, on a new transaction.
 func NewAttempt(cache *Cache, apply func(t *Txn) error) *Attempt {
-	clear(cache.fresh)
+	cache.begin()
 	return &Attempt{cache: cache, apply: apply}
 }
 
--- a/fleet/budget/bench_test.go
+++ b/fleet/budget/bench_test.go
@@ -83,6 +83,28 @@
 	}
 }
 
+// Memory of other routers' bills that wait at their home.
+func BenchmarkBytesPerWaitingCopy(b *testing.B) {
+	const bills = 50_000
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	c := NewCopies(bills, 1)
+	for i := range bills {
+		c.Take(&pb.BillEntry{
+			Id: fmt.Sprintf("%032d.1", i), RequestId: fmt.Sprintf("%036d", i), Run: fmt.Sprintf("%032d.1", i), Budget: fmt.Sprintf("budget-%d", i),
+			Workspace: fmt.Sprintf("workspace-%d", i), Tokens: 300, Parts: []*pb.BillPart{{Grant: fmt.Sprintf("%032d~1", i), Tokens: 300}},
+		})
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/bills, "bytes/copy")
+	runtime.KeepAlive(c)
+	for range b.N {
+		_ = c
+	}
+}
+
 // One transaction of 200 bills over a number of budgets: building, marshalling.
 func BenchmarkSettleBatch(b *testing.B) {
 	for _, budgets := range []int{1, 20, 200} {
--- a/fleet/budget/policy.go
+++ b/fleet/budget/policy.go
@@ -73,7 +73,7 @@
 }
 
 // rateWindow is the time constant of a Rate.
-const rateWindow = 10 * time.Second
+const rateWindow = time.Minute
 
 // Add counts tokens at a time.
 func (r *Rate) Add(now time.Time, tokens int64) {
--- a/fleet/budget/txn.go
+++ b/fleet/budget/txn.go
@@ -13,6 +13,10 @@
 	rows map[string]cached
 	// fresh holds the keys read since the present attempt began.
 	fresh map[string]struct{}
+	// contended holds the keys of rows that others have changed under a
+	// commit. They are read anew for each attempt: a read is cheaper than a
+	// refused commit.
+	contended map[string]struct{}
 	// Audit counts the checks of all transactions over this cache.
 	Audit Audit
 }
@@ -38,7 +42,11 @@
 
 // NewCache returns an empty cache.
 func NewCache() *Cache {
-	return &Cache{rows: make(map[string]cached), fresh: make(map[string]struct{})}
+	return &Cache{
+		rows:      make(map[string]cached),
+		fresh:     make(map[string]struct{}),
+		contended: make(map[string]struct{}),
+	}
 }
 
 // Len returns the number of rows kept.
@@ -64,6 +72,14 @@
 	}
 }
 
+// begin starts an attempt: contended rows are read anew.
+func (c *Cache) begin() {
+	clear(c.fresh)
+	for key := range c.contended {
+		delete(c.rows, key)
+	}
+}
+
 // Txn is one transaction over ledger rows in the making. An operation that
 // needs a row that isn't at hand does nothing and notes the key as missing;
 // the caller reads the missing rows and starts over with a new Txn.
@@ -190,6 +206,9 @@
 		t.cache.fresh[key] = struct{}{}
 	}
 	for _, row := range conflicts {
+		if !assumedAbsent(row.Key) {
+			t.cache.contended[row.Key] = struct{}{}
+		}
 		t.cache.fresh[row.Key] = struct{}{}
 		t.cache.rows[row.Key] = cached{value: row.Value, version: row.Version}
 	}
--- a/router/ledger/box.go
+++ b/router/ledger/box.go
@@ -20,7 +20,7 @@
 
 // sendsBeforeOwn is how often an entry goes to its home before this router
 // settles it itself.
-const sendsBeforeOwn = 4
+const sendsBeforeOwn = 6
 
 // add keeps an own entry. It returns it as sent where asked for.
 func (b *box) add(e budget.Entry, sent bool) *pb.BillEntry {
@@ -78,12 +78,10 @@
 	count := 0
 	b.own.Each(0, func(n uint64, e *budget.Entry) bool {
 		member, self := home(e.Budget)
-		if self || member == nil {
+		if self || member == nil || e.Sends >= sendsBeforeOwn {
 			return true
 		}
-		if e.Sends < sendsBeforeOwn {
-			e.Sends++
-		}
+		e.Sends++
 		byHome[member] = append(byHome[member], b.own.Proto(n, e))
 		count++
 		return count < most
--- a/router/ledger/fetch.go
+++ b/router/ledger/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/budget"
@@ -46,7 +47,7 @@
 // fetchTokens looks for tokens: at the home, which may draw; at the platform;
 // at further peers. It returns nil where the need is met.
 func (l *Ledger) fetchTokens(a *account) *errkind.Error {
-	ctx, cancel := context.WithTimeout(l.ctx, l.search)
+	ctx, cancel := context.WithTimeout(l.ctx, l.fetchTimeout(a))
 	defer cancel()
 	home, isHome := l.peers.Home(a.name)
 	a.mu.Lock()
@@ -65,6 +66,17 @@
 	return found.refusal(a.name)
 }
 
+// fetchTimeout bounds a search. One ahead of need waits for the next
+// settlement.
+func (l *Ledger) fetchTimeout(a *account) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.waiting > a.holder.Free() {
+		return l.search
+	}
+	return l.search + 2*l.settle
+}
+
 // findings is what a search has learnt.
 type findings struct {
 	unknown   bool
@@ -217,15 +229,23 @@
 		if a.holder.Free() >= a.waiting || a.refuses(need, l.now()) != nil {
 			return
 		}
-		f := l.startFetch(a)
-		a.mu.Unlock()
-		select {
-		case <-f.done:
-		case <-ctx.Done():
-		}
-		a.mu.Lock()
-		if ctx.Err() != nil {
+		if !l.awaitFetch(ctx, a) {
 			return
 		}
 	}
 }
+
+// awaitFetch waits for a search of the account, and reports whether the
+// context still lives. The caller holds the account's lock, before and after.
+func (l *Ledger) awaitFetch(ctx context.Context, a *account) bool {
+	f := l.startFetch(a)
+	a.mu.Unlock()
+	// The search may be one ahead of need that waits for a settlement.
+	l.writer.wake()
+	select {
+	case <-f.done:
+	case <-ctx.Done():
+	}
+	a.mu.Lock()
+	return ctx.Err() == nil
+}
--- a/router/ledger/ledger.go
+++ b/router/ledger/ledger.go
@@ -59,13 +59,13 @@
 
 const (
 	defaultWritesPerSecond = 50
-	defaultSettleInterval  = time.Second
+	defaultSettleInterval  = 2 * time.Second
 	defaultSearchTimeout   = 500 * time.Millisecond
 
 	// mostEntries bounds the bills of this router that wait for the platform,
 	// and mostCopies those that it keeps for others.
-	mostEntries = 100_000
-	mostCopies  = 100_000
+	mostEntries = 200_000
+	mostCopies  = 50_000
 	// settledIDs is how many settled ids a home remembers for origins.
 	settledIDs = 8192
 )
--- a/router/ledger/push.go
+++ b/router/ledger/push.go
@@ -11,10 +11,10 @@
 // mostPushed bounds the entries sent in one round.
 const mostPushed = 1000
 
-// pushLoop brings own bills to their budgets' homes, again and again until a
-// home says that the platform holds them.
+// pushLoop brings own bills to their budgets' homes, a few times until a home
+// says that the platform holds them. After that this router settles them.
 func (l *Ledger) pushLoop(ctx context.Context) {
-	for pause(ctx, l.jittered(l.settle/2)) {
+	for pause(ctx, l.jittered(l.settle)) {
 		l.push(ctx)
 	}
 }
--- a/router/ledger/reserve.go
+++ b/router/ledger/reserve.go
@@ -108,14 +108,7 @@
 		if a.refusal != nil && !first {
 			return budget.Parts{}, l.refused(a.refusal)
 		}
-		f := l.startFetch(a)
-		a.mu.Unlock()
-		select {
-		case <-f.done:
-		case <-ctx.Done():
-		}
-		a.mu.Lock()
-		if ctx.Err() != nil {
+		if !l.awaitFetch(ctx, a) {
 			return budget.Parts{}, l.refused(unreachable(a.name))
 		}
 	}
--- a/router/ledger/writer.go
+++ b/router/ledger/writer.go
@@ -89,7 +89,8 @@
 	}
 }
 
-// draw asks for tokens and waits for the outcome or the context's end.
+// draw asks for tokens and waits for the outcome or the context's end. A draw
+// ahead of need goes with the next settlement.
 func (w *writer) draw(ctx context.Context, a *account, need, want int64) drawResult {
 	a.mu.Lock()
 	known := a.holder.DrawnTotal(*w.l.grant.Load())
@@ -99,7 +100,9 @@
 	w.mu.Lock()
 	w.wishes = append(w.wishes, wish)
 	w.mu.Unlock()
-	w.wake()
+	if need > 0 {
+		w.wake()
+	}
 	select {
 	case <-wish.done:
 		return wish.result
