Return all tokens at a planned stop, also those of lost answers

Causes: a draw whose answer was lost was never read back where nothing drew again; a router that was not registered yet asked for a loan and then refused its tokens.

A failed transaction no longer reports its draws as done, and closed grants of which nothing is outstanding are not walked again.

--- a/router/ledger/account.go
+++ b/router/ledger/account.go
@@ -2,12 +2,14 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/budget"
 	"cuminrock.example/fleet/errkind"
 )
@@ -30,6 +32,10 @@
 	refusedUntil time.Time
 	// fetchAhead is when tokens may be fetched ahead of need again.
 	fetchAhead time.Time
+	// drew is true once a draw was tried; its answer may have been lost.
+	drew bool
+	// unsure are members whose answer to a request for a loan was lost.
+	unsure []*pb.Member
 	// home is true where this router was the budget's home at the last search.
 	home bool
 	// outstanding counts live reservations.
@@ -59,6 +65,17 @@
 	return nil
 }
 
+// mostUnsure bounds the members that are asked again at a planned stop.
+const mostUnsure = 8
+
+func (a *account) noteUnsure(m *pb.Member) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.unsure) < mostUnsure && !slices.Contains(a.unsure, m) {
+		a.unsure = append(a.unsure, m)
+	}
+}
+
 // horizon returns how long the account's free tokens should last.
 func (a *account) horizon(p budget.Policy) time.Duration {
 	if a.home {
--- a/router/ledger/close.go
+++ b/router/ledger/close.go
@@ -24,7 +24,7 @@
 	l.draining.Store(true)
 	for {
 		own, copies := l.box.len()
-		if own+copies == 0 && l.reservations() == 0 {
+		if own+copies == 0 && l.inProgress() == 0 {
 			break
 		}
 		l.push(ctx)
@@ -33,6 +33,7 @@
 			return errkind.New(errkind.PlatformDown, "%d bills and %d copies aren't settled", own, copies)
 		}
 	}
+	l.askUnsure(ctx)
 	if err := l.returnLoans(ctx); err != nil {
 		return err
 	}
@@ -45,16 +46,35 @@
 	})
 }
 
-func (l *Ledger) reservations() int {
+// inProgress counts live reservations and searches for tokens.
+func (l *Ledger) inProgress() int {
 	count := 0
 	l.accounts.each(func(a *account) {
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		count += a.outstanding
+		if a.fetch != nil {
+			count++
+		}
 	})
 	return count
 }
 
+// askUnsure asks for loans whose message was lost, so that they are returned.
+func (l *Ledger) askUnsure(ctx context.Context) {
+	l.accounts.each(func(a *account) {
+		a.mu.Lock()
+		unsure := a.unsure
+		a.mu.Unlock()
+		for _, m := range unsure {
+			req := &pb.BorrowRequest{Budget: a.name, Borrower: l.self.Incarnation}
+			if resp, err := l.peers.Borrow(ctx, m, req); err == nil {
+				l.receive(a, resp.Totals)
+			}
+		}
+	})
+}
+
 // returnLoans moves borrowed tokens to the holders of their grants, and to the
 // platform where a holder isn't live.
 func (l *Ledger) returnLoans(ctx context.Context) error {
@@ -117,8 +137,43 @@
 	total  int64
 }
 
+// readGrants takes in the rows of own grants, since the answer to a draw may
+// have been lost.
+func (l *Ledger) readGrants(ctx context.Context) error {
+	id := *l.grant.Load()
+	var drew []*account
+	l.accounts.each(func(a *account) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if a.drew {
+			drew = append(drew, a)
+		}
+	})
+	for part := range slices.Chunk(drew, mostDraws) {
+		rows := make([]*pb.GrantRow, len(part))
+		err := l.writer.do(ctx, func(t *budget.Txn) error {
+			for i, a := range part {
+				rows[i], _ = t.Grant(a.name, id)
+			}
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+		for i, a := range part {
+			a.mu.Lock()
+			a.holder.Granted(rows[i])
+			a.mu.Unlock()
+		}
+	}
+	return nil
+}
+
 // returnGrants gives what is free of own grants back to the platform.
 func (l *Ledger) returnGrants(ctx context.Context) error {
+	if err := l.readGrants(ctx); err != nil {
+		return err
+	}
 	var own []ownGrant
 	l.accounts.each(func(a *account) {
 		a.mu.Lock()
--- /dev/null
+++ b/router/ledger/concurrent_test.go
@@ -0,0 +1,80 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Many requests at three routers, with lost answers and outages of the
+// platform: what is billed is what ran, and a planned stop returns the rest.
+func TestConcurrentRequestsAreBilledExactly(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	f := newFleet(t, "a", "b", "c")
+	for b := range 4 {
+		_, err := TopUp(ctx, f.tables, fmt.Sprint("t", b), fmt.Sprint("b", b), 20_000)
+		is.NoErr(err)
+	}
+	f.tables.loseEvery(7)
+	var used, held atomic.Int64
+	var wg sync.WaitGroup
+	for worker := range 6 {
+		wg.Go(func() {
+			random := rand.New(rand.NewSource(int64(worker)))
+			for i := range 150 {
+				l := f.ledgers[f.members[random.Intn(3)].Incarnation]
+				id := fmt.Sprint(worker, "-", i)
+				r, err := l.Reserve(ctx, fmt.Sprint("b", random.Intn(4)), "w", id, 50)
+				if err != nil {
+					continue
+				}
+				endRun(r, random, &used, &held)
+			}
+		})
+	}
+	for range 5 {
+		f.tables.setDown(true)
+		pause(ctx, 5*time.Millisecond)
+		f.tables.setDown(false)
+		pause(ctx, 20*time.Millisecond)
+	}
+	wg.Wait()
+	for _, l := range f.ledgers {
+		is.NoErr(l.Close(ctx))
+		is.Equal(l.Stats().ConservationBroken, uint64(0))
+	}
+	var spent, doubt, granted int64
+	for b := range 4 {
+		s, err := Status(ctx, f.tables, fmt.Sprint("b", b))
+		is.NoErr(err)
+		spent += s.Budget.Spent
+		doubt += s.Budget.InDoubt
+		granted += s.Budget.Granted
+	}
+	is.True(spent > 0)
+	is.Equal([]int64{spent, doubt, granted}, []int64{used.Load(), held.Load(), 0})
+}
+
+func endRun(r *Reservation, random *rand.Rand, used, held *atomic.Int64) {
+	tokens := random.Int63n(51)
+	switch random.Intn(10) {
+	case 0:
+		r.Release()
+	case 1:
+		r.Unknown()
+		held.Add(50)
+	default:
+		_ = r.Settle(tokens)
+		used.Add(tokens)
+	}
+	// Further calls change nothing.
+	r.Release()
+	r.Unknown()
+}
--- a/router/ledger/fetch.go
+++ b/router/ledger/fetch.go
@@ -47,6 +47,9 @@
 // fetchTokens looks for tokens: at the home, which may draw; at the platform;
 // at further peers. It returns nil where the need is met.
 func (l *Ledger) fetchTokens(a *account) *errkind.Error {
+	if l.draining.Load() {
+		return unreachable(a.name)
+	}
 	ctx, cancel := context.WithTimeout(l.ctx, l.fetchTimeout(a))
 	defer cancel()
 	home, isHome := l.peers.Home(a.name)
@@ -105,6 +108,9 @@
 
 // borrow asks one member and reports whether the need is met.
 func (l *Ledger) borrow(ctx context.Context, a *account, member *pb.Member, search bool, found *findings) bool {
+	if !l.registered.Load() {
+		return false
+	}
 	need, want := l.shortfall(a, false)
 	a.mu.Lock()
 	req := &pb.BorrowRequest{
@@ -119,6 +125,7 @@
 	resp, err := l.peers.Borrow(ctx, member, req)
 	if err != nil {
 		l.counters.borrowErrors.Add(1)
+		a.noteUnsure(member)
 		return false
 	}
 	found.unknown = found.unknown || resp.UnknownBudget
--- a/router/ledger/grants.go
+++ b/router/ledger/grants.go
@@ -81,6 +81,9 @@
 	}
 	for _, row := range rows {
 		grant := strings.TrimPrefix(row.Key, budget.ClosedPrefix)
+		if last, ok := written[grant]; ok && nothingOutstanding(last) {
+			continue
+		}
 		fence := l.fence(grant)
 		if sameFence(written[grant], fence) {
 			continue
@@ -92,6 +95,10 @@
 	}
 }
 
+func nothingOutstanding(f *pb.FenceRow) bool {
+	return !slices.ContainsFunc(f.Parts, func(p *pb.FencePart) bool { return p.Outstanding > 0 })
+}
+
 func sameFence(a, b *pb.FenceRow) bool {
 	if a == nil || len(a.Parts) != len(b.Parts) {
 		return false
--- a/router/ledger/writer.go
+++ b/router/ledger/writer.go
@@ -95,6 +95,7 @@
 	a.mu.Lock()
 	known := a.holder.DrawnTotal(*w.l.grant.Load())
 	held := a.holder.Free()
+	a.drew = true
 	a.mu.Unlock()
 	wish := &wish{account: a, need: need, want: want, known: known, held: held, done: make(chan struct{})}
 	w.mu.Lock()
@@ -251,6 +252,7 @@
 	w.mu.Unlock()
 	if err != nil {
 		for _, wish := range b.wishes {
+			wish.result = drawFailed
 			close(wish.done)
 		}
 		return err
