--- /dev/null
+++ b/ctl/loadcmd/loadcmd_test.go
@@ -0,0 +1,78 @@
+package loadcmd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/matryer/is"
+
+	"cuminrock.example/ctl/cli"
+	"cuminrock.example/ctl/loadgen"
+	"cuminrock.example/standin/engine"
+	"cuminrock.example/standin/target"
+)
+
+func startEngine(t *testing.T) *engine.Engine {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	e := engine.New(engine.Options{Seed: 1, TokensPerSecond: 2000, FirstToken: time.Millisecond})
+	serve := e.Open(lis)
+	go serve()
+	t.Cleanup(e.Close)
+	return e
+}
+
+// run executes `load` with the arguments and returns its lines and exit code.
+func run(line ...string) ([][]byte, subcommands.ExitStatus) {
+	var out, errs bytes.Buffer
+	flags := flag.NewFlagSet("cuminrockctl", flag.ContinueOnError)
+	commander := subcommands.NewCommander(flags, "cuminrockctl")
+	commander.Output, commander.Error = &out, &errs
+	commander.Register(Commands(cli.Env{Stdout: &out, Stderr: &errs})[0], "")
+	if flags.Parse(append([]string{"load"}, line...)) != nil {
+		return nil, cli.Usage
+	}
+	exit := commander.Execute(context.Background())
+	return bytes.Split(bytes.TrimSpace(out.Bytes()), []byte("\n")), exit
+}
+
+func TestExitTellsWhetherAnswersWereClean(t *testing.T) {
+	is := is.New(t)
+	e := startEngine(t)
+	args := []string{"-direct", e.Addr(), "-json", "-rate", "200", "-duration", "100ms", "-warmup", "1ms", "-tokens", "3-9", "-seed", "4"}
+	lines, exit := run(args...)
+	is.Equal(exit, cli.Done)
+	is.Equal(len(lines), 2) // the options, then the phase
+	var first loadgen.Phase
+	is.NoErr(json.Unmarshal(lines[1], &first))
+	is.True(first.Whole > 0)
+	is.Equal(first.Whole, first.Requests)
+	is.NoErr(e.SetFaults(target.Faults{CrossNext: 1}))
+	lines, exit = run(args...)
+	is.Equal(exit, cli.Negative)
+	var second loadgen.Phase
+	is.NoErr(json.Unmarshal(lines[1], &second))
+	is.Equal(second.Crossed, 1)
+	is.Equal(second.Requests, first.Requests) // the load follows from the seed
+}
+
+func TestWrongCallsAreUsageErrors(t *testing.T) {
+	for _, line := range [][]string{
+		{},
+		{"-doors", "127.0.0.1:1", "-tokens", "9-3"},
+		{"-doors", "127.0.0.1:1", "-tokens", "few"},
+		{"-doors", "127.0.0.1:1", "-call", "nonsense"},
+		{"-doors", "127.0.0.1:1", "-rate", "0"},
+		{"-doors", "127.0.0.1:1", "stray"},
+	} {
+		_, exit := run(line...)
+		is.New(t).Equal(exit, cli.Usage)
+	}
+}
