Decode a stream's token events once, not each

Cause: a profile of the router at 40,000 streamed tokens a second had 22% of its processor time in json.Unmarshal of token events (2.48 of 11.03 s), which differ only in the content.

The first decoded event gives a template, proved by decoding it with a probe in the content's place; an event that differs from it in the content alone, without escapes, is taken by it. The request id is part of the template, so a crossed event still fails. All others are decoded as before.

--- a/router/target/stream.go
+++ b/router/target/stream.go
@@ -58,6 +58,7 @@
 	next   int64
 	digest hash.Hash
 	length int64
+	common template
 	// whole says that the digest covers the stream from its first event.
 	whole bool
 	ended bool
@@ -221,6 +222,10 @@
 	if string(f.data) == doneMarker {
 		return Event{}, fmt.Errorf("%w: no end event", errNotWhole)
 	}
+	content, known := s.common.content(f.data)
+	if known && f.event == "" {
+		return s.acceptContent(f, content)
+	}
 	var c chunk
 	err := json.Unmarshal(f.data, &c)
 	if err != nil {
@@ -229,24 +234,64 @@
 	if c.ID != s.x.call.RequestID {
 		return Event{}, errMismatch
 	}
-	stream, offset, err := splitEventID(f.id)
+	if f.event == endEvent {
+		return s.acceptEnd(f, &c.End)
+	}
+	event, err := s.acceptToken(f)
 	if err != nil {
 		return Event{}, err
 	}
-	if stream != s.id {
-		return Event{}, errMismatch
+	s.sum(&c)
+	s.common.learn(f.data, &c)
+	return event, nil
+}
+
+// acceptContent takes a token event whose fields but the content, the request
+// id among them, are those of an event that was checked.
+func (s *Stream) acceptContent(f frame, content []byte) (Event, error) {
+	event, err := s.acceptToken(f)
+	if err != nil {
+		return Event{}, err
 	}
-	if f.event == endEvent {
-		return Event{Offset: offset, Data: f.data, End: &c.End}, s.checkEnd(&c.End)
+	s.digest.Write(content)
+	s.length += int64(len(content))
+	return event, nil
+}
+
+// acceptToken checks a token event's stream and offset.
+func (s *Stream) acceptToken(f frame) (Event, error) {
+	offset, err := s.offset(f)
+	if err != nil {
+		return Event{}, err
 	}
 	if offset != s.next {
 		return Event{}, fmt.Errorf("%w: event %d came in place of %d", errNotWhole, offset, s.next)
 	}
 	s.next++
-	s.sum(&c)
 	return Event{Offset: offset, Data: f.data}, nil
 }
 
+// acceptEnd checks the end event.
+func (s *Stream) acceptEnd(f frame, end *End) (Event, error) {
+	offset, err := s.offset(f)
+	if err != nil {
+		return Event{}, err
+	}
+	return Event{Offset: offset, Data: f.data, End: end}, s.checkEnd(end)
+}
+
+// offset returns an event's offset and checks that it is of this stream.
+func (s *Stream) offset(f frame) (int64, error) {
+	stream, offset, err := splitEventID(f.id)
+	if err != nil {
+		return 0, err
+	}
+	if stream != s.id {
+		return 0, errMismatch
+	}
+	return offset, nil
+}
+
 // sum adds an event's contents to the digest.
 func (s *Stream) sum(c *chunk) {
 	for i := range c.Choices {
