--- a/fleet/budget/budgetlab/escrow.go
+++ b/fleet/budget/budgetlab/escrow.go
@@ -50,7 +50,6 @@
 	late      map[int][]func()
 	// inDoubt is the sum of the budgets' rows.
 	inDoubt int64
-	writes  int
 }
 
 type account struct {
@@ -90,26 +89,16 @@
 
 // change runs one transaction without faults.
 func (e *escrow) change(apply func(t *budget.Txn) error) *budget.Txn {
-	a := budget.NewAttempt(e.cache, apply)
-	for {
-		step := a.Next()
-		switch {
-		case step.Err != nil:
-			panic(step.Err) // Routers here make only sound changes.
-		case step.Done:
-			return a.Txn()
-		case step.Read != nil:
-			a.Loaded(step.Read, e.store.Read(step.Read))
-		default:
-			e.writes++
-			a.Answered(e.store.Commit(step.Commit))
-		}
+	t, err := e.store.Run(e.cache, apply)
+	if err != nil {
+		panic(err) // Routers here make only sound changes.
 	}
+	return t
 }
 
 func (e *escrow) topUp(b int, tokens int64) {
 	e.change(func(t *budget.Txn) error {
-		_, err := t.TopUp(fmt.Sprint("t", e.writes), name(b), tokens)
+		_, err := t.TopUp(fmt.Sprint("t", e.store.Commits), name(b), tokens)
 		return err
 	})
 }
--- a/fleet/budget/budgetlab/escrow_end.go
+++ b/fleet/budget/budgetlab/escrow_end.go
@@ -159,11 +159,11 @@
 // use: in doubt, or still granted to them.
 func (e *escrow) outcome() (int, int64) {
 	if e.inDoubt == 0 {
-		return e.writes, 0
+		return e.store.Commits, 0
 	}
 	var sum int64
 	for b := range budgets {
 		sum += e.row(b).InDoubt
 	}
-	return e.writes, sum
+	return e.store.Commits, sum
 }
--- a/fleet/budget/budgetlab/writes.go
+++ b/fleet/budget/budgetlab/writes.go
@@ -45,10 +45,10 @@
 	per := 1 / float64(l.Seconds)
 	return Writes{
 		Transactions: float64(f.store.Commits-f.before.Commits) * per,
-		Sent:         float64(f.sent) * per,
+		Sent:         float64(f.store.Commits+f.store.Refused-f.before.Commits-f.before.Refused) * per,
 		Rows:         float64(f.store.Writes-f.before.Writes) * per,
 		Bills:        float64(f.bills) * per,
-		Reads:        float64(f.reads) * per,
+		Reads:        float64(f.store.Reads-f.before.Reads) * per,
 	}
 }
 
@@ -62,8 +62,6 @@
 	// at is the home of a budget in a data centre.
 	at    [][]*writeHome
 	now   time.Time
-	sent  int
-	reads int
 	bills int
 }
 
@@ -113,7 +111,6 @@
 		}
 	}
 	f.before = *f.store
-	f.sent, f.reads = 0, 0
 }
 
 // begin gives a home a random part of its horizon, as if it had run for long.
@@ -193,20 +190,9 @@
 }
 
 func (f *writeFleet) change(cache *budget.Cache, apply func(t *budget.Txn) error) *budget.Txn {
-	a := budget.NewAttempt(cache, apply)
-	for {
-		step := a.Next()
-		switch {
-		case step.Err != nil:
-			panic(step.Err) // Homes here make only sound changes.
-		case step.Done:
-			return a.Txn()
-		case step.Read != nil:
-			f.reads++
-			a.Loaded(step.Read, f.store.Read(step.Read))
-		default:
-			f.sent++
-			a.Answered(f.store.Commit(step.Commit))
-		}
+	t, err := f.store.Run(cache, apply)
+	if err != nil {
+		panic(err) // Homes here make only sound changes.
 	}
+	return t
 }
--- a/fleet/budget/budgetsim/store.go
+++ b/fleet/budget/budgetsim/store.go
@@ -13,9 +13,12 @@
 type Store struct {
 	rows    map[string]*pb.Row
 	version uint64
-	// Commits counts committed transactions and Writes their rows.
+	// Commits counts committed transactions and Writes their rows; Refused
+	// counts transactions that met conflicts, Reads calls of Run to read.
 	Commits int
 	Writes  int
+	Refused int
+	Reads   int
 }
 
 // NewStore returns an empty store.
@@ -58,6 +61,7 @@
 		}
 	}
 	if !resp.Committed {
+		s.Refused++
 		return resp
 	}
 	s.version++
@@ -87,3 +91,20 @@
 		delete(s.rows, budget.BillKey(e.RequestId))
 	}
 }
+
+// Run makes one transaction over a cache, without faults.
+func (s *Store) Run(cache *budget.Cache, apply func(t *budget.Txn) error) (*budget.Txn, error) {
+	a := budget.NewAttempt(cache, apply)
+	for {
+		step := a.Next()
+		switch {
+		case step.Done:
+			return a.Txn(), step.Err
+		case step.Read != nil:
+			s.Reads++
+			a.Loaded(step.Read, s.Read(step.Read))
+		default:
+			a.Answered(s.Commit(step.Commit))
+		}
+	}
+}
--- a/fleet/budget/budgetsim/world.go
+++ b/fleet/budget/budgetsim/world.go
@@ -112,18 +112,8 @@
 
 // operate runs an operator's change without faults.
 func (w *World) operate(apply func(t *budget.Txn) error) error {
-	a := budget.NewAttempt(budget.NewCache(), apply)
-	for {
-		step := a.Next()
-		switch {
-		case step.Done:
-			return step.Err
-		case step.Read != nil:
-			a.Loaded(step.Read, w.store.Read(step.Read))
-		default:
-			a.Answered(w.store.Commit(step.Commit))
-		}
-	}
+	_, err := w.store.Run(budget.NewCache(), apply)
+	return err
 }
 
 // fail keeps the first error that an honest router must not meet.
