--- a/fleet/budget/budgetlab/table.go
+++ b/fleet/budget/budgetlab/table.go
@@ -12,7 +12,8 @@
 	for _, c := range Candidates() {
 		r := Run(s, c, seed)
 		if len(results) > 0 {
-			r.Excess = r.False + r.Exhausted - results[0].Exhausted
+			pool := results[0]
+			r.Excess = r.False + r.Exhausted - pool.False - pool.Exhausted
 		}
 		results = append(results, r)
 	}
