--- a/fleet/budget/copies.go
+++ b/fleet/budget/copies.go
@@ -68,7 +68,14 @@
 	return oldest
 }
 
-// Find returns the entries kept for a request.
+// Each calls f for all entries kept, in no order.
+func (c *Copies) Each(f func(e *pb.BillEntry)) {
+	for _, e := range c.kept {
+		f(e)
+	}
+}
+
+// Find returns an entry kept for a request.
 func (c *Copies) Find(requestID string) (*pb.BillEntry, bool) {
 	for _, e := range c.kept {
 		if e.RequestId == requestID {
--- a/router/ledger/box.go
+++ b/router/ledger/box.go
@@ -89,7 +89,9 @@
 	return byHome
 }
 
-// outstanding returns the tokens of a grant in own entries, by budget.
+// outstanding returns the tokens of a grant in bills here, by budget. Copies
+// count too: their origin may be gone. Where it isn't, they count twice, which
+// errs to the safe side.
 func (b *box) outstanding(grant string) map[string]int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -102,6 +104,13 @@
 		}
 		return true
 	})
+	b.copies.Each(func(e *pb.BillEntry) {
+		for _, part := range e.Parts {
+			if part.Grant == grant {
+				sums[e.Budget] += part.Tokens
+			}
+		}
+	})
 	return sums
 }
 
--- a/router/ledger/grants.go
+++ b/router/ledger/grants.go
@@ -85,6 +85,7 @@
 			continue
 		}
 		fence := l.fence(grant)
+		settleParts(fence, written[grant])
 		if sameFence(written[grant], fence) {
 			continue
 		}
@@ -95,6 +96,18 @@
 	}
 }
 
+// settleParts adds the parts of the last fence that are gone by now, with
+// nothing outstanding.
+func settleParts(fence, last *pb.FenceRow) {
+	for _, p := range last.GetParts() {
+		same := func(q *pb.FencePart) bool { return q.Budget == p.Budget }
+		if !slices.ContainsFunc(fence.Parts, same) {
+			fence.Parts = append(fence.Parts, &pb.FencePart{Budget: p.Budget})
+		}
+	}
+	slices.SortFunc(fence.Parts, func(a, b *pb.FencePart) int { return strings.Compare(a.Budget, b.Budget) })
+}
+
 func nothingOutstanding(f *pb.FenceRow) bool {
 	return !slices.ContainsFunc(f.Parts, func(p *pb.FencePart) bool { return p.Outstanding > 0 })
 }
@@ -126,8 +139,11 @@
 	unsettled := l.box.outstanding(grant)
 	for _, part := range row.Parts {
 		part.Outstanding += unsettled[part.Budget]
+		delete(unsettled, part.Budget)
+	}
+	for name, tokens := range unsettled {
+		row.Parts = append(row.Parts, &pb.FencePart{Budget: name, Outstanding: tokens})
 	}
-	slices.SortFunc(row.Parts, func(a, b *pb.FencePart) int { return strings.Compare(a.Budget, b.Budget) })
 	return row
 }
 
--- a/router/ledger/ledger_test.go
+++ b/router/ledger/ledger_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -202,3 +203,31 @@
 	is.NoErr(err)
 	is.Equal(after.Budget.Spent, int64(7))
 }
+
+// A fence counts the copies of a gone router's bills, and frees them once
+// they are settled.
+func TestFenceCountsCopies(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	f := newFleet(t, "a")
+	l := f.ledgers["i-a"]
+	_, err := TopUp(ctx, f.tables, "t1", testBudget, 1000)
+	is.NoErr(err)
+	_, err = l.Reserve(ctx, testBudget, "w", "r1", 100)
+	is.NoErr(err)
+	grant := budget.GrantID("i-a", 1)
+	f.tables.setDown(true)
+	_, err = l.HandleSettle(ctx, &pb.SettleRequest{Sender: "gone", Entries: []*pb.BillEntry{{
+		Id: "gone.1", RequestId: "r2", Run: "gone.1", Budget: testBudget, Tokens: 30, Parts: []*pb.BillPart{{Grant: grant, Tokens: 30}},
+	}}})
+	is.NoErr(err)
+	last := l.fence(grant)
+	is.Equal(last.Parts[0].Outstanding, int64(130))
+	f.tables.setDown(false)
+	for _, copies := l.box.len(); copies > 0; _, copies = l.box.len() {
+		pause(ctx, time.Millisecond)
+	}
+	next := l.fence(grant)
+	settleParts(next, last)
+	is.Equal(next.Parts[0].Outstanding, int64(100))
+}
