--- /dev/null
+++ b/router/ledger/slope_draw_test.go
@@ -0,0 +1,67 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+)
+
+const (
+	// coldEvery is the time between two requests on one quiet budget.
+	coldEvery = 10 * time.Minute
+	// coldRounds is how many requests each budget gets.
+	coldRounds = 5
+)
+
+// BenchmarkSlopeColdDraws serves budgets that are rarely used, by a clock of
+// its own, and reports how many draws and transactions a request costs the
+// platform. Run it with -benchtime 1x.
+func BenchmarkSlopeColdDraws(b *testing.B) {
+	for _, n := range []int{10, 100, 1_000} {
+		b.Run(fmt.Sprintf("budgets=%d", n), func(b *testing.B) { benchmarkColdDraws(b, n) })
+	}
+}
+
+func benchmarkColdDraws(b *testing.B, n int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var clock atomic.Int64
+	tables := newTables()
+	for i := range n {
+		if _, err := TopUp(ctx, tables, fmt.Sprintf("t-%d", i), slopeBudget(i), 1_000_000); err != nil {
+			b.Fatal(err)
+		}
+	}
+	self := &pb.Member{Name: "a", Incarnation: "0123456789abcdef0123456789abcdef", DataCentre: "cluj-a"}
+	f := &fleet{members: []*pb.Member{self}}
+	l := New(Options{Self: self, Tables: tables, Peers: &view{f, self}, WritesPerSecond: 100_000,
+		Now: func() time.Time { return time.Unix(0, clock.Load()) }})
+	var run conc.WaitGroup
+	run.Go(func() { _ = l.Run(ctx) })
+	requests := 0
+	for b.Loop() {
+		for range coldRounds {
+			for i := range n {
+				clock.Add(int64(coldEvery) / int64(n))
+				requests++
+				r, err := l.Reserve(ctx, slopeBudget(i), "w", fmt.Sprintf("w:%d", requests), 400)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if err := r.Settle(350); err != nil {
+					b.Fatal(err)
+				}
+			}
+		}
+	}
+	s := l.Stats()
+	b.ReportMetric(float64(s.Draws)/float64(requests), "draws/request")
+	b.ReportMetric(float64(s.Commits)/float64(requests), "transactions/request")
+	cancel()
+	run.Wait()
+}
