--- a/fleet/budget/policy.go
+++ b/fleet/budget/policy.go
@@ -15,15 +15,17 @@
 	GrantHorizon time.Duration
 	// LoanHorizon is the time that a borrower's free tokens should last.
 	LoanHorizon time.Duration
-	// DrawPermille bounds a draw beyond the need to a part of free.
+	// DrawPermille bounds what a draw beyond the need leaves with the holder to
+	// a part of what is free there and held. Hence the part falls as the budget
+	// does, and the homes of several data centres share what is left.
 	DrawPermille int64
 }
 
 // Defaults of a policy.
 const (
-	defaultGrantHorizon = 10 * time.Second
-	defaultLoanHorizon  = 2 * time.Second
-	defaultDrawPermille = 250
+	defaultGrantHorizon = 2 * time.Hour
+	defaultLoanHorizon  = 10 * time.Second
+	defaultDrawPermille = 400
 )
 
 // PolicyOf returns the policy of the settings, with defaults.
@@ -71,7 +73,7 @@
 }
 
 // rateWindow is the time constant of a Rate.
-const rateWindow = 10 * time.Second
+const rateWindow = time.Minute
 
 // Add counts tokens at a time.
 func (r *Rate) Add(now time.Time, tokens int64) {
--- a/router/ledger/account.go
+++ b/router/ledger/account.go
@@ -2,12 +2,14 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/budget"
 	"cuminrock.example/fleet/errkind"
 )
@@ -30,6 +32,12 @@
 	refusedUntil time.Time
 	// fetchAhead is when tokens may be fetched ahead of need again.
 	fetchAhead time.Time
+	// drew is true once a draw was tried; its answer may have been lost.
+	drew bool
+	// unsure are members whose answer to a request for a loan was lost.
+	unsure []*pb.Member
+	// home is true where this router was the budget's home at the last search.
+	home bool
 	// outstanding counts live reservations.
 	outstanding int
 }
@@ -38,14 +46,14 @@
 // nobody.
 func (a *account) noteSearch(refusal *errkind.Error, now time.Time) {
 	a.refusal = nil
+	a.fetchAhead = now.Add(fetchAheadHold)
 	if refusal == nil {
 		return
 	}
-	a.fetchAhead = now.Add(refusalHold)
 	if a.waiting > a.holder.Free() {
 		a.refusal = refusal
 		a.refusedNeed = a.waiting
-		a.refusedUntil = a.fetchAhead
+		a.refusedUntil = now.Add(refusalHold)
 	}
 }
 
@@ -57,6 +65,28 @@
 	return nil
 }
 
+// mostUnsure bounds the members that are asked again at a planned stop.
+const mostUnsure = 8
+
+func (a *account) noteUnsure(m *pb.Member) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.unsure) < mostUnsure && !slices.Contains(a.unsure, m) {
+		a.unsure = append(a.unsure, m)
+	}
+}
+
+// horizon returns how long the account's free tokens should last.
+func (a *account) horizon(p budget.Policy) time.Duration {
+	if a.home {
+		return p.GrantHorizon
+	}
+	return p.LoanHorizon
+}
+
+// fetchAheadHold is the least time between two searches ahead of need.
+const fetchAheadHold = 5 * time.Second
+
 // fetch is one search for tokens; done is closed at its end.
 type fetch struct {
 	done chan struct{}
