--- a/docs/measurements/slopes.sh
+++ b/docs/measurements/slopes.sh
@@ -29,6 +29,7 @@
   bench router Slope 300ms ./peer ./target ./membership
   bench router SlopeReserve 300ms ./ledger
   bench router SlopeUnsettled 3x ./ledger
+  bench router SlopeColdDraws 1x ./ledger
   for centre in 4 13 52; do
     rates "$centre"
   done
