Lower a congested target's limit by how late it is, and start lower

One signal left 80% of the limit whatever the delay, and the next counts only after a round trip of up to 6 s.

--- a/fleet/route/pick.go
+++ b/fleet/route/pick.go
@@ -99,7 +99,7 @@
 	case OK:
 		s.succeeded(o, l.sent, &l.table.opts)
 	case Refused:
-		s.congested(now, l.sent)
+		s.congested(now, l.sent, mostKept)
 	case Failed:
 		s.strike(now, strikesFailed, &l.table.opts)
 	case Silent:
--- a/fleet/route/state.go
+++ b/fleet/route/state.go
@@ -9,13 +9,15 @@
 	limitUnit = 1 << 16
 	// minLimit is the lowest limit of a target.
 	minLimit = 1 * limitUnit
-	// decreasePermille is what one congestion signal leaves of the limit.
-	decreasePermille = 800
+	// leastKept and mostKept bound what one congestion signal leaves of the
+	// limit, in permille.
+	leastKept = 500
+	mostKept  = 900
 	// congestionDivisor sets the first-byte time that counts as congested, as a
 	// part of the goal: the signal comes late, and the goal is to be kept.
 	congestionDivisor = 2
 	// startPart is the part of the highest limit that a target starts with.
-	startPart = 4
+	startPart = 8
 )
 
 // The smoothing of reports, in fixed point.
@@ -124,7 +126,7 @@
 	s.suspectUntil.Store(0)
 	s.answered.Store(o.Now.UnixNano())
 	if o.FirstByte > opts.FirstByteGoal/congestionDivisor {
-		s.congested(o.Now.UnixNano(), sent)
+		s.congested(o.Now.UnixNano(), sent, int64(1000*opts.FirstByteGoal/congestionDivisor/o.FirstByte))
 		return
 	}
 	limit := s.limit.Load()
@@ -139,22 +141,23 @@
 	s.limit.Add(limitUnit * limitUnit / limit)
 }
 
-// congested lowers the limit, once for all requests that were sent before it
-// was last lowered: they tell nothing of the lower limit.
-func (s *state) congested(now, sent int64) {
+// congested lowers the limit to a part of it, once for all requests that were
+// sent before it was last lowered: they tell nothing of the lower limit.
+func (s *state) congested(now, sent, keepPermille int64) {
 	last := s.decreased.Load()
 	if sent <= last || !s.decreased.CompareAndSwap(last, now) {
 		return
 	}
 	limit := s.limit.Load()
-	s.limit.Store(max(minLimit, limit*decreasePermille/1000))
+	keep := min(max(keepPermille, leastKept), mostKept)
+	s.limit.Store(max(minLimit, limit*keep/1000))
 }
 
 // fellSilent strikes a target that answered nobody since the request was sent.
 // One that did is only congested.
 func (s *state) fellSilent(now, sent int64, opts *Options) {
 	if s.answered.Load() > sent {
-		s.congested(now, sent)
+		s.congested(now, sent, 0)
 		return
 	}
 	s.strike(now, strikesSilent, opts)
