--- a/fleet/route/pick.go
+++ b/fleet/route/pick.go
@@ -237,7 +237,7 @@
 
 // open tells whether the target takes the request but for its limit.
 func (e *entry) open(r *Request, now int64) bool {
-	if e.isLeaving() || !e.state.healthy(now) {
+	if e.state.closed.Load() || !e.state.healthy(now) {
 		return false
 	}
 	for _, name := range r.Exclude {
--- a/fleet/route/state.go
+++ b/fleet/route/state.go
@@ -52,6 +52,8 @@
 	missing atomic.Int64
 	// reportedLeaving is the target's own word.
 	reportedLeaving atomic.Bool
+	// closed says that its reports, or their lack, forbid new work.
+	closed atomic.Bool
 
 	// limit is the adaptive limit of own, in limitUnit.
 	limit atomic.Int64
@@ -79,22 +81,27 @@
 func (s *state) report(inFlight int, leaving bool) {
 	s.missing.Store(0)
 	s.reportedLeaving.Store(leaving)
+	s.closed.Store(leaving)
 	others := max(0, int64(inFlight)-s.own.Load()) * reportUnit
 	old := s.others.Load()
 	s.others.Store(old + (others-old)*reportWeight/reportUnit)
 }
 
+// reportMissing counts a report that didn't come.
+func (s *state) reportMissing() {
+	if s.missing.Add(1) >= missingReports {
+		s.closed.Store(true)
+	}
+}
+
 // load is what two choices compare, in requests times reportUnit.
 func (s *state) load() int64 {
 	return s.own.Load()*reportUnit + s.others.Load()/reportDamping
 }
 
-// healthy tells whether the target may get work: it reports, and it isn't
-// suspect, or is due for a probe by a single request.
+// healthy tells whether the target may get work: it isn't suspect, or is due for
+// a probe by a single request.
 func (s *state) healthy(now int64) bool {
-	if s.missing.Load() >= missingReports {
-		return false
-	}
 	until := s.suspectUntil.Load()
 	if until == 0 {
 		return true
--- a/fleet/route/table.go
+++ b/fleet/route/table.go
@@ -187,7 +187,7 @@
 func (t *Table) ReportMissing(name string) {
 	e := t.snap.Load().byName[name]
 	if e != nil {
-		e.state.missing.Add(1)
+		e.state.reportMissing()
 	}
 }
 
--- a/fleet/route/table_test.go
+++ b/fleet/route/table_test.go
@@ -85,6 +85,24 @@
 	is.Equal(lease.Target().DataCentre, "cluj-b")
 }
 
+// A target whose reports fail to come gets no work until one comes.
+func TestMissingReportsCloseATarget(t *testing.T) {
+	is := is.New(t)
+	table := New(Options{})
+	table.Update(targets("old", "", 1))
+	name := targets("old", "", 1)[0].Name
+	table.ReportMissing(name)
+	lease, err := table.Pick(request("a"))
+	is.NoErr(err)
+	lease.Done(Outcome{Now: testNow})
+	table.ReportMissing(name)
+	_, err = table.Pick(request("b"))
+	is.Equal(errkind.Of(err), errkind.NoTarget)
+	table.Report(name, 0, false)
+	_, err = table.Pick(request("c"))
+	is.NoErr(err)
+}
+
 // A provider all of whose targets are leaving cuts nobody off.
 func TestRetiredProviderHandsOver(t *testing.T) {
 	is := is.New(t)
