--- a/router/target/fake_test.go
+++ b/router/target/fake_test.go
@@ -219,6 +219,9 @@
 		}
 		fmt.Fprintf(c, "id: s1/%d\ndata: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", offset, eventID, content)
 	}
+	if mode == "lingers" {
+		defer time.Sleep(time.Hour)
+	}
 	if mode != "no-end" {
 		fmt.Fprintf(c, "id: s1/%d\nevent: end\ndata: {\"id\":%q,\"usage\":{\"prompt_tokens\":2,\"completion_tokens\":%d},\"length\":%d,\"sha256\":%q}\n\n",
 			streamTokens, id, streamTokens, length, hex.EncodeToString(digest.Sum(nil)))
--- a/router/target/open.go
+++ b/router/target/open.go
@@ -44,6 +44,8 @@
 	reused bool
 	// started says that a part of the answer's body came.
 	started bool
+	// draining says that nothing more of the answer is wanted.
+	draining bool
 }
 
 // open sends a call and waits for the header of its answer. The answer is to
@@ -195,8 +197,15 @@
 	return n, err
 }
 
+// drainTimeout is the longest wait for the end of an answer that was read, so
+// that its connection can be reused.
+const drainTimeout = 50 * time.Millisecond
+
 // silence is the longest wait for the next bytes of the body.
 func (x *inProgress) silence() time.Duration {
+	if x.draining {
+		return drainTimeout
+	}
 	if x.started {
 		return x.client.opts.TokenGapTimeout
 	}
--- a/router/target/stream.go
+++ b/router/target/stream.go
@@ -122,8 +122,14 @@
 // ID returns the engine's name of the stream.
 func (s *Stream) ID() string { return s.id }
 
-// Close ends the stream. It doesn't cancel it at the engine.
-func (s *Stream) Close() { s.x.close() }
+// Close ends the stream. It doesn't cancel it at the engine. After the end event
+// the connection is reused if the engine ends its answer soon.
+func (s *Stream) Close() {
+	if s.ended {
+		s.drain()
+	}
+	s.x.close()
+}
 
 // Next returns the next event. After the end event it returns io.EOF. A stream
 // that breaks before its end event, or doesn't match it, returns an error.
@@ -141,20 +147,17 @@
 	if err != nil {
 		return Event{}, s.x.fail(err)
 	}
-	if event.End != nil {
-		s.ended = true
-		s.drain()
-	}
+	s.ended = event.End != nil
 	return event, nil
 }
 
-// drain reads what follows the end event, so that the connection is reused.
+// drain reads what follows the end event to the end of the answer.
 func (s *Stream) drain() {
-	_, err := s.readFrame()
-	if err == nil {
-		_, _ = io.CopyN(io.Discard, s.lines, 1)
+	if s.x.draining {
+		return
 	}
-	s.Close()
+	s.x.draining = true
+	_, _ = io.CopyN(io.Discard, s.lines, maxEventBytes)
 }
 
 // frame is one event as it came.
--- a/router/target/stream_test.go
+++ b/router/target/stream_test.go
@@ -82,3 +82,14 @@
 		})
 	}
 }
+
+// An engine that doesn't end its answer after the end event holds nobody up.
+func TestEndEventIsToldAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := openStream(t, "stream-lingers")
+	tokens, err := readAll(s)
+	is.NoErr(err)
+	is.Equal(tokens, streamTokens)
+	is.NoErr(s.x.ctx.Err())
+	s.Close()
+}
