--- /dev/null
+++ b/router/node/state.go
@@ -0,0 +1,131 @@
+package node
+
+import (
+	"context"
+	"expvar"
+	"slices"
+	"time"
+
+	"cuminrock.example/fleet/config"
+	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/member"
+	"cuminrock.example/router/operatordoor"
+)
+
+const (
+	// routesInterval is how often a new configuration or a leaving target is
+	// looked for, well inside the 3 s that both are allowed.
+	routesInterval = 100 * time.Millisecond
+)
+
+// Health implements operatordoor.Node.
+func (n *Node) Health() operatordoor.Health {
+	if n.draining.Load() {
+		return operatordoor.Health{Reason: "draining"}
+	}
+	ready, reason := n.config.Ready()
+	if ready && n.current() == nil {
+		ready, reason = false, "routes are being built"
+	}
+	return operatordoor.Health{Ready: ready, Reason: reason}
+}
+
+// Status implements operatordoor.Node.
+func (n *Node) Status() operatordoor.Status {
+	h := n.Health()
+	s := operatordoor.Status{
+		Name:        n.self.Name,
+		Incarnation: n.self.Incarnation,
+		DataCentre:  n.self.DataCentre,
+		Ready:       h.Ready,
+		Reason:      h.Reason,
+		Draining:    n.draining.Load(),
+		Streams:     n.server.Streams(),
+	}
+	view := n.current()
+	if view != nil {
+		s.ConfigVersion = view.Version()
+	}
+	for _, m := range n.membership.Members() {
+		s.Members = append(s.Members, operatordoor.Member{
+			Name:          m.Name,
+			DataCentre:    m.DataCentre,
+			Draining:      m.Draining,
+			ConfigVersion: m.ConfigVersion,
+		})
+	}
+	return s
+}
+
+// current returns the configuration in force here: the newest one accepted
+// whose targets the routing table has. It is nil before the first.
+func (n *Node) current() *config.View { return n.inForce.Load() }
+
+// onConfig wakes keepRoutes. It doesn't block.
+func (n *Node) onConfig(uint64) {
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
+}
+
+// keepRoutes gives the routing table the targets of each new configuration,
+// and only then puts that configuration in force; and it takes those known to
+// be leaving out of use.
+func (n *Node) keepRoutes(ctx context.Context) {
+	ticker := time.NewTicker(routesInterval)
+	defer ticker.Stop()
+	var seenLeaving []string
+	for {
+		view := n.config.Current()
+		leaving := n.membership.Leaving()
+		names := leaving.Names()
+		if view != nil && (view != n.current() || !slices.Equal(names, seenLeaving)) {
+			seenLeaving = names
+			n.updateRoutes(view, leaving)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) updateRoutes(view *config.View, set member.LeavingSet) {
+	targets := view.AllTargets()
+	var leaving []string
+	for _, t := range targets {
+		if set.Has(t) {
+			leaving = append(leaving, t.Name)
+		}
+	}
+	n.routes.Update(targets, leaving...)
+	n.inForce.Store(view)
+	n.membership.SetConfigVersion(view.Version())
+}
+
+// publish puts the router's counters into its metrics.
+func (n *Node) publish() {
+	n.vars.Set("streams", expvar.Func(func() any { return n.server.Streams() }))
+	n.vars.Set("calls_received", expvar.Func(func() any { return n.callers.Received() }))
+	n.vars.Set("ledger", expvar.Func(func() any { return n.ledger.Stats() }))
+	n.vars.Set("cpu_seconds", expvar.Func(func() any { return processSeconds() }))
+	dispatched := new(expvar.Map).Init()
+	dispatched.Set("requests", &n.dispatch.Stats().Requests)
+	dispatched.Set("retries", &n.dispatch.Stats().Retries)
+	dispatched.Set("hedges", &n.dispatch.Stats().Hedges)
+	n.vars.Set("dispatch", dispatched)
+	calls := new(expvar.Map).Init()
+	calls.Set("calls", &n.targets.Stats().Calls)
+	calls.Set("mismatches", &n.targets.Stats().Mismatches)
+	calls.Set("silent", &n.targets.Stats().Silent)
+	calls.Set("pools_replaced", &n.targets.Stats().PoolsReplaced)
+	n.vars.Set("targets", calls)
+	refused := new(expvar.Map).Init()
+	for k := errkind.Kind(0); k < errkind.Count; k++ {
+		refused.Set(k.String(), expvar.Func(func() any { return n.callers.Refused(k) }))
+	}
+	n.vars.Set("refused", refused)
+}
