--- a/fleet/route/pick.go
+++ b/fleet/route/pick.go
@@ -99,7 +99,7 @@
 	case OK:
 		s.succeeded(o, l.sent, &l.table.opts)
 	case Refused:
-		s.congested(now, l.sent)
+		s.congested(now, l.sent, mostKept)
 	case Failed:
 		s.strike(now, strikesFailed, &l.table.opts)
 	case Silent:
@@ -237,7 +237,7 @@
 
 // open tells whether the target takes the request but for its limit.
 func (e *entry) open(r *Request, now int64) bool {
-	if e.isLeaving() || !e.state.healthy(now) {
+	if e.state.closed.Load() || !e.state.healthy(now) {
 		return false
 	}
 	for _, name := range r.Exclude {
