--- a/router/ledger/ledger_test.go
+++ b/router/ledger/ledger_test.go
@@ -104,6 +104,10 @@
 	}
 	_, err := TopUp(ctx, f.tables, "t1", testBudget, 1000)
 	is.NoErr(err)
+	// Before it is registered a router takes no loans and draws itself.
+	for !other.registered.Load() {
+		time.Sleep(time.Millisecond)
+	}
 	held, err := l.Reserve(ctx, testBudget, "w", "r1", 100)
 	is.NoErr(err)
 	lent, err := other.Reserve(ctx, testBudget, "w", "r2", 50)
