--- a/router/ledger/slope_draw_test.go
+++ b/router/ledger/slope_draw_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 )
@@ -16,19 +17,21 @@
 	// coldEvery is the time between two requests on one quiet budget.
 	coldEvery = 10 * time.Minute
 	// coldRounds is how many requests each budget gets.
-	coldRounds = 5
+	coldRounds = 100
 )
 
 // BenchmarkSlopeColdDraws serves budgets that are rarely used, by a clock of
 // its own, and reports how many draws and transactions a request costs the
 // platform. Run it with -benchtime 1x.
 func BenchmarkSlopeColdDraws(b *testing.B) {
-	for _, n := range []int{10, 100, 1_000} {
-		b.Run(fmt.Sprintf("budgets=%d", n), func(b *testing.B) { benchmarkColdDraws(b, n) })
+	for _, horizon := range []time.Duration{10 * time.Second, 2 * time.Hour} {
+		for _, n := range []int{10, 100, 1_000} {
+			b.Run(fmt.Sprintf("horizon=%v/budgets=%d", horizon, n), func(b *testing.B) { benchmarkColdDraws(b, n, horizon) })
+		}
 	}
 }
 
-func benchmarkColdDraws(b *testing.B, n int) {
+func benchmarkColdDraws(b *testing.B, n int, horizon time.Duration) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var clock atomic.Int64
 	tables := newTables()
@@ -40,7 +43,8 @@
 	self := &pb.Member{Name: "a", Incarnation: "0123456789abcdef0123456789abcdef", DataCentre: "cluj-a"}
 	f := &fleet{members: []*pb.Member{self}}
 	l := New(Options{Self: self, Tables: tables, Peers: &view{f, self}, WritesPerSecond: 100_000,
-		Now: func() time.Time { return time.Unix(0, clock.Load()) }})
+		Policy: &pb.BudgetPolicy{GrantHorizon: durationpb.New(horizon)},
+		Now:    func() time.Time { return time.Unix(0, clock.Load()) }})
 	var run conc.WaitGroup
 	run.Go(func() { _ = l.Run(ctx) })
 	requests := 0
