Check all contents over a reconnect; tell a missing report from a bad one

- A stream resumed after a break checked tokens only; the digest covers it from offset 0 or not at all.
Contents altered before the break are now found after it.
- The daemon's poll took every failed report for a missing one, so that a target without /v1/load was out of use after two; now only one that can't be reached or is silent.
Its load counts queued requests too, as the measurements did.

--- a/router/node/poll.go
+++ b/router/node/poll.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/router/target"
 )
 
 const (
@@ -51,14 +52,17 @@
 	workers.Wait()
 }
 
-// pollTarget takes one target's own report, or that it gave none.
+// pollTarget takes one target's own report, or that it gave none. An answer that
+// is no report changes nothing: the target is there.
 func (n *Node) pollTarget(ctx context.Context, t *pb.Target) {
 	load, err := n.targets.Load(ctx, t, pollTimeout)
-	if err != nil {
+	if target.Gone(err) {
 		n.routes.ReportMissing(t.Name)
+	}
+	if err != nil {
 		return
 	}
-	n.routes.Report(t.Name, load.InFlight, load.Leaving)
+	n.routes.Report(t.Name, load.InFlight+load.Queued, load.Leaving)
 	if load.Leaving {
 		n.membership.MarkLeaving(t.Name)
 	}
--- a/router/target/control.go
+++ b/router/target/control.go
@@ -74,3 +74,14 @@
 	}
 	return load, nil
 }
+
+// Gone tells whether a call failed because its target couldn't be reached or
+// was silent.
+func Gone(err error) bool {
+	switch errkind.Of(err) {
+	case errkind.TargetUnreachable, errkind.TargetSilent, errkind.DeadlinePassed:
+		return err != nil
+	default:
+		return false
+	}
+}
--- a/router/target/fake_test.go
+++ b/router/target/fake_test.go
@@ -171,6 +171,12 @@
 	return false
 }
 
+func (f *fakeTarget) setReport(report string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.report = report
+}
+
 // loadReport answers as f.report says; an empty one makes it silent.
 func (f *fakeTarget) loadReport(c net.Conn, id string) bool {
 	f.mu.Lock()
--- a/router/target/stream.go
+++ b/router/target/stream.go
@@ -73,7 +73,7 @@
 }
 
 // Resume continues the stream of an earlier call from an offset. The contents'
-// digest can be checked only from offset 0; Stream.Continue checks it always.
+// digest can be checked only from offset 0, or after Stream.Follow.
 func (c *Client) Resume(ctx context.Context, call Call, stream string, from int64) (*Stream, error) {
 	call.Method = http.MethodGet
 	call.Path = streamPath(stream) + "?from=" + strconv.FormatInt(from, 10)
@@ -85,19 +85,16 @@
 	return newStream(x, stream, from)
 }
 
-// Continue resumes a broken stream where it stopped, on another connection.
-func (s *Stream) Continue(ctx context.Context) (*Stream, error) {
-	s.Close()
-	call := s.x.call
-	call.Fresh = true
-	resumed, err := s.x.client.Resume(ctx, call, s.id, s.next)
-	if err != nil {
-		return nil, err
+// Follow makes a resumed stream check the contents from the first event on: it
+// takes over what the broken stream of the same call had counted. It has no
+// effect where the two don't join without a gap.
+func (s *Stream) Follow(broken *Stream) {
+	if s.id != broken.id || s.next != broken.next {
+		return
 	}
-	resumed.digest = s.digest
-	resumed.length = s.length
-	resumed.whole = s.whole
-	return resumed, nil
+	s.digest = broken.digest
+	s.length = broken.length
+	s.whole = broken.whole
 }
 
 func newStream(x *inProgress, id string, from int64) (*Stream, error) {
--- a/router/target/stream_test.go
+++ b/router/target/stream_test.go
@@ -64,6 +64,25 @@
 	}
 }
 
+// resume goes on with a broken stream where it stopped.
+func resume(t *testing.T, s *Stream) *Stream {
+	resumed, err := s.x.client.Resume(context.Background(), s.x.call, s.id, s.next)
+	is.New(t).NoErr(err)
+	resumed.Follow(s)
+	return resumed
+}
+
+// Contents that were altered before the break are found after it.
+func TestResumedStreamChecksAllContents(t *testing.T) {
+	is := is.New(t)
+	s := openStream(t, "stream-cut")
+	_, err := readAll(s)
+	is.True(err != nil)
+	s.digest.Write([]byte("forged"))
+	_, err = readAll(resume(t, s))
+	is.Equal(errkind.Of(err), errkind.TargetFailed)
+}
+
 // A stream that broke or fell silent goes on where it stopped, and its digest
 // still covers all of it.
 func TestBrokenStreamContinues(t *testing.T) {
@@ -73,12 +92,11 @@
 			s := openStream(t, path)
 			first, err := readAll(s)
 			is.True(err != nil)
-			s, err = s.Continue(context.Background())
-			is.NoErr(err)
-			second, err := readAll(s)
+			resumed := resume(t, s)
+			second, err := readAll(resumed)
 			is.NoErr(err)
 			is.Equal(first+second, streamTokens)
-			is.True(s.whole)
+			is.True(resumed.whole)
 		})
 	}
 }
