Predict the wait from the rate of starts, not from one pause

TestRequestsWaitForRoom failed on a loaded machine: some of 100 requests were refused. The refusals were false: the wait was predicted as the time since the last start for each request ahead, so that one pause of 50 ms counted 60 times. In virtual time (testing/synctest) 45 of 100 were refused over a stall of 50 ms that delays them by 50 ms.

The wait now follows from the rate of starts over the last second, and isn't predicted before a second was seen. 0 of 100 refused over stalls of 0, 50 and 200 ms; under 2x overload 2,947 of 2,949 interactive requests start, as before. What was learnt before a pause without waiting requests is forgotten: a rate of 0 from an outage would have refused every request after it.

Tried: a running mean of the gaps between starts, with weights 1/8 (12 refused), 1/16 and 1/32 (none); dropped, because the first start after a stall spoils it the more the more requests wait.

The test runs in virtual time now and asserts the same: none refused, each sent once, over three stalls. It doesn't use HTTP any more; the other tests do.

Planted faults, caught: an outage remembered, a prediction from the start (83 of 100 refused), starts not counted.

--- a/fleet/admit/queue.go
+++ b/fleet/admit/queue.go
@@ -12,6 +12,7 @@
 package admit
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -28,8 +29,12 @@
 // waitPart divides the time that a request has left; it may wait for one part.
 const waitPart = 4
 
-// gapWeight divides the newest gap between two starts in its running mean.
-const gapWeight = 8
+// rateWindow is the time over which the rate of starts is averaged. Before that
+// much was seen no wait is predicted: places become free in bursts.
+const rateWindow = time.Second
+
+// longestWait stands for a wait that has no end in sight.
+const longestWait = time.Minute
 
 // minRetryAfter is the shortest retry-after told.
 const minRetryAfter = 100 * time.Millisecond
@@ -67,9 +72,11 @@
 type Queue struct {
 	opts    Options
 	waiting [classes][]Ticket
-	// gap is the running mean of the time between two starts.
-	gap       time.Duration
-	lastStart time.Time
+	// rate is the exponentially weighted number of starts a second while
+	// requests waited, as of updated; busy is how long they did in all.
+	rate    float64
+	busy    time.Duration
+	updated time.Time
 }
 
 // New returns an empty queue.
@@ -110,14 +117,18 @@
 	if left <= 0 {
 		return errkind.New(errkind.DeadlinePassed, "the deadline passed before a target had room")
 	}
-	if q.Len() == 0 {
-		q.lastStart = now
+	idle := q.Len() == 0
+	if idle && now.Sub(q.updated) > rateWindow {
+		// What was learnt is old; an outage must not refuse what comes after.
+		q.rate, q.busy = 0, 0
 	}
+	q.advance(now)
 	class := classOf(t.Priority)
 	t.giveUp = now.Add(min(left/waitPart, q.opts.MaxWait))
 	wait := q.expected(now, q.ahead(class))
 	full := q.Len() >= q.opts.MaxQueued && !q.hasWorse(class)
-	if full || now.Add(wait).After(t.giveUp) {
+	late := !idle && now.Add(wait).After(t.giveUp)
+	if full || late {
 		return overloaded(wait)
 	}
 	q.waiting[class] = append(q.waiting[class], t)
@@ -136,14 +147,37 @@
 // hasWorse tells whether a request of a worse class waits.
 func (q *Queue) hasWorse(class int) bool { return q.Len() > q.ahead(class) }
 
-// expected returns the wait behind a number of requests. While nothing starts,
-// the time since the last start counts as the gap.
+// advance lets the rate decay over the time that requests waited.
+func (q *Queue) advance(now time.Time) {
+	q.rate, q.busy = q.ratesAt(now)
+	q.updated = now
+}
+
+// ratesAt returns the rate and the busy time as of now.
+func (q *Queue) ratesAt(now time.Time) (rate float64, busy time.Duration) {
+	if q.Len() == 0 {
+		return q.rate, q.busy
+	}
+	passed := now.Sub(q.updated)
+	return q.rate * decay(passed), q.busy + passed
+}
+
+// decay returns what a span of time leaves of a rate.
+func decay(span time.Duration) float64 { return math.Exp(-span.Seconds() / rateWindow.Seconds()) }
+
+// expected returns the wait behind a number of requests, 0 while it can't be
+// told.
 func (q *Queue) expected(now time.Time, ahead int) time.Duration {
-	gap := q.gap
-	if q.Len() > 0 {
-		gap = max(gap, now.Sub(q.lastStart))
+	rate, busy := q.ratesAt(now)
+	if busy < rateWindow {
+		return 0
 	}
-	return gap * time.Duration(ahead+1)
+	rate /= 1 - decay(busy)
+	seconds := float64(ahead+1) / rate
+	if seconds > longestWait.Seconds() {
+		return longestWait
+	}
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // Best returns the request that should try next, and false when none waits.
@@ -158,15 +192,9 @@
 
 // Start removes a request that found room.
 func (q *Queue) Start(now time.Time, id uint64) {
+	q.advance(now)
 	q.Cancel(id)
-	q.started(now)
-}
-
-// started learns the gap between two starts.
-func (q *Queue) started(now time.Time) {
-	gap := now.Sub(q.lastStart)
-	q.lastStart = now
-	q.gap += (gap - q.gap) / gapWeight
+	q.rate += 1 / rateWindow.Seconds()
 }
 
 // Cancel removes a request whose caller went away.
@@ -180,6 +208,7 @@
 // that waited as long as they may, those that better ones pushed back too far,
 // and the last of the worst class while there are too many.
 func (q *Queue) Expire(now time.Time) []Refusal {
+	q.advance(now)
 	var refused []Refusal
 	position := 0
 	for class := range q.waiting {
--- a/fleet/admit/queue_test.go
+++ b/fleet/admit/queue_test.go
@@ -115,6 +115,27 @@
 	is.True(refused[0].Err.RetryAfter > 0)
 }
 
+// After an outage in which nothing started, requests wait again.
+func TestQueueForgetsAnOutage(t *testing.T) {
+	is := is.New(t)
+	q := New(Options{})
+	now := testNow
+	offer := func(id uint64) bool {
+		return q.Offer(now, Ticket{ID: id, Deadline: now.Add(time.Minute)}) == nil
+	}
+	for id := range uint64(10) {
+		is.True(offer(id))
+	}
+	now = now.Add(10 * time.Second)
+	is.Equal(len(q.Expire(now)), 10)
+	is.True(offer(10))
+	is.True(!offer(11))
+	q.Cancel(10)
+	now = now.Add(2 * rateWindow)
+	is.True(offer(12))
+	is.True(offer(13))
+}
+
 // overload serves two classes at a fixed rate, in virtual time, and counts what
 // was started within its allowance. A nil queue serves first come, first served
 // until the deadline.
--- a/router/dispatch/dispatch_test.go
+++ b/router/dispatch/dispatch_test.go
@@ -214,16 +214,6 @@
 	is.Equal(b.servers[1].received.Load(), int64(32))
 }
 
-// Requests beyond the limit of the targets wait and are served; none is lost.
-func TestRequestsWaitForRoom(t *testing.T) {
-	is := is.New(t)
-	b := newBench(t, 1, 100, 10, noSilence)
-	b.servers[0].delay.Store(int64(2 * time.Millisecond))
-	is.Equal(b.lookups("a", 100), 0)
-	stats := b.dispatcher.Stats()
-	is.Equal(b.servers[0].received.Load(), 100+stats.Retries.Value()+stats.Hedges.Value())
-}
-
 // A caller that leaves while it waits is refused as not run and isn't sent.
 func TestCallerMayLeaveTheQueue(t *testing.T) {
 	is := is.New(t)
--- /dev/null
+++ b/router/dispatch/wait_test.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/retry"
+	"cuminrock.example/fleet/route"
+	"cuminrock.example/router/target"
+)
+
+// burst sends requests at the same time to one target with room for 16, in
+// virtual time, and returns how many were sent and how many refused. The target
+// answers nothing before the stall has passed.
+func burst(requests int, stall, answer time.Duration) (sends, refused int64) {
+	table := route.New(route.Options{MaxInFlight: 128})
+	table.Update([]*pb.Target{{Name: "t0", Service: "registry-app", Provider: "old"}})
+	d := New(table, nil, retry.NewBudget(0, 0), retry.DefaultPolicy())
+	ready := time.Now().Add(stall)
+	var sent, failed atomic.Int64
+	call := func(context.Context, target.Call) (*target.Answer, error) {
+		sent.Add(1)
+		time.Sleep(max(0, time.Until(ready)) + answer)
+		return &target.Answer{}, nil
+	}
+	var callers sync.WaitGroup
+	for i := range requests {
+		callers.Go(func() {
+			_, err := whole(context.Background(), d, plan(fmt.Sprint("burst-", i)), plainly(d, call))
+			if err != nil {
+				failed.Add(1)
+			}
+		})
+	}
+	callers.Wait()
+	return sent.Load(), failed.Load()
+}
+
+// Requests beyond the limit of the targets wait and are served; none is lost,
+// and none is refused for a stall that is short against its patience.
+func TestRequestsWaitForRoom(t *testing.T) {
+	for _, stall := range []time.Duration{0, 50 * time.Millisecond, 200 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			sends, refused := burst(100, stall, 2*time.Millisecond)
+			is.Equal(refused, int64(0))
+			is.Equal(sends, int64(100))
+		})
+	}
+}
