--- a/router/dispatch/dispatch_test.go
+++ b/router/dispatch/dispatch_test.go
@@ -214,28 +214,6 @@
 	is.Equal(b.servers[1].received.Load(), int64(32))
 }
 
-// A caller that leaves while it waits is refused as not run and isn't sent.
-func TestCallerMayLeaveTheQueue(t *testing.T) {
-	is := is.New(t)
-	b := newBench(t, 1, 100, 10, noSilence)
-	b.servers[0].delay.Store(int64(200 * time.Millisecond))
-	var busy sync.WaitGroup
-	defer busy.Wait()
-	busy.Go(func() { b.lookups("busy", 16) })
-	for b.servers[0].received.Load() < 16 {
-		time.Sleep(time.Millisecond)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
-	defer cancel()
-	_, err := b.dispatcher.Do(ctx, plan("leaves"))
-	is.Equal(target.RunState(err), pb.RunState_RUN_STATE_NOT_RUN)
-	is.Equal(b.servers[0].received.Load(), int64(16))
-	room := b.dispatcher.room("registry-app")
-	room.mu.Lock()
-	defer room.mu.Unlock()
-	is.Equal(room.queue.Len(), 0)
-}
-
 // Room that appears without the end of a request is found too.
 func TestWaitingRequestFindsANewTarget(t *testing.T) {
 	is := is.New(t)
--- a/router/dispatch/wait_test.go
+++ b/router/dispatch/wait_test.go
@@ -56,3 +56,36 @@
 		})
 	}
 }
+
+// A caller that leaves while it waits is refused as not run, isn't sent, and
+// leaves the queue.
+func TestCallerMayLeaveTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := route.New(route.Options{MaxInFlight: 128})
+		table.Update([]*pb.Target{{Name: "t0", Service: "registry-app", Provider: "old"}})
+		d := New(table, nil, retry.NewBudget(0, 0), retry.DefaultPolicy())
+		var sends atomic.Int64
+		call := plainly(d, func(context.Context, target.Call) (*target.Answer, error) {
+			sends.Add(1)
+			time.Sleep(time.Minute)
+			return &target.Answer{}, nil
+		})
+		var busy sync.WaitGroup
+		for i := range 16 {
+			busy.Go(func() { _, _ = whole(context.Background(), d, plan(fmt.Sprint("busy-", i)), call) })
+		}
+		synctest.Wait()
+		is.Equal(sends.Load(), int64(16))
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer cancel()
+		_, err := whole(ctx, d, plan("leaves"), call)
+		is.Equal(target.RunState(err), pb.RunState_RUN_STATE_NOT_RUN)
+		room := d.room("registry-app")
+		room.mu.Lock()
+		is.Equal(room.queue.Len(), 0)
+		room.mu.Unlock()
+		busy.Wait()
+		is.Equal(sends.Load(), int64(16))
+	})
+}
