Take the daemon's defaults of grants and loans from the package that measured them

Cause: the settings filled in a grant horizon of 10 s, a loan horizon of 2 s and 250 permille, while fleet/budget's measured defaults are 2 h, 10 s and 400; so every daemon ran with the former. Ruled out: that the lower figures were chosen for the daemon; nothing said so. The settings test's loan horizon is now above the new default, so that it is still a fault. Run: router/settings, router/ledger and all process tests pass.

--- a/router/settings/defaults.go
+++ b/router/settings/defaults.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/budget"
 )
 
 // Defaults of fields left out.
@@ -13,10 +14,7 @@
 	defaultStopLimit        = 600 * time.Second
 	defaultCallTimeout      = 2 * time.Second
 	defaultWritesPerSecond  = 50
-	defaultGrantHorizon     = 10 * time.Second
-	defaultLoanHorizon      = 2 * time.Second
 	defaultSettleInterval   = time.Second
-	defaultDrawPermille     = 250
 	defaultSearchTimeout    = 500 * time.Millisecond
 	defaultMaxBodyBytes     = 4 << 20
 	defaultMaxHeaderBytes   = 32 << 10
@@ -49,12 +47,14 @@
 	defaultTo(&p.WritesPerSecond, defaultWritesPerSecond)
 }
 
+// budgetDefaults takes sizes from the package that measured them.
 func budgetDefaults(b *pb.BudgetPolicy) {
 	defaultTo(&b.Release, pb.Release_RELEASE_OPERATOR)
-	duration(&b.GrantHorizon, defaultGrantHorizon)
-	duration(&b.LoanHorizon, defaultLoanHorizon)
+	policy := budget.PolicyOf(nil)
+	duration(&b.GrantHorizon, policy.GrantHorizon)
+	duration(&b.LoanHorizon, policy.LoanHorizon)
 	duration(&b.SettleInterval, defaultSettleInterval)
-	defaultTo(&b.DrawPermille, defaultDrawPermille)
+	defaultTo(&b.DrawPermille, uint32(policy.DrawPermille))
 	duration(&b.SearchTimeout, defaultSearchTimeout)
 }
 
--- a/router/settings/settings_test.go
+++ b/router/settings/settings_test.go
@@ -52,7 +52,7 @@
 		"doors": {"caller": "10.0.0.1:80", "operator": "10.0.0.1:80", "peer": "0.0.0.0:82"},
 		"platform": {"address": "platform:0", "call_timeout": "-1s"},
 		"peer_addresses": ["10.0.0.2:82", "10.0.0.2:82", "10.0.0.3:0"],
-		"budget": {"loan_horizon": "60s", "draw_permille": 1001},
+		"budget": {"loan_horizon": "10800s", "draw_permille": 1001},
 		"caller_limits": {"max_body_bytes": 1, "max_header_bytes": 1},
 		"routing": {"retry_budget_permille": 2000},
 		"log": {"level": "loud"},
