Choose homes by one hash and read a bill that an entry waits for

The ledger guessed other data centres' homes by a hash of its own, the membership by another, so that a search asked the wrong routers first. Both now use the membership's. With the other homes TestHandedOverRunIsBilledOnce hung: the usage of a run that was handed over waits for the entry that covers it, the bill was assumed absent and never read, and so a planned stop waited for ever. An entry that waits is now suspect, and its bill is read; the new test fails without that (tokens stay in doubt) and passes with it.

Pushes are grouped by a home's incarnation, not by its pointer.

--- a/fleet/budget/budget_test.go
+++ b/fleet/budget/budget_test.go
@@ -161,3 +161,28 @@
 	is.Equal(h.Receive(loan), int64(0))
 	is.Equal(h.Free(), int64(0))
 }
+
+// An entry that waits for its covering entry is settled once that has come by
+// another router, which this one learns by reading the bill.
+func TestWaitingEntryFindsItsCover(t *testing.T) {
+	is := is.New(t)
+	s := table{}
+	is.NoErr(s.topUp("t1", "b", 100))
+	is.NoErr(s.run(func(t *Txn) error {
+		_, err := t.Draw(DrawWish{Grant: &pb.GrantRow{Id: "g", Budget: "b", Holder: "h"}, Need: 40, Want: 40})
+		return err
+	}))
+	usage := &pb.BillEntry{Id: "b.1", RequestId: "r", Run: "x", Budget: "b", Tokens: 7}
+	settle := func(e *pb.BillEntry) error { return s.run(func(t *Txn) error { return t.Settle(e) }) }
+	is.True(Waits(settle(usage)))
+	is.NoErr(settle(&pb.BillEntry{Id: "a.1", RequestId: "r", Run: "x", Budget: "b", Tokens: 40, UsageUnknown: true, Parts: []*pb.BillPart{{Grant: "g", Tokens: 40}}}))
+	is.Equal(s.row().InDoubt, int64(40))
+	passedOver := func(t *Txn) error {
+		if err := t.Settle(usage); !Waits(err) {
+			return err
+		}
+		return nil
+	}
+	is.NoErr(s.run(passedOver))
+	is.Equal([]int64{s.row().Spent, s.row().Free, s.row().InDoubt}, []int64{7, 93, 0})
+}
--- a/fleet/budget/budgetlab/escrow.go
+++ b/fleet/budget/budgetlab/escrow.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"time"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/budget"
 	"cuminrock.example/fleet/budget/budgetsim"
+	"cuminrock.example/fleet/member"
 )
 
 // EscrowPolicy is what an escrow candidate varies.
@@ -79,7 +81,8 @@
 
 func (e *escrow) start(r int) {
 	e.born++
-	e.members[r] = &pb.Member{Incarnation: fmt.Sprint("i", e.born), DataCentre: fmt.Sprint(r / routersPerCentre)}
+	id := fmt.Sprint("i", e.born)
+	e.members[r] = &pb.Member{Name: id, Incarnation: id, DataCentre: fmt.Sprint(r / routersPerCentre)}
 	for b := range budgets {
 		e.holders[r][b] = &account{holder: budget.NewHolder(e.members[r].Incarnation, name(b))}
 	}
@@ -106,7 +109,9 @@
 // home returns the index of a budget's home in a data centre.
 func (e *escrow) home(b, centre int) int {
 	first := centre * routersPerCentre
-	return first + budget.Home(name(b), e.members[first:first+routersPerCentre])
+	members := e.members[first : first+routersPerCentre]
+	home, _ := member.HomeAmong(name(b), members)
+	return first + slices.Index(members, home)
 }
 
 func (e *escrow) reserve(r request) bool {
--- a/fleet/budget/budgetlab/writes.go
+++ b/fleet/budget/budgetlab/writes.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"time"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/budget"
 	"cuminrock.example/fleet/budget/budgetsim"
+	"cuminrock.example/fleet/member"
 )
 
 // Load is a fleet's load for counting what it asks of the platform.
@@ -84,11 +86,12 @@
 		f.homes = append(f.homes, h)
 		c := r % l.DataCentres
 		homes[c] = append(homes[c], h)
-		members[c] = append(members[c], &pb.Member{Incarnation: h.id})
+		members[c] = append(members[c], &pb.Member{Name: h.id, Incarnation: h.id})
 	}
 	for c := range l.DataCentres {
 		for b := range l.Busy {
-			f.at[c] = append(f.at[c], homes[c][budget.Home(name(b), members[c])])
+			home, _ := member.HomeAmong(name(b), members[c])
+			f.at[c] = append(f.at[c], homes[c][slices.Index(members[c], home)])
 		}
 	}
 	f.start()
--- a/fleet/budget/policy.go
+++ b/fleet/budget/policy.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	pb "cuminrock.example/api/gen/cuminrockpb"
 )
 
@@ -93,35 +91,3 @@
 	// A rational bound of exp(-x) that needs no table: it decays slower.
 	return r.value / (1 + x + x*x/2)
 }
-
-// Home returns the index of the member that is home of a budget by rendezvous
-// hashing (Thaler and Ravishankar, 1998), or -1 for no members.
-func Home(budget string, members []*pb.Member) int {
-	best, bestScore := -1, uint64(0)
-	var d xxhash.Digest
-	for i, m := range members {
-		d.Reset()
-		_, _ = d.WriteString(budget)
-		_, _ = d.WriteString("\x00")
-		_, _ = d.WriteString(m.Incarnation)
-		score := d.Sum64()
-		if best < 0 || score > bestScore {
-			best, bestScore = i, score
-		}
-	}
-	return best
-}
-
-// HomesByDataCentre returns a budget's home among the members of each data
-// centre.
-func HomesByDataCentre(budget string, members []*pb.Member) map[string]*pb.Member {
-	byCentre := make(map[string][]*pb.Member)
-	for _, m := range members {
-		byCentre[m.DataCentre] = append(byCentre[m.DataCentre], m)
-	}
-	homes := make(map[string]*pb.Member, len(byCentre))
-	for centre, list := range byCentre {
-		homes[centre] = list[Home(budget, list)]
-	}
-	return homes
-}
--- a/fleet/budget/settle.go
+++ b/fleet/budget/settle.go
@@ -74,6 +74,8 @@
 		due = min(due-held, aside)
 	}
 	if due > aside {
+		// The bill was assumed absent; it may have come since.
+		t.suspect = true
 		return uncovered(e, due-aside)
 	}
 	bill.row.Tokens += held + due
--- a/fleet/member/roster.go
+++ b/fleet/member/roster.go
@@ -79,6 +79,16 @@
 	return home, home != nil
 }
 
+// HomeAmong returns the member that a key belongs to among the members given,
+// as their own rosters have it. It is false when all of them are draining.
+func HomeAmong(key string, members []*pb.Member) (*pb.Member, bool) {
+	r := &Roster{}
+	for _, m := range members {
+		r.addCandidate(m)
+	}
+	return r.Home(key)
+}
+
 // among tells whether the router itself is one of the count members with the
 // highest weights for a key.
 func (r *Roster) among(key string, count int) bool {
--- a/router/ledger/box.go
+++ b/router/ledger/box.go
@@ -70,11 +70,17 @@
 	return entries
 }
 
+// shipment is what goes to one home.
+type shipment struct {
+	home    *pb.Member
+	entries []*pb.BillEntry
+}
+
 // sendable returns up to most entries by home, for entries of other homes.
-func (b *box) sendable(most int, home func(budget string) (*pb.Member, bool)) map[*pb.Member][]*pb.BillEntry {
+func (b *box) sendable(most int, home func(budget string) (*pb.Member, bool)) map[string]*shipment {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	byHome := make(map[*pb.Member][]*pb.BillEntry)
+	byHome := make(map[string]*shipment)
 	count := 0
 	b.own.Each(0, func(n uint64, e *budget.Entry) bool {
 		member, self := home(e.Budget)
@@ -82,7 +88,11 @@
 			return true
 		}
 		e.Sends++
-		byHome[member] = append(byHome[member], b.own.Proto(n, e))
+		if byHome[member.Incarnation] == nil {
+			byHome[member.Incarnation] = &shipment{home: member}
+		}
+		s := byHome[member.Incarnation]
+		s.entries = append(s.entries, b.own.Proto(n, e))
 		count++
 		return count < most
 	})
--- a/router/ledger/fake_test.go
+++ b/router/ledger/fake_test.go
@@ -11,9 +11,9 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
-	"cuminrock.example/fleet/budget"
 	"cuminrock.example/fleet/budget/budgetsim"
 	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/member"
 	"cuminrock.example/router/platform"
 )
 
@@ -104,7 +104,7 @@
 
 func (v *view) Home(name string) (*pb.Member, bool) {
 	members := v.fleet.live()
-	m := members[budget.Home(name, members)]
+	m, _ := member.HomeAmong(name, members)
 	return m, m == v.self
 }
 
--- a/router/ledger/fetch.go
+++ b/router/ledger/fetch.go
@@ -7,6 +7,7 @@
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/budget"
 	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/member"
 )
 
 // mostLenders is how many peers one search asks, besides the home.
@@ -181,7 +182,7 @@
 func (l *Ledger) lenders(name string, home *pb.Member) []*pb.Member {
 	others := l.peers.Others()
 	var first, rest []*pb.Member
-	homes := budget.HomesByDataCentre(name, others)
+	homes := homesByDataCentre(name, others)
 	for _, m := range others {
 		switch {
 		case m.Incarnation == l.self.Incarnation, home != nil && m.Incarnation == home.Incarnation:
@@ -195,6 +196,22 @@
 	return all[:min(len(all), mostLenders)]
 }
 
+// homesByDataCentre returns a budget's home among the members of each data
+// centre.
+func homesByDataCentre(name string, members []*pb.Member) map[string]*pb.Member {
+	byCentre := make(map[string][]*pb.Member)
+	for _, m := range members {
+		byCentre[m.DataCentre] = append(byCentre[m.DataCentre], m)
+	}
+	homes := make(map[string]*pb.Member, len(byCentre))
+	for centre, list := range byCentre {
+		if home, ok := member.HomeAmong(name, list); ok {
+			homes[centre] = home
+		}
+	}
+	return homes
+}
+
 // HandleBorrow lends tokens to a peer. It keeps what it needs itself only
 // beyond the peer's need.
 func (l *Ledger) HandleBorrow(ctx context.Context, req *pb.BorrowRequest) (*pb.BorrowResponse, error) {
--- a/router/ledger/ledger_test.go
+++ b/router/ledger/ledger_test.go
@@ -11,6 +11,7 @@
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/budget"
 	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/member"
 )
 
 const testBudget = "registry"
@@ -97,7 +98,7 @@
 	is := is.New(t)
 	ctx := context.Background()
 	f := newFleet(t, "a", "b")
-	home := f.members[budget.Home(testBudget, f.members)]
+	home, _ := member.HomeAmong(testBudget, f.members)
 	l, other := f.ledgers[home.Incarnation], f.ledgers["i-a"]
 	if l == other {
 		other = f.ledgers["i-b"]
--- a/router/ledger/push.go
+++ b/router/ledger/push.go
@@ -22,9 +22,9 @@
 }
 
 func (l *Ledger) push(ctx context.Context) {
-	for member, entries := range l.box.sendable(mostPushed, l.peers.Home) {
-		req := &pb.SettleRequest{Sender: l.self.Incarnation, Entries: entries}
-		resp, err := l.peers.Settle(ctx, member, req)
+	for _, s := range l.box.sendable(mostPushed, l.peers.Home) {
+		req := &pb.SettleRequest{Sender: l.self.Incarnation, Entries: s.entries}
+		resp, err := l.peers.Settle(ctx, s.home, req)
 		if err != nil {
 			l.counters.pushErrors.Add(1)
 			continue
