Don't tell a repeat of an action as not run in an outage

Cause: while the platform is out the action's row can't be read, so a repeat of an action that had run was refused as not_run (TestOutageDoesNotDenyARun failed at both routers). Routers now remember the actions that they sent and that may have run, ask each other in that case only, and tell unknown; the header Cuminrock-Repeat lets a caller say so itself. Ruled out: telling every action as unknown in an outage, which would keep a first attempt from being known as not run. Left: the sender is gone and the caller doesn't set the header.

--- a/router/callerdoor/door.go
+++ b/router/callerdoor/door.go
@@ -36,6 +36,8 @@
 	HeaderDeadline = "Cuminrock-Deadline-Ms"
 	// HeaderBudget names the budget to draw on.
 	HeaderBudget = "Cuminrock-Budget"
+	// HeaderRepeat says with "true" that the caller sent this request before.
+	HeaderRepeat = "Cuminrock-Repeat"
 	// HeaderBilled tells the tokens billed for a whole answer.
 	HeaderBilled = "Cuminrock-Billed-Tokens"
 	// HeaderReplayed marks the recorded answer of an earlier run.
@@ -238,6 +240,7 @@
 	if err != nil {
 		return err
 	}
+	req.Repeat = hr.Header.Get(HeaderRepeat) == "true"
 	last := hr.Header.Get(HeaderResume)
 	if last == "" {
 		return nil
--- a/router/node/adapters.go
+++ b/router/node/adapters.go
@@ -52,3 +52,8 @@
 func (p servePeers) Takeover(ctx context.Context, m *pb.Member, req *pb.TakeoverRequest) (*pb.TakeoverResponse, error) {
 	return p.n.pool.Takeover(ctx, m, req)
 }
+
+// Locate implements serve.Peers.
+func (p servePeers) Locate(ctx context.Context, m *pb.Member, req *pb.LocateRequest) (*pb.LocateResponse, error) {
+	return p.n.pool.Locate(ctx, m, req)
+}
--- a/router/node/node_test.go
+++ b/router/node/node_test.go
@@ -12,6 +12,7 @@
 
 	"cuminrock.example/router/callerdoor"
 	"cuminrock.example/standin/engine"
+	standin "cuminrock.example/standin/platform"
 	"cuminrock.example/standin/target"
 )
 
@@ -169,3 +170,20 @@
 	is.Equal(end.name, "end")
 	is.Equal(f.engine.Runs("demo:o1"), 1)
 }
+
+// While the platform is out, a new action is refused as not run, and a repeat
+// of one that ran is never told as not run, at either router.
+func TestOutageDoesNotDenyARun(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 2, 100_000, fast)
+	ran := call{path: actionPath, idempotency: "a1", body: "{}"}
+	is.Equal(f.do(t.Context(), f.nodes[0], ran).StatusCode, http.StatusOK)
+	is.NoErr(f.platform.SetFaults(standin.Faults{Outage: standin.OutageUnavailable}))
+	for _, n := range f.nodes {
+		is.Equal(f.refusal(f.do(t.Context(), n, ran)).RunState, "unknown")
+		fresh := f.refusal(f.do(t.Context(), n, call{path: actionPath, idempotency: "a2", body: "{}"}))
+		is.Equal(fresh.Kind, "platform_down")
+		is.Equal(fresh.RunState, "not_run")
+	}
+	is.Equal(f.service.Counts().Executions, uint64(1))
+}
--- a/router/serve/park.go
+++ b/router/serve/park.go
@@ -108,7 +108,11 @@
 // HandleLocate tells a peer what this router knows of a request.
 func (s *Server) HandleLocate(ctx context.Context, req *pb.LocateRequest) (*pb.LocateResponse, error) {
 	resp := s.runs.locate(req.RequestId)
-	if resp.Known {
+	if s.sent.has(req.RequestId) {
+		resp.Known = true
+		resp.RunState = pb.RunState_RUN_STATE_UNKNOWN
+	}
+	if resp.Running || req.OwnMemory {
 		return resp, nil
 	}
 	bill, found, err := s.Ledger.Bill(ctx, req.RequestId)
--- a/router/serve/request.go
+++ b/router/serve/request.go
@@ -33,6 +33,8 @@
 	Workspace *pb.Workspace
 	Service   *pb.Service
 	Call      *pb.Call
+	// Repeat is true when the caller says that it sent this request before.
+	Repeat bool
 	// Budget is the budget to draw on.
 	Budget string
 	// Body is the JSON body.
--- a/router/serve/serve.go
+++ b/router/serve/serve.go
@@ -37,6 +37,8 @@
 	Members() []*pb.Member
 	// Takeover asks a member for a parked stream.
 	Takeover(ctx context.Context, m *pb.Member, req *pb.TakeoverRequest) (*pb.TakeoverResponse, error)
+	// Locate asks a member what it knows of a request.
+	Locate(ctx context.Context, m *pb.Member, req *pb.LocateRequest) (*pb.LocateResponse, error)
 }
 
 // Options is what a Server works with. All fields are required.
@@ -66,6 +68,7 @@
 	streams atomic.Int64
 	runs    *runs
 	flights *flights
+	sent    *sentActions
 
 	stopping     chan struct{}
 	stoppingOnce sync.Once
@@ -73,7 +76,7 @@
 
 // New returns a server.
 func New(o Options) *Server {
-	s := &Server{Options: o, stopping: make(chan struct{}), runs: newRuns(), flights: newFlights(o.Now)}
+	s := &Server{Options: o, stopping: make(chan struct{}), runs: newRuns(), flights: newFlights(o.Now), sent: newSentActions()}
 	return s
 }
 
--- a/router/serve/whole.go
+++ b/router/serve/whole.go
@@ -103,12 +103,13 @@
 		Workspace: r.Workspace.Name,
 		Key:       r.Key,
 		Digest:    requestDigest(r),
+		Repeat:    r.Repeat || s.sent.has(r.ID),
 		Send: func(ctx context.Context) (*target.Answer, error) {
 			return s.sendAction(ctx, r)
 		},
 	})
 	if err != nil {
-		return nil, err
+		return nil, s.truthful(ctx, r, err)
 	}
 	a := outcome.Answer
 	answer := &Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body, Replayed: outcome.Replayed}
@@ -126,8 +127,10 @@
 	if err != nil {
 		return nil, err
 	}
+	s.sent.add(r.ID)
 	answer, err := s.Dispatch.Action(ctx, s.plan(r))
 	if err != nil {
+		s.forgetUnsent(r, err)
 		endReservation(res, target.RunState(err))
 		return nil, err
 	}
@@ -135,6 +138,13 @@
 	return answer, nil
 }
 
+// forgetUnsent forgets an action that failed without having run.
+func (s *Server) forgetUnsent(r *Request, err error) {
+	if target.RunState(err) == pb.RunState_RUN_STATE_NOT_RUN {
+		s.sent.remove(r.ID)
+	}
+}
+
 // total is what a usage is billed as.
 func total(u target.Usage) int64 { return u.PromptTokens + u.CompletionTokens }
 
