Let limits grow with first bytes, and don't take a whole answer's time for congestion

And a whole model answer's time counted as its first byte, so that any generation above 0.7 s lowered the limit of a sound target. Now the first byte of a stream reports itself, and whole model answers only release their place. Ruled out: starting at the highest limit, which an overloaded target would see at each router's start.

--- a/fleet/route/pick.go
+++ b/fleet/route/pick.go
@@ -90,6 +90,14 @@
 	}
 }
 
+// Started learns from the first byte of an answer that goes on, such as a
+// stream's, without waiting for its end: a limit that grew only with ends
+// would refuse long streams that the target has room for. Done with Neutral
+// follows when the answer ends well.
+func (l Lease) Started(firstByte time.Duration, now time.Time) {
+	l.entry.state.succeeded(Outcome{FirstByte: firstByte, Now: now}, l.sent, &l.table.opts)
+}
+
 // Done gives the place back and learns from the outcome.
 func (l Lease) Done(o Outcome) {
 	s := l.entry.state
--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -101,6 +101,7 @@
 		return nil, err
 	}
 	s.sent = sent
+	sent.reportStart()
 	return s, nil
 }
 
@@ -124,6 +125,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if plan.Kind == pb.CallKind_CALL_KIND_MODEL {
+		// A whole answer takes as long as its tokens; that isn't congestion.
+		sent.firstByte = 0
+	}
 	sent.done(nil)
 	return answer, nil
 }
--- a/router/dispatch/resume.go
+++ b/router/dispatch/resume.go
@@ -29,6 +29,7 @@
 		return nil, err
 	}
 	s.firstByte = time.Since(s.start)
+	s.reportStart()
 	return &Stream{Stream: up, sent: s}, nil
 }
 
--- a/router/dispatch/stream.go
+++ b/router/dispatch/stream.go
@@ -17,13 +17,26 @@
 	room      *waitRoom
 	start     time.Time
 	firstByte time.Duration
-	once      sync.Once
+	// started says that the first byte was reported already.
+	started bool
+	once    sync.Once
+}
+
+// reportStart reports the first byte of a stream.
+func (s *sent) reportStart() {
+	s.started = true
+	s.lease.Started(s.firstByte, time.Now())
+	s.room.wake()
 }
 
 // done gives the place back, once, with what the call showed.
 func (s *sent) done(err error) {
 	s.once.Do(func() {
-		s.lease.Done(route.Outcome{Result: resultOf(err), FirstByte: s.firstByte, Now: time.Now()})
+		result := resultOf(err)
+		if result == route.OK && s.started {
+			result = route.Neutral
+		}
+		s.lease.Done(route.Outcome{Result: result, FirstByte: s.firstByte, Now: time.Now()})
 		s.room.wake()
 	})
 }
