--- a/router/settings/defaults.go
+++ b/router/settings/defaults.go
@@ -14,7 +14,7 @@
 	defaultStopLimit        = 600 * time.Second
 	defaultCallTimeout      = 2 * time.Second
 	defaultWritesPerSecond  = 50
-	defaultSettleInterval   = time.Second
+	defaultSettleInterval   = 2 * time.Second
 	defaultSearchTimeout    = 500 * time.Millisecond
 	defaultMaxBodyBytes     = 4 << 20
 	defaultMaxHeaderBytes   = 32 << 10
