Bound the lines of a target's stream while they are read

A line was read whole before its size was checked, so a target could make a router keep any amount. TestReadLine covers it.

--- /dev/null
+++ b/router/target/line_test.go
@@ -0,0 +1,26 @@
+package target
+
+import (
+	"bufio"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Lines longer than the buffer are read whole; one above the limit of an event
+// is refused though its end hasn't come.
+func TestReadLine(t *testing.T) {
+	is := is.New(t)
+	long := strings.Repeat("x", 3*4096)
+	s := &Stream{lines: bufio.NewReader(strings.NewReader("short\n" + long + "\n" + strings.Repeat("y", 2*maxEventBytes)))}
+	line, err := s.readLine()
+	is.NoErr(err)
+	is.Equal(string(line), "short\n")
+	line, err = s.readLine()
+	is.NoErr(err)
+	is.Equal(len(line), len(long)+1)
+	_, err = s.readLine()
+	is.True(errors.Is(err, errTooLong))
+}
--- a/router/target/stream.go
+++ b/router/target/stream.go
@@ -204,7 +204,7 @@
 	var f frame
 	size := 0
 	for {
-		line, err := s.lines.ReadBytes('\n')
+		line, err := s.readLine()
 		if err != nil {
 			return f, noEOF(err)
 		}
@@ -220,6 +220,24 @@
 	}
 }
 
+// readLine returns the next line. It is valid until the next read. A line above
+// the limit of an event is refused before it is whole.
+func (s *Stream) readLine() ([]byte, error) {
+	line, err := s.lines.ReadSlice('\n')
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return line, err
+	}
+	long := bytes.Clone(line)
+	for errors.Is(err, bufio.ErrBufferFull) {
+		if len(long) > maxEventBytes {
+			return nil, errTooLong
+		}
+		line, err = s.lines.ReadSlice('\n')
+		long = append(long, line...)
+	}
+	return long, err
+}
+
 func noEOF(err error) error {
 	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
