--- a/router/ledger/close.go
+++ b/router/ledger/close.go
@@ -16,10 +16,15 @@
 // giveBackTries is how often a loan's return is sent to its holder.
 const giveBackTries = 3
 
+// giveBackLimit bounds the return of tokens once all bills are settled. What a
+// platform that is out doesn't take back stays granted, covered.
+const giveBackLimit = 30 * time.Second
+
 // Close is the planned stop. It refuses new reservations, waits until the
 // platform holds all bills, returns own grants to the platform and loans to
 // peers, and removes the router's registration. Run has to be running. When
-// the context ends first, what is left stays covered, and the error says so.
+// the context ends first, or the platform takes nothing back for a bounded
+// time, what is left stays covered, and the error says so.
 func (l *Ledger) Close(ctx context.Context) error {
 	l.draining.Store(true)
 	l.adopt(l.now().Add(standbyDelay))
@@ -34,6 +39,8 @@
 			return errkind.New(errkind.PlatformDown, "%d bills and %d copies aren't settled", own, copies)
 		}
 	}
+	ctx, cancel := context.WithTimeout(ctx, giveBackLimit)
+	defer cancel()
 	l.tellDrops(ctx)
 	l.askUnsure(ctx)
 	if err := l.returnLoans(ctx); err != nil {
--- /dev/null
+++ b/router/ledger/close_test.go
@@ -0,0 +1,34 @@
+package ledger
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A planned stop without bills doesn't wait for good for a platform that is
+// out; its grant stays covered.
+func TestCloseDoesNotWaitForGoodForTheReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx := context.Background()
+		f := newFleet(t, "a")
+		l := f.ledgers["i-a"]
+		_, err := TopUp(ctx, f.tables, "t1", testBudget, 1000)
+		is.NoErr(err)
+		r, err := l.Reserve(ctx, testBudget, "w", "r1", 100)
+		is.NoErr(err)
+		r.Release()
+		f.tables.setDown(true)
+		start := time.Now()
+		is.True(l.Close(ctx) != nil)
+		is.True(time.Since(start) <= 2*giveBackLimit) // simulated time
+		f.tables.setDown(false)
+		s, err := Status(ctx, f.tables, testBudget)
+		is.NoErr(err)
+		is.True(s.Budget.Granted >= 100)
+	})
+}
