--- a/router/node/adapters.go
+++ b/router/node/adapters.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	pb "cuminrock.example/api/gen/cuminrockpb"
 )
 
@@ -23,12 +26,25 @@
 
 // Borrow implements ledger.Peers.
 func (p ledgerPeers) Borrow(ctx context.Context, m *pb.Member, req *pb.BorrowRequest) (*pb.BorrowResponse, error) {
-	return p.n.pool.Borrow(ctx, m, req)
+	resp, err := p.n.pool.Borrow(ctx, m, req)
+	p.n.noteUnanswered(m, err)
+	return resp, err
 }
 
 // Settle implements ledger.Peers.
 func (p ledgerPeers) Settle(ctx context.Context, m *pb.Member, req *pb.SettleRequest) (*pb.SettleResponse, error) {
-	return p.n.pool.Settle(ctx, m, req)
+	resp, err := p.n.pool.Settle(ctx, m, req)
+	p.n.noteUnanswered(m, err)
+	return resp, err
+}
+
+// noteUnanswered has a member that didn't answer called at once, so that a
+// dead home of budgets is replaced before its turn.
+func (n *Node) noteUnanswered(m *pb.Member, err error) {
+	switch status.Code(err) {
+	case codes.Unavailable, codes.DeadlineExceeded:
+		n.membership.Suspect(m)
+	}
 }
 
 // configPeers lets the configuration watch reach the other routers.
