Bound retries and hedges apart in a dispatch test

The test now asserts that sends are exactly requests, retries and hedges, and bounds both by their budgets.

--- a/router/dispatch/dispatch_test.go
+++ b/router/dispatch/dispatch_test.go
@@ -158,7 +158,8 @@
 	t.Logf("32 lookups, %d retries, %d hedges", retries, b.dispatcher.Stats().Hedges.Value())
 }
 
-// Targets that refuse everything get no more than the requests and the budget.
+// Targets that refuse everything get no more than the requests and the budgets:
+// retries have one, and second sends of slow lookups have one of their own.
 func TestRetriesAreBoundedByTheBudget(t *testing.T) {
 	const (
 		requests = 200
@@ -171,8 +172,12 @@
 		s.status.Store(http.StatusServiceUnavailable)
 	}
 	is.Equal(b.lookups("refused", requests), requests)
-	is.True(b.received() <= requests+burst+requests*permille/1000)
-	t.Logf("%d requests reached the targets %d times", requests, b.received())
+	stats := b.dispatcher.Stats()
+	retries, hedges := stats.Retries.Value(), stats.Hedges.Value()
+	t.Logf("%d requests reached the targets %d times, with %d retries and %d hedges", requests, b.received(), retries, hedges)
+	is.Equal(int64(b.received()), requests+retries+hedges)
+	is.True(retries <= burst+requests*permille/1000)
+	is.True(hedges <= hedgeBurst+(requests+retries)*hedgePermille/1000)
 }
 
 // A send of unknown outcome isn't hidden by a later one that didn't run.
