Wait for a time or a context's end in one place; tidy the serving path

The serving path searched for a target beside config.View.Target, built the same answer twice and made the same cancel call twice. Behaviour is as it was.

--- a/ctl/demo/bills.go
+++ b/ctl/demo/bills.go
@@ -8,6 +8,7 @@
 
 	"cuminrock.example/router/ledger"
 	"cuminrock.example/router/platform"
+	"cuminrock.example/router/wait"
 )
 
 const (
@@ -48,7 +49,7 @@
 		if found {
 			return &bill{RequestID: id, Budget: row.Budget, Tokens: row.Tokens}, nil
 		}
-		if !pause(ctx, billPoll) {
+		if !wait.For(ctx, billPoll) {
 			return nil, trace.LimitExceeded("request %s has no bill after %s (%v)", id, billTimeout, err)
 		}
 	}
--- a/ctl/demo/routers.go
+++ b/ctl/demo/routers.go
@@ -13,6 +13,7 @@
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/router/node"
 	"cuminrock.example/router/settings"
+	"cuminrock.example/router/wait"
 )
 
 const (
@@ -83,7 +84,7 @@
 			if s.Ready && s.ConfigVersion >= version {
 				break
 			}
-			if !pause(ctx, readyPoll) {
+			if !wait.For(ctx, readyPoll) {
 				return trace.LimitExceeded("router %s is not ready: %s", s.Name, s.Reason)
 			}
 		}
@@ -112,15 +113,3 @@
 	}
 	return nil
 }
-
-// pause waits and returns false when ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/ctl/loadgen/phase.go
+++ b/ctl/loadgen/phase.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"cuminrock.example/ctl/answer"
+	"cuminrock.example/router/wait"
 )
 
 // phase is one load against one goal.
@@ -50,28 +51,13 @@
 	plan := newSchedule(p.opts)
 	for {
 		a, ok := plan.draw()
-		if !ok || !sleepUntil(ctx, p.start.Add(a.at)) {
+		if !ok || !wait.For(ctx, time.Until(p.start.Add(a.at))) {
 			return
 		}
 		requests.Go(func() { p.request(ctx, a) })
 	}
 }
 
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	wait := time.Until(t)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // request makes one request and tallies what became of it.
 func (p *phase) request(ctx context.Context, a arrival) {
 	p.tally.opened()
--- a/ctl/operatorcmd/drain.go
+++ b/ctl/operatorcmd/drain.go
@@ -10,6 +10,7 @@
 
 	"cuminrock.example/ctl/cli"
 	"cuminrock.example/ctl/operator"
+	"cuminrock.example/router/wait"
 )
 
 // drainPoll is the time between two looks at a draining router.
@@ -97,16 +98,7 @@
 		if trace.IsConnectionProblem(err) {
 			return outcomeStopped, nil
 		}
-		waitFor(ctx, drainPoll)
-	}
-}
-
-func waitFor(ctx context.Context, t time.Duration) {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		wait.For(ctx, drainPoll)
 	}
 }
 
--- a/ctl/sheetcmd/wait.go
+++ b/ctl/sheetcmd/wait.go
@@ -14,6 +14,7 @@
 	"cuminrock.example/ctl/operator"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/router/platform"
+	"cuminrock.example/router/wait"
 )
 
 const (
@@ -102,10 +103,8 @@
 			r.AfterMS = time.Since(accepted).Milliseconds()
 			return r
 		}
-		select {
-		case <-ctx.Done():
+		if !wait.For(ctx, askInterval) {
 			return r
-		case <-time.After(askInterval):
 		}
 	}
 }
--- a/router/actions/run.go
+++ b/router/actions/run.go
@@ -12,6 +12,7 @@
 	"cuminrock.example/fleet/action"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/router/target"
+	"cuminrock.example/router/wait"
 )
 
 // run is one attempt in progress.
@@ -58,7 +59,7 @@
 	life := r.actions.life
 	s := r.step((*action.Machine).Start)
 	for s.Effect != action.Finished {
-		if !sleep(life, r.pause(s.Pause)) {
+		if !wait.For(life, r.pause(s.Pause)) {
 			r.abandon()
 			return
 		}
@@ -146,19 +147,6 @@
 	pb.ActionState_ACTION_STATE_VOID:    pb.EventKind_EVENT_KIND_ACTION_VOIDED,
 }
 
-// sleep waits and reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d == 0 {
-		return ctx.Err() == nil
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 func toAction(a *target.Answer) *action.Answer {
 	return &action.Answer{Status: uint32(a.Status), ContentType: a.ContentType, Body: a.Body}
 }
--- a/router/configlog/append.go
+++ b/router/configlog/append.go
@@ -14,6 +14,7 @@
 	"cuminrock.example/fleet/config"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/router/platform"
+	"cuminrock.example/router/wait"
 )
 
 const (
@@ -98,7 +99,7 @@
 			return err
 		}
 		failure = err
-		if !sleep(ctx, delay) {
+		if !wait.For(ctx, delay) {
 			break
 		}
 		delay *= 2
@@ -192,14 +193,3 @@
 	}
 	return data
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/router/configwatch/run.go
+++ b/router/configwatch/run.go
@@ -10,6 +10,7 @@
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/router/configlog"
+	"cuminrock.example/router/wait"
 )
 
 // Run keeps the configuration up to date until the context ends.
@@ -33,7 +34,7 @@
 		if w.becomeReady() {
 			return true
 		}
-		pause(ctx, w.options.Poll)
+		wait.For(ctx, w.options.Poll)
 	}
 	return false
 }
@@ -41,7 +42,7 @@
 // platformLoop reads the platform in this router's turns.
 func (w *Watch) platformLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, w.options.Poll)
+		wait.For(ctx, w.options.Poll)
 		now := w.options.Now()
 		slot := now.UnixNano() / int64(w.options.Poll)
 		if !w.options.Turn(slot) && now.Sub(w.lastOwn) < w.ownPoll() {
@@ -124,12 +125,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	"cuminrock.example/fleet/retry"
 	"cuminrock.example/fleet/route"
 	"cuminrock.example/router/target"
+	"cuminrock.example/router/wait"
 )
 
 // Plan is one request to dispatch.
@@ -211,22 +212,14 @@
 
 // again waits for the next try. It reports false when the failure is final.
 func (d *Dispatcher) again(ctx context.Context, plan *Plan, tries int, err error) bool {
-	wait, ok := d.policy.Next(d.budget, retry.Failure{
+	delay, ok := d.policy.Next(d.budget, retry.Failure{
 		Tries:  tries,
 		Call:   plan.Kind,
 		Kind:   errkind.Of(err),
 		Left:   left(ctx, plan.Call.Deadline),
 		Random: rand.Uint64(),
 	})
-	if !ok {
-		return false
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(wait):
-		return true
-	}
+	return ok && wait.For(ctx, delay)
 }
 
 // unbounded is the time left of a request without a deadline.
--- a/router/ledger/close.go
+++ b/router/ledger/close.go
@@ -8,6 +8,7 @@
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/budget"
 	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/router/wait"
 )
 
 // closePoll is how often a planned stop looks whether all bills are settled.
@@ -35,7 +36,7 @@
 		}
 		l.push(ctx)
 		l.writer.wake()
-		if !pause(ctx, l.jittered(closePoll)) {
+		if !wait.For(ctx, l.jittered(closePoll)) {
 			return errkind.New(errkind.PlatformDown, "%d bills and %d copies aren't settled", own, copies)
 		}
 	}
--- a/router/ledger/concurrent_test.go
+++ b/router/ledger/concurrent_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"cuminrock.example/router/wait"
 )
 
 // Many requests at three routers, with lost answers and outages of the
@@ -41,9 +43,9 @@
 	}
 	for range 5 {
 		f.tables.setDown(true)
-		pause(ctx, 5*time.Millisecond)
+		wait.For(ctx, 5*time.Millisecond)
 		f.tables.setDown(false)
-		pause(ctx, 20*time.Millisecond)
+		wait.For(ctx, 20*time.Millisecond)
 	}
 	wg.Wait()
 	for _, l := range f.ledgers {
--- a/router/ledger/grants.go
+++ b/router/ledger/grants.go
@@ -12,6 +12,7 @@
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/budget"
+	"cuminrock.example/router/wait"
 )
 
 const (
@@ -67,7 +68,7 @@
 // fenceLoop gives up this router's tokens of closed grants.
 func (l *Ledger) fenceLoop(ctx context.Context) {
 	written := make(map[string]*pb.FenceRow)
-	for pause(ctx, l.jittered(fenceInterval)) {
+	for wait.For(ctx, l.jittered(fenceInterval)) {
 		l.watchVms(ctx)
 		l.fenceClosed(ctx, written)
 	}
--- a/router/ledger/ledger.go
+++ b/router/ledger/ledger.go
@@ -172,18 +172,6 @@
 	return d/2 + time.Duration(l.rand.Int63n(int64(d)+1))
 }
 
-// pause waits, and reports whether the context is still live.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (l *Ledger) record(kind pb.EventKind, budget, request, detail string, tokens int64) {
 	if l.recorder == nil {
 		return
--- a/router/ledger/ledger_test.go
+++ b/router/ledger/ledger_test.go
@@ -12,6 +12,7 @@
 	"cuminrock.example/fleet/budget"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/member"
+	"cuminrock.example/router/wait"
 )
 
 const testBudget = "registry"
@@ -230,7 +231,7 @@
 	is.Equal(last.Parts[0].Outstanding, int64(130))
 	f.tables.setDown(false)
 	for _, copies := l.box.len(); copies > 0; _, copies = l.box.len() {
-		pause(ctx, time.Millisecond)
+		wait.For(ctx, time.Millisecond)
 	}
 	next := l.fence(grant)
 	settleParts(next, last)
--- a/router/ledger/operator.go
+++ b/router/ledger/operator.go
@@ -12,6 +12,7 @@
 	"cuminrock.example/fleet/budget"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/router/platform"
+	"cuminrock.example/router/wait"
 )
 
 const (
@@ -39,7 +40,7 @@
 			last = err
 		}
 		cache = budget.NewCache()
-		if !pause(ctx, operatorDelay) {
+		if !wait.For(ctx, operatorDelay) {
 			break
 		}
 	}
--- a/router/ledger/push.go
+++ b/router/ledger/push.go
@@ -6,6 +6,7 @@
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/budget"
 	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/router/wait"
 )
 
 // mostPushed bounds the entries sent in one round.
@@ -14,7 +15,7 @@
 // pushLoop brings own bills to their budgets' homes, a few times until a home
 // says that the platform holds them. After that this router settles them.
 func (l *Ledger) pushLoop(ctx context.Context) {
-	for pause(ctx, l.jittered(l.settle)) {
+	for wait.For(ctx, l.jittered(l.settle)) {
 		l.push(ctx)
 		l.tellDrops(ctx)
 		l.adopt(l.now())
--- a/router/ledger/writer.go
+++ b/router/ledger/writer.go
@@ -10,6 +10,7 @@
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/budget"
+	"cuminrock.example/router/wait"
 )
 
 const (
@@ -182,7 +183,7 @@
 	}
 	w.backoff = min(max(2*w.backoff, firstBackoff), lastBackoff)
 	w.failWishes()
-	pause(ctx, w.l.jittered(w.backoff))
+	wait.For(ctx, w.l.jittered(w.backoff))
 }
 
 // failWishes ends all waiting draws, so that their requests are refused now
--- a/router/serve/park.go
+++ b/router/serve/park.go
@@ -68,11 +68,9 @@
 // the engine is asked again from time to time.
 func (s *Server) settleAbandoned(r *Request, p *parked) {
 	for attempt := 1; attempt <= cancelAttempts; attempt++ {
-		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-		usage, err := s.Targets.Cancel(ctx, p.target, r.ID, p.stream)
-		cancel()
+		tokens, err := s.cancelRun(r, p)
 		if err == nil {
-			s.bill(r, p.res, p.target.Name, total(usage))
+			s.bill(r, p.res, p.target.Name, tokens)
 			return
 		}
 		time.Sleep(cancelBackoff << attempt)
@@ -82,6 +80,14 @@
 	go s.learnUsage(r, p)
 }
 
+// cancelRun asks the engine once to cancel a stream, and returns its usage.
+func (s *Server) cancelRun(r *Request, p *parked) (int64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	usage, err := s.Targets.Cancel(ctx, p.target, r.ID, p.stream)
+	return total(usage), err
+}
+
 // learnUsage asks an engine for the usage of a stream that was billed as
 // unknown, at growing intervals, until it answers or the router stops.
 func (s *Server) learnUsage(r *Request, p *parked) {
@@ -91,13 +97,11 @@
 		case <-s.stopping:
 			return
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-		usage, err := s.Targets.Cancel(ctx, p.target, r.ID, p.stream)
-		cancel()
+		tokens, err := s.cancelRun(r, p)
 		if err != nil {
 			continue
 		}
-		err = s.Ledger.Learned(r.Budget, r.Workspace.Name, r.ID, runName(p.target.Name, p.stream), total(usage))
+		err = s.Ledger.Learned(r.Budget, r.Workspace.Name, r.ID, runName(p.target.Name, p.stream), tokens)
 		if err != nil {
 			s.Log.Warn("serve: a late usage was not taken.", zap.String("request", r.ID), zap.Error(err))
 		}
--- a/router/serve/stream.go
+++ b/router/serve/stream.go
@@ -288,10 +288,6 @@
 	if view == nil {
 		return nil, false
 	}
-	for _, t := range view.Targets(service) {
-		if t.Name == name {
-			return t, true
-		}
-	}
-	return nil, false
+	t, ok := view.Target(name)
+	return t, ok && t.Service == service
 }
--- a/router/serve/whole.go
+++ b/router/serve/whole.go
@@ -78,7 +78,7 @@
 		tokens = total(a.Usage)
 	}
 	s.bill(r, res, "", tokens)
-	return &Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body, Billed: tokens}
+	return billed(a, tokens)
 }
 
 // bill settles a reservation by its usage. It returns when another router has
@@ -111,12 +111,10 @@
 	if err != nil {
 		return nil, s.truthful(ctx, r, err)
 	}
-	a := outcome.Answer
-	answer := &Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body, Replayed: outcome.Replayed}
-	if !outcome.Replayed {
-		answer.Billed = r.Call.CostTokens
+	if outcome.Replayed {
+		return replayed(outcome.Answer), nil
 	}
-	return answer, nil
+	return billed(outcome.Answer, r.Call.CostTokens), nil
 }
 
 // sendAction reserves and dispatches an action. It runs after the claim is
@@ -148,6 +146,12 @@
 // total is what a usage is billed as.
 func total(u target.Usage) int64 { return u.PromptTokens + u.CompletionTokens }
 
+// billed is a target's answer for the caller, with its bill.
+func billed(a *target.Answer, tokens int64) *Answer {
+	return &Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body, Billed: tokens}
+}
+
+// replayed is the recorded answer of an earlier run.
 func replayed(a *target.Answer) *Answer {
 	return &Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body, Replayed: true}
 }
