--- /dev/null
+++ b/fleet/allotment/account.go
@@ -0,0 +1,154 @@
+// Package allotment decides how one router holds a part of a workspace's
+// prepaid tokens.
+//
+// The platform keeps two rows a workspace and router: the total that all
+// routers have taken, and what this router has taken and given back over its
+// life. Both change in one transaction on the condition that neither has
+// changed since it was read. The rules:
+//
+//   - The total never exceeds the prepaid amount by a transaction of ours.
+//   - Tokens count as held only once the holder's row was seen with them.
+//   - Tokens to give back stop being held before the transaction is sent, and
+//     are never held again: a transaction without an answer may still commit.
+//   - What is reserved is held, and stays spent as far as it was used.
+//
+// A transaction states absolute amounts, so that one that is sent again, or
+// commits late, can't count twice.
+package allotment
+
+import "time"
+
+// Rows is what the platform stores for a workspace and this router.
+type Rows struct {
+	// Total is what all routers have taken and not given back, in tokens.
+	Total int64
+	// Taken and Returned are the holder's own sums, in tokens.
+	Taken, Returned int64
+	// TotalVersion and HolderVersion are the versions read; 0 means no row.
+	TotalVersion, HolderVersion uint64
+}
+
+// Account is what one router holds of one workspace. It isn't safe for
+// concurrent use, and reads no clock.
+type Account struct {
+	prepaid int64
+	rows    Rows
+	synced  bool
+
+	// returned is the sum to be given back in all; it never falls.
+	returned int64
+	spent    int64
+	reserved int64
+
+	// wanted is the sum of the reservations that wait.
+	wanted int64
+	demand demand
+}
+
+// SetPrepaid sets the most tokens that all routers may take together.
+func (a *Account) SetPrepaid(tokens int64) { a.prepaid = tokens }
+
+// Free returns the tokens that can be reserved now. It is negative where the
+// prepaid amount was lowered below what was taken.
+func (a *Account) Free() int64 {
+	free := a.rows.Taken - a.returned - a.spent - a.reserved
+	excess := max(0, a.rows.Total-a.prepaid)
+	return free - min(excess, max(free, 0))
+}
+
+// Left returns the tokens that no router has taken, as last seen.
+func (a *Account) Left() int64 {
+	return max(0, a.prepaid-a.rows.Total)
+}
+
+// Synced tells whether the rows were ever read.
+func (a *Account) Synced() bool { return a.synced }
+
+// Reserve sets tokens aside for a request at its most. It reports false, and
+// changes nothing, when too few are held.
+func (a *Account) Reserve(tokens int64, now time.Time) bool {
+	if tokens > a.Free() {
+		return false
+	}
+	a.reserved += tokens
+	a.demand.add(tokens, now)
+	return true
+}
+
+// Settle ends a reservation of which used tokens were consumed.
+func (a *Account) Settle(reserved, used int64) {
+	a.reserved -= reserved
+	a.spent += used
+}
+
+// Want changes the sum of the reservations that wait.
+func (a *Account) Want(tokens int64) { a.wanted += tokens }
+
+// Sync takes the rows as read or written.
+func (a *Account) Sync(rows Rows) {
+	a.rows = rows
+	a.synced = true
+}
+
+// Rows returns the rows as last seen.
+func (a *Account) Rows() Rows { return a.rows }
+
+// Step is one transaction to make: the rows before, on whose versions it
+// depends, and the rows after.
+type Step struct {
+	Before, After Rows
+}
+
+// Next returns the next transaction, and false when none is needed. Tokens to
+// give back count as given back from here on.
+func (a *Account) Next(now time.Time) (Step, bool) {
+	if !a.synced {
+		return Step{}, false
+	}
+	goal := a.goal(now)
+	free := a.Free()
+	a.giveBack(free, goal, now)
+	take := a.shortfall(free, goal)
+	after := a.rows
+	after.Taken += take
+	after.Returned = a.returned
+	after.Total += take - (a.returned - a.rows.Returned)
+	if after == a.rows {
+		return Step{}, false
+	}
+	return Step{Before: a.rows, After: after}, true
+}
+
+// ReturnAll gives back all that isn't reserved. Used at a planned stop.
+func (a *Account) ReturnAll() {
+	a.returned += max(0, a.rows.Taken-a.returned-a.spent-a.reserved)
+	a.demand = demand{}
+}
+
+// goal returns the tokens to hold beside what waits.
+func (a *Account) goal(now time.Time) int64 {
+	byDemand := int64(a.demand.rate(now) * holdHorizon.Seconds())
+	return min(byDemand, a.Left()/holdDivisor)
+}
+
+// giveBack marks what is held far beyond the goal as given back.
+func (a *Account) giveBack(free, goal int64, now time.Time) {
+	surplus := free - goal - a.wanted
+	if a.wanted > 0 || surplus <= goal || !a.demand.quiet(now) {
+		return
+	}
+	a.returned += surplus
+}
+
+// shortfall returns the tokens to take now.
+func (a *Account) shortfall(free, goal int64) int64 {
+	missing := a.wanted - free
+	if missing <= 0 && free-a.wanted >= goal/refillDivisor {
+		return 0
+	}
+	left := a.Left()
+	if missing > left {
+		return 0
+	}
+	return min(max(missing, 0)+goal, left)
+}
--- /dev/null
+++ b/fleet/placement/table.go
@@ -0,0 +1,99 @@
+// Package placement picks the target of a forwarded request.
+//
+// A Table holds the targets of all services and what this router learnt of
+// each: its own requests in flight, the load that the target last told, and
+// failures. It reads no clock: every input carries its time.
+//
+// Requests that begin with the same prompt parts go to the same target of all
+// routers without any talk between them: targets are ranked by a hash of the
+// parts and the target's id (Thaler and Ravishankar, "Using Name-Based
+// Mappings to Increase Hit Rates", 1998), and the first one whose load is
+// within a bound of the mean is taken (Mirrokni, Thorup and Zadimoghaddam,
+// "Consistent Hashing with Bounded Loads", 2018).
+package placement
+
+import (
+	"sync"
+	"time"
+)
+
+// Target is one process that serves requests.
+type Target struct {
+	// ID names the process; Born tells its runs apart.
+	ID   string
+	Born int64
+	// Service, Address and DataCentre are where it serves.
+	Service    string
+	Address    string
+	DataCentre string
+	// Slots is the number of requests that it runs at once.
+	Slots int
+	// Leaving targets get no new work.
+	Leaving bool
+}
+
+// Load is what a target told of itself.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Table picks targets. It is safe for concurrent use.
+type Table struct {
+	dataCentre string
+
+	mu       sync.Mutex
+	services map[string][]*state
+	byID     map[string]*state
+}
+
+// state is one target and what was learnt of it.
+type state struct {
+	target Target
+	// own counts this router's requests in flight.
+	own int
+	// load is the last word of the target, and toldAt its time; sentSince
+	// counts requests sent after it.
+	load      Load
+	toldAt    time.Time
+	sentSince int
+	// strikes counts failures in a row; suspectUntil is when the target may
+	// be tried again.
+	strikes      int
+	suspectUntil time.Time
+	gone         bool
+}
+
+// New returns a table without targets for a router in the data centre.
+func New(dataCentre string) *Table {
+	return &Table{dataCentre: dataCentre, services: make(map[string][]*state), byID: make(map[string]*state)}
+}
+
+// Update installs the targets. One that runs on keeps what was learnt of it.
+func (t *Table) Update(targets []Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.byID
+	t.byID = make(map[string]*state, len(targets))
+	t.services = make(map[string][]*state)
+	for _, target := range targets {
+		s := old[target.ID]
+		if s == nil || s.target.Born != target.Born || s.target.Address != target.Address {
+			s = &state{}
+		}
+		s.target = target
+		t.byID[target.ID] = s
+		t.services[target.Service] = append(t.services[target.Service], s)
+	}
+	for id, s := range old {
+		if t.byID[id] != s {
+			s.gone = true
+		}
+	}
+}
+
+// Targets returns the number of targets known.
+func (t *Table) Targets() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.byID)
+}
--- /dev/null
+++ b/fleet/retry/budgets.go
@@ -0,0 +1,31 @@
+package retry
+
+import "sync"
+
+// Budgets keeps a Budget for each service. It is safe for concurrent use.
+type Budgets struct {
+	permille, burst int
+
+	mu        sync.Mutex
+	byService map[string]*Budget
+}
+
+// NewBudgets returns budgets of permille retries per 1,000 requests of a
+// service, with a burst saved up at most. They start empty, so that a restart
+// saves up nothing.
+func NewBudgets(permille, burst int) *Budgets {
+	return &Budgets{permille: permille, burst: burst, byService: make(map[string]*Budget)}
+}
+
+// Service returns the budget of a service.
+func (b *Budgets) Service(name string) *Budget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget := b.byService[name]
+	if budget == nil {
+		budget = NewBudget(b.permille, b.burst)
+		budget.tokens.Store(0)
+		b.byService[name] = budget
+	}
+	return budget
+}
--- /dev/null
+++ b/router/allotments/book.go
@@ -0,0 +1,150 @@
+// Package allotments keeps what this router holds of every workspace's prepaid
+// tokens in step with the platform's rows.
+//
+// A request passes only on tokens that are held already. Each workspace has a
+// keeper, a goroutine that takes and gives back tokens one transaction at a
+// time, by the rules of package allotment. A transaction without an answer is
+// sent again on the same versions: the rows' versions let one of the two
+// commit, and the other's refusal brings the rows as they are.
+package allotments
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"cuminrock.example/fleet/catalog"
+	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/router/platform"
+)
+
+const (
+	// exhaustedAfter is how long a balance must have been too low until a
+	// refusal calls it exhausted: what other routers hold unused is back by then.
+	exhaustedAfter = 4 * time.Second
+	// refusedRetry is advised where the balance may grow again soon.
+	refusedRetry = time.Second
+)
+
+// Options is what a Book works with. All fields are required.
+type Options struct {
+	Tables platform.Tables
+	// Holder names this run of the router; no other run ever has the name.
+	Holder string
+	Log    *zap.Logger
+	Now    func() time.Time
+}
+
+// Book is the tokens held by this router. It is safe for concurrent use.
+type Book struct {
+	opts Options
+
+	mu      sync.Mutex
+	keepers map[string]*keeper
+	closed  bool
+	stop    chan struct{}
+	work    conc.WaitGroup
+}
+
+// NewBook returns a book that holds nothing.
+func NewBook(opts Options) *Book {
+	return &Book{opts: opts, keepers: make(map[string]*keeper), stop: make(chan struct{})}
+}
+
+// Hold is a reservation. Settle ends it and is called exactly once.
+type Hold struct {
+	keeper *keeper
+	tokens int64
+}
+
+// Reserve sets tokens aside for a request at its most, and waits up to patience
+// for them. The error's kind is BudgetUnreachable or BudgetExhausted.
+func (b *Book) Reserve(ctx context.Context, w *catalog.Workspace, tokens int64, patience time.Duration) (*Hold, error) {
+	if w == nil || w.Prepaid == nil {
+		return &Hold{}, nil
+	}
+	k := b.keeper(w.Name)
+	if k == nil {
+		return nil, errkind.New(errkind.Draining, "this router is stopping")
+	}
+	err := k.reserve(ctx, tokens, *w.Prepaid, patience)
+	if err != nil {
+		return nil, err
+	}
+	return &Hold{keeper: k, tokens: tokens}, nil
+}
+
+// Settle ends the reservation; used tokens were consumed.
+func (h *Hold) Settle(used int64) {
+	if h.keeper != nil {
+		h.keeper.settle(h.tokens, min(used, h.tokens))
+	}
+}
+
+// Apply takes the prepaid amounts of a new configuration.
+func (b *Book) Apply(c *catalog.Catalog) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, k := range b.keepers {
+		w := c.Workspace(name)
+		if w != nil && w.Prepaid != nil {
+			k.setPrepaid(*w.Prepaid)
+		}
+	}
+}
+
+// keeper returns the workspace's keeper, starting one where needed; nil after
+// Close.
+func (b *Book) keeper(workspace string) *keeper {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return nil
+	}
+	k := b.keepers[workspace]
+	if k == nil {
+		k = newKeeper(b, workspace)
+		b.keepers[workspace] = k
+		b.work.Go(k.run)
+	}
+	return k
+}
+
+// Close gives back all that isn't reserved. It returns when the platform took
+// it, or with the error of ctx.
+func (b *Book) Close(ctx context.Context) error {
+	b.mu.Lock()
+	if !b.closed {
+		b.closed = true
+		close(b.stop)
+	}
+	keepers := make([]*keeper, 0, len(b.keepers))
+	for _, k := range b.keepers {
+		keepers = append(keepers, k)
+	}
+	b.mu.Unlock()
+	b.work.Wait()
+	var group conc.WaitGroup
+	for _, k := range keepers {
+		group.Go(func() { k.returnAll(ctx) })
+	}
+	group.Wait()
+	return ctx.Err()
+}
+
+// rowKeys returns the keys of a workspace's rows.
+func (b *Book) rowKeys(workspace string) (total, holder string) {
+	prefix := "prepaid/" + workspace + "/"
+	return prefix + "total", prefix + "holder." + b.opts.Holder
+}
+
+// shortOf makes the refusal of a request that the balance doesn't cover.
+func shortOf(since, now time.Time) error {
+	if !since.IsZero() && now.Sub(since) > exhaustedAfter {
+		return errkind.New(errkind.BudgetExhausted, "the prepaid balance doesn't cover this request")
+	}
+	return errkind.New(errkind.BudgetUnreachable, "the prepaid balance doesn't cover this request now").After(refusedRetry)
+}
--- /dev/null
+++ b/router/allotments/keeper.go
@@ -0,0 +1,309 @@
+package allotments
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cuminrock.example/fleet/allotment"
+	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/router/platform"
+)
+
+const (
+	// tick is how often a keeper looks for a surplus.
+	tick = 500 * time.Millisecond
+	// callTimeout bounds one call to the platform.
+	callTimeout = 1500 * time.Millisecond
+	// retryMin and retryMax bound the random wait after a failed call.
+	retryMin = 50 * time.Millisecond
+	retryMax = 400 * time.Millisecond
+	// outageRetry is advised while the platform doesn't answer.
+	outageRetry = time.Second
+)
+
+// waiter is a reservation that waits for tokens.
+type waiter struct {
+	tokens int64
+	// done carries nil when the tokens are reserved.
+	done chan error
+}
+
+// keeper holds one workspace's tokens.
+type keeper struct {
+	book      *Book
+	workspace string
+	wake      chan struct{}
+
+	mu      sync.Mutex
+	account allotment.Account
+	waiters []*waiter
+	// fresh says that the rows were read after the newest waiter came.
+	fresh bool
+	// down says that the platform didn't answer the last call.
+	down bool
+	// shortSince is when the balance first didn't cover a request; zero while
+	// it covers them.
+	shortSince time.Time
+}
+
+func newKeeper(b *Book, workspace string) *keeper {
+	return &keeper{book: b, workspace: workspace, wake: make(chan struct{}, 1)}
+}
+
+func (k *keeper) setPrepaid(tokens int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.account.SetPrepaid(tokens)
+}
+
+// reserve takes tokens that are held, or waits for the platform's.
+func (k *keeper) reserve(ctx context.Context, tokens, prepaid int64, patience time.Duration) error {
+	k.mu.Lock()
+	k.account.SetPrepaid(prepaid)
+	if len(k.waiters) == 0 && k.account.Reserve(tokens, k.book.opts.Now()) {
+		k.mu.Unlock()
+		k.nudge()
+		return nil
+	}
+	w := &waiter{tokens: tokens, done: make(chan error, 1)}
+	k.waiters = append(k.waiters, w)
+	k.account.Want(tokens)
+	k.fresh = false
+	k.mu.Unlock()
+	k.nudge()
+	return k.await(ctx, w, patience)
+}
+
+// await waits for the outcome of a waiter.
+func (k *keeper) await(ctx context.Context, w *waiter, patience time.Duration) error {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case err := <-w.done:
+		return err
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if k.leave(w) {
+		return errkind.New(errkind.BudgetUnreachable, "the prepaid balance can't be drawn on now").After(outageRetry)
+	}
+	return <-w.done
+}
+
+// leave removes a waiter. It reports false when its outcome is there already.
+func (k *keeper) leave(w *waiter) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for i, other := range k.waiters {
+		if other == w {
+			k.waiters = append(k.waiters[:i], k.waiters[i+1:]...)
+			k.account.Want(-w.tokens)
+			return true
+		}
+	}
+	return false
+}
+
+func (k *keeper) settle(reserved, used int64) {
+	k.mu.Lock()
+	k.account.Settle(reserved, used)
+	k.serveWaiters()
+	k.mu.Unlock()
+}
+
+// nudge makes the keeper look at its account soon.
+func (k *keeper) nudge() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run keeps the account until the book closes.
+func (k *keeper) run() {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-k.book.stop:
+			return
+		case <-k.wake:
+		case <-ticker.C:
+		}
+		k.keep()
+	}
+}
+
+// keep makes transactions until none is needed or one fails.
+func (k *keeper) keep() {
+	for {
+		again, err := k.turn(context.Background())
+		if err != nil {
+			k.pause()
+			return
+		}
+		if !again {
+			return
+		}
+	}
+}
+
+// pause waits after a failure, so that the platform isn't pressed.
+func (k *keeper) pause() {
+	wait := retryMin + rand.N(retryMax-retryMin)
+	select {
+	case <-k.book.stop:
+	case <-time.After(wait):
+		k.mu.Lock()
+		waiting := len(k.waiters) > 0
+		k.mu.Unlock()
+		if waiting {
+			k.nudge()
+		}
+	}
+}
+
+// turn makes one call where one is needed, and tells whether to look again.
+func (k *keeper) turn(ctx context.Context) (again bool, err error) {
+	k.mu.Lock()
+	k.serveWaiters()
+	waiting := len(k.waiters) > 0
+	step, needed := k.account.Next(k.book.opts.Now())
+	mustRead := waiting && !needed && !k.fresh || !k.account.Synced() && waiting
+	if waiting && !needed && k.fresh {
+		k.refuseNewest()
+		k.mu.Unlock()
+		return true, nil
+	}
+	k.mu.Unlock()
+	switch {
+	case mustRead:
+		return true, k.noted(k.read(ctx))
+	case needed:
+		return true, k.noted(k.commit(ctx, step))
+	default:
+		return false, nil
+	}
+}
+
+// serveWaiters reserves for the waiters in their order. The lock is held.
+func (k *keeper) serveWaiters() {
+	now := k.book.opts.Now()
+	for len(k.waiters) > 0 {
+		w := k.waiters[0]
+		if !k.account.Reserve(w.tokens, now) {
+			return
+		}
+		k.account.Want(-w.tokens)
+		k.waiters = k.waiters[1:]
+		k.shortSince = time.Time{}
+		w.done <- nil
+	}
+}
+
+// refuseNewest refuses the newest waiter: the balance just read doesn't cover
+// all that wait. The lock is held.
+func (k *keeper) refuseNewest() {
+	now := k.book.opts.Now()
+	last := len(k.waiters) - 1
+	w := k.waiters[last]
+	k.waiters = k.waiters[:last]
+	k.account.Want(-w.tokens)
+	w.done <- shortOf(k.shortSince, now)
+	if k.shortSince.IsZero() {
+		k.shortSince = now
+	}
+	rows := k.account.Rows()
+	k.book.opts.Log.Info("budget: refused a reservation; the balance doesn't cover it.",
+		zap.String("workspace", k.workspace), zap.Int64("tokens", w.tokens),
+		zap.Int64("left", k.account.Left()), zap.Int64("free", k.account.Free()),
+		zap.Uint64("row_version", rows.TotalVersion))
+}
+
+// read reads the rows.
+func (k *keeper) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	total, holder := k.book.rowKeys(k.workspace)
+	found, err := k.book.opts.Tables.Read(ctx, total, holder)
+	if err != nil {
+		return err
+	}
+	rows, err := decodeRows(found, total, holder)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.account.Sync(rows)
+	k.fresh = true
+	return nil
+}
+
+// commit makes the transaction of a step. A conflict brings the rows as they
+// stand.
+func (k *keeper) commit(ctx context.Context, step allotment.Step) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	total, holder := k.book.rowKeys(k.workspace)
+	resp, err := k.book.opts.Tables.Commit(ctx, encodeStep(step, total, holder))
+	if err != nil {
+		return err
+	}
+	rows := step.After
+	rows.TotalVersion, rows.HolderVersion = resp.Version, resp.Version
+	if !resp.Committed {
+		rows, err = mergeRows(step.Before, resp.Conflicts, total, holder)
+	}
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.account.Sync(rows)
+	return nil
+}
+
+// noted logs when the platform is lost and regained.
+func (k *keeper) noted(err error) error {
+	k.mu.Lock()
+	changed := k.down != (err != nil)
+	k.down = err != nil
+	k.mu.Unlock()
+	switch {
+	case changed && err != nil:
+		k.book.opts.Log.Warn("budget: lost the platform's rows.", zap.String("workspace", k.workspace),
+			zap.Bool("outcome_unknown", errors.Is(err, platform.ErrUnknown)), zap.Error(err))
+	case changed:
+		k.book.opts.Log.Info("budget: regained the platform's rows.", zap.String("workspace", k.workspace))
+	}
+	return err
+}
+
+// returnAll gives back what isn't reserved, until it is taken or ctx ends.
+func (k *keeper) returnAll(ctx context.Context) {
+	for ctx.Err() == nil {
+		k.mu.Lock()
+		k.account.ReturnAll()
+		step, needed := k.account.Next(k.book.opts.Now())
+		k.mu.Unlock()
+		if !needed {
+			return
+		}
+		if k.noted(k.commit(ctx, step)) != nil {
+			k.sleep(ctx)
+		}
+	}
+}
+
+func (k *keeper) sleep(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(retryMin):
+	}
+}
--- /dev/null
+++ b/router/cmd/cuminrock-router/gateway.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/platform/directory"
+	"cuminrock.example/platform/ingress"
+	"cuminrock.example/platform/operator"
+	"cuminrock.example/platform/runner"
+	"cuminrock.example/platform/store"
+	"cuminrock.example/router/exchange"
+	"cuminrock.example/router/gateway"
+	"cuminrock.example/router/logging"
+	"cuminrock.example/router/settings"
+)
+
+// runGateway runs a gateway on the hosting platform.
+func runGateway(path string) int {
+	s, err := settings.LoadGateway(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	log, flush, err := logging.New(s.Log.Level, os.Stdout)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	defer flush()
+	client := store.New(s.StoreAddress)
+	g, err := gateway.Start(s, hostingPlatform(client), log)
+	if err != nil {
+		log.Error("gateway: can't start.", zap.Error(err))
+		return exitFail
+	}
+	waitForStop(path, s, client, log)
+	if g.Stop() != nil {
+		return exitFail
+	}
+	return exitDone
+}
+
+// hostingPlatform puts the adapter's parts together.
+func hostingPlatform(client *store.Client) gateway.Platform {
+	pool := exchange.NewPool(time.Now)
+	return gateway.Platform{
+		Tables:        client,
+		Watcher:       client,
+		Operator:      gateway.Operator{Table: operator.Table, Key: operator.Key, Parse: operator.Parse},
+		Directory:     gateway.Directory{Table: directory.Table, Parse: directory.Parse},
+		Upstream:      runner.New(pool, time.Now),
+		Sweep:         pool.Sweep,
+		Handler:       func(g *gateway.Gateway) http.Handler { return ingress.NewHandler(g) },
+		ReadinessPath: ingress.ReadinessPath,
+	}
+}
+
+// waitForStop returns at the signal of a planned stop. SIGHUP reads the
+// settings again.
+func waitForStop(path string, s *pb.GatewaySettings, client *store.Client, log *zap.Logger) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			return
+		}
+		reload(path, s, client, log)
+	}
+}
+
+// reload takes changed settings that a running process can take: the store's
+// address. Settings with faults change nothing.
+func reload(path string, s *pb.GatewaySettings, client *store.Client, log *zap.Logger) {
+	next, err := settings.LoadGateway(path)
+	if err != nil {
+		log.Error("gateway: the changed settings have faults; the old ones stay.", zap.Error(err))
+		return
+	}
+	if next.StoreAddress != s.StoreAddress {
+		client.SetAddress(next.StoreAddress)
+	}
+	log.Info("gateway: read the settings again.", zap.String("store", next.StoreAddress), zap.String("store_before", s.StoreAddress))
+	s.StoreAddress = next.StoreAddress
+}
--- a/router/cmd/cuminrock-router/main.go
+++ b/router/cmd/cuminrock-router/main.go
@@ -1,8 +1,10 @@
 // Command cuminrock-router is the daemon on every entry VM.
 //
-// Usage: cuminrock-router -settings FILE
+// Usage: cuminrock-router [-gateway] -settings FILE
 //
-// It prints one JSON line with its addresses when its doors are open. SIGTERM
+// With -gateway it forwards requests on the users' hosting platform, and FILE
+// holds GatewaySettings; see docs/PLATFORM.md. Otherwise it
+// prints one JSON line with its addresses when its doors are open. SIGTERM
 // or SIGINT starts a planned stop; a second one, or the stop limit of the
 // settings, ends it and says what was cut. Exit codes: 0 a whole stop, 1 a
 // failure or a cut, 2 bad usage or settings.
@@ -43,11 +45,15 @@
 
 func run() int {
 	path := flag.String("settings", "", "file with the router's settings, in JSON")
+	asGateway := flag.Bool("gateway", false, "forward requests on the hosting platform")
 	flag.Parse()
 	if *path == "" || flag.NArg() > 0 {
-		fmt.Fprintln(os.Stderr, "usage: cuminrock-router -settings FILE")
+		fmt.Fprintln(os.Stderr, "usage: cuminrock-router [-gateway] -settings FILE")
 		return exitUsage
 	}
+	if *asGateway {
+		return runGateway(*path)
+	}
 	s, err := settings.Load(*path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/router/gateway/follow.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cuminrock.example/router/platform"
+)
+
+const (
+	// relistMin and relistMax bound the random wait after a failed call.
+	relistMin = 50 * time.Millisecond
+	relistMax = 250 * time.Millisecond
+)
+
+// view takes what a watched table holds.
+type view interface {
+	// replace takes all rows, change some that changed.
+	replace(rows []platform.Entry)
+	change(rows []platform.Entry)
+}
+
+// follow begins to follow the store.
+func (g *Gateway) follow() {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.stopWork = cancel
+	g.work.Go(func() { g.followTable(ctx, g.platform.Operator.Table, &catalogView{gateway: g}) })
+	g.work.Go(func() {
+		g.followTable(ctx, g.platform.Directory.Table, newTargetView(g))
+	})
+	g.work.Go(func() { g.sweep(ctx) })
+}
+
+// followTable lists a table and takes its changes, and lists it again after any
+// failure: what happened meanwhile may have been missed.
+func (g *Gateway) followTable(ctx context.Context, table string, v view) {
+	lost := false
+	for ctx.Err() == nil {
+		err := g.followOnce(ctx, table, v, &lost)
+		if ctx.Err() != nil {
+			return
+		}
+		if !lost {
+			lost = true
+			g.log.Warn("gateway: lost a table of the store; going on with what is known.", zap.String("table", table), zap.Error(err))
+		}
+		pause(ctx, relistMin+rand.N(relistMax-relistMin))
+	}
+}
+
+// followOnce follows a table until a call fails.
+func (g *Gateway) followOnce(ctx context.Context, table string, v view, lost *bool) error {
+	rows, cursor, err := g.platform.Watcher.List(ctx, table)
+	if err != nil {
+		return err
+	}
+	if *lost {
+		*lost = false
+		g.log.Info("gateway: regained a table of the store.", zap.String("table", table), zap.Uint64("row_version", uint64(cursor)))
+	}
+	v.replace(rows)
+	for {
+		rows, cursor, err = g.platform.Watcher.Changes(ctx, table, cursor)
+		if err != nil {
+			return err
+		}
+		if len(rows) > 0 {
+			v.change(rows)
+		}
+	}
+}
+
+// sweep closes idle connections to targets past their time.
+func (g *Gateway) sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, sweepInterval)
+		g.platform.Sweep()
+	}
+}
+
+// pause waits, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/router/gateway/view.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cuminrock.example/fleet/placement"
+	"cuminrock.example/router/platform"
+)
+
+// catalogView installs configurations. A version that isn't newer than the one
+// in force is passed over, however it came.
+type catalogView struct {
+	gateway *Gateway
+}
+
+func (v *catalogView) replace(rows []platform.Entry) { v.change(rows) }
+
+func (v *catalogView) change(rows []platform.Entry) {
+	for _, row := range rows {
+		if row.Key == v.gateway.platform.Operator.Key && !row.Deleted {
+			v.gateway.configure(row.Value)
+		}
+	}
+}
+
+// configure puts a configuration in force where it is newer.
+func (g *Gateway) configure(data []byte) {
+	next, err := g.platform.Operator.Parse(data)
+	if err != nil {
+		g.log.Error("config: can't read a configuration; the one in force stays.", zap.Error(err))
+		return
+	}
+	current := g.catalog.Load()
+	if current != nil && next.Version <= current.Version {
+		return
+	}
+	g.catalog.Store(next)
+	g.budgets.Apply(next)
+	g.log.Info("config: in force.", zap.Uint64("version", next.Version),
+		zap.Int("services", next.Services()), zap.Int("workspaces", next.Workspaces()))
+}
+
+// lapseGrace is how long targets whose entries all vanished at once are still
+// used: entries lapse while the store is away, and come back soon after.
+const lapseGrace = 1500 * time.Millisecond
+
+// targetView keeps the targets that registered themselves.
+type targetView struct {
+	gateway *Gateway
+	known   map[string]placement.Target
+}
+
+func newTargetView(g *Gateway) *targetView {
+	return &targetView{gateway: g, known: make(map[string]placement.Target)}
+}
+
+func (v *targetView) replace(rows []platform.Entry) {
+	clear(v.known)
+	v.change(rows)
+}
+
+func (v *targetView) change(rows []platform.Entry) {
+	for _, row := range rows {
+		v.take(row)
+	}
+	v.gateway.targets.Update(slices.Collect(maps.Values(v.known)))
+	v.gateway.hasTarget.Store(len(v.known) > 0)
+}
+
+// take takes one row. One that can't be read names no target.
+func (v *targetView) take(row platform.Entry) {
+	old, had := v.known[row.Key]
+	delete(v.known, row.Key)
+	if row.Deleted {
+		if had {
+			v.gateway.log.Info("targets: gone.", zap.String("target", row.Key))
+		}
+		return
+	}
+	target, err := v.gateway.platform.Directory.Parse(row.Key, row.Value)
+	if err != nil {
+		v.gateway.log.Warn("targets: an entry names no target.", zap.String("entry", row.Key), zap.Error(err))
+		return
+	}
+	v.known[row.Key] = target
+	if !had || old.Leaving != target.Leaving || old.Born != target.Born {
+		v.gateway.log.Info("targets: registered.", zap.String("target", target.ID), zap.String("service", target.Service),
+			zap.String("address", target.Address), zap.Bool("leaving", target.Leaving))
+	}
+}
--- /dev/null
+++ b/router/platform/watch.go
@@ -0,0 +1,25 @@
+package platform
+
+import "context"
+
+// Cursor is a place in a table's history of changes.
+type Cursor uint64
+
+// Entry is one row of a watched table.
+type Entry struct {
+	Key   string
+	Value []byte
+	// Deleted rows carry no value.
+	Deleted bool
+}
+
+// Watcher follows a table that others write.
+type Watcher interface {
+	// List returns all rows of the table and the place in the history that
+	// they stand for.
+	List(ctx context.Context, table string) ([]Entry, Cursor, error)
+	// Changes waits for changes after the place, up to the platform's wait
+	// time, and returns them in order with the place to go on from. Any error
+	// means that changes may have been missed: List again.
+	Changes(ctx context.Context, table string, after Cursor) ([]Entry, Cursor, error)
+}
--- /dev/null
+++ b/router/relay/metrics.go
@@ -0,0 +1,55 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics counts what became of requests.
+type Metrics struct {
+	// Requests counts finished requests by route and outcome.
+	Requests *prometheus.CounterVec
+	// Took and FirstByte are latencies in seconds, by route.
+	Took, FirstByte *prometheus.HistogramVec
+	// Sends counts requests to targets, Resends those beyond the first.
+	Sends, Resends prometheus.Counter
+	// RetriesDenied counts failures that the retry budget made final.
+	RetriesDenied prometheus.Counter
+}
+
+// NewMetrics returns metrics that the registry serves.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	buckets := prometheus.ExponentialBuckets(0.005, 2, 12)
+	m := &Metrics{
+		Requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cuminrock_requests_total", Help: "Finished requests."}, []string{"route", "outcome"}),
+		Took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cuminrock_request_seconds", Help: "Time to the end of the answer.", Buckets: buckets}, []string{"route"}),
+		FirstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cuminrock_first_byte_seconds", Help: "Time to the first byte of the answer.", Buckets: buckets}, []string{"route"}),
+		Sends: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cuminrock_sends_total", Help: "Requests sent to targets."}),
+		Resends: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cuminrock_resends_total", Help: "Requests sent to a further target."}),
+		RetriesDenied: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cuminrock_retries_denied_total", Help: "Retries that the retry budget forbade."}),
+	}
+	registry.MustRegister(m.Requests, m.Took, m.FirstByte, m.Sends, m.Resends, m.RetriesDenied)
+	return m
+}
+
+// done counts a finished request.
+func (m *Metrics) done(j *journey, took time.Duration) {
+	route := "none"
+	if j.admitted != nil {
+		route = j.route.Name
+	}
+	m.Requests.WithLabelValues(route, j.outcome).Inc()
+	m.Took.WithLabelValues(route).Observe(took.Seconds())
+	if j.firstByte > 0 {
+		m.FirstByte.WithLabelValues(route).Observe(j.firstByte.Seconds())
+	}
+	m.Sends.Add(float64(j.sends))
+	m.Resends.Add(float64(max(0, j.sends-1)))
+}
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -56,9 +56,7 @@
 func Parse(data []byte) (*pb.RouterSettings, error) {
 	s := &pb.RouterSettings{}
 	if err := protojson.Unmarshal(data, s); err != nil {
-		// protojson puts a no-break space behind its prefix at random.
-		reason := strings.ReplaceAll(err.Error(), "\u00a0", " ")
-		return nil, Faults{{Reason: reason}}
+		return nil, Faults{{Reason: plainReason(err)}}
 	}
 	ApplyDefaults(s)
 	if faults := Check(s); len(faults) > 0 {
@@ -66,3 +64,9 @@
 	}
 	return s, nil
 }
+
+// plainReason returns protojson's reason with plain spaces: it puts a no-break
+// space behind its prefix at random.
+func plainReason(err error) string {
+	return strings.ReplaceAll(err.Error(), "\u00a0", " ")
+}
