--- a/fleet/allotment/demand.go
+++ b/fleet/allotment/demand.go
@@ -8,14 +8,14 @@
 const (
 	// holdHorizon is how long the held tokens should last at the usual rate
 	// while the platform doesn't answer.
-	holdHorizon = 4 * time.Second
+	holdHorizon = 12 * time.Second
 	// holdDivisor bounds what one router holds by a part of what is left, so
 	// that the end of a budget isn't spread over many routers.
-	holdDivisor = 40
+	holdDivisor = 15
 	// refillDivisor sets the part of the goal at which more is taken.
 	refillDivisor = 2
 	// demandMemory is how long past demand counts.
-	demandMemory = 5 * time.Second
+	demandMemory = 10 * time.Second
 	// quietTime is how long after the last reservation a surplus is kept.
 	quietTime = 500 * time.Millisecond
 )
