Give back a dead run's tokens; promises bound what a run may have consumed

Cause: routers must hold enough for seconds without the store, and what a killed run held was lost. A note a machine and second bounds consumption, so the machine's next run gives the rest back.

--- a/fleet/allotment/account.go
+++ b/fleet/allotment/account.go
@@ -33,16 +33,21 @@
 type Account struct {
 	prepaid int64
 	rows    Rows
-	synced  bool
+	// syncedAt is when the rows were last known; zero before the first time.
+	syncedAt time.Time
 
 	// returned is the sum to be given back in all; it never falls.
 	returned int64
-	spent    int64
-	reserved int64
+	// returnedAt is when a surplus was last given back.
+	returnedAt time.Time
+	spent      int64
+	reserved   int64
 
 	// wanted is the sum of the reservations that wait.
 	wanted int64
 	demand demand
+	// promises hold together.
+	promises []Promise
 }
 
 // SetPrepaid sets the most tokens that all routers may take together.
@@ -62,12 +67,12 @@
 }
 
 // Synced tells whether the rows were ever read.
-func (a *Account) Synced() bool { return a.synced }
+func (a *Account) Synced() bool { return !a.syncedAt.IsZero() }
 
 // Reserve sets tokens aside for a request at its most. It reports false, and
-// changes nothing, when too few are held.
+// changes nothing, when too few are held or promised.
 func (a *Account) Reserve(tokens int64, now time.Time) bool {
-	if tokens > a.Free() {
+	if tokens > a.Free() || tokens > a.Promised(now) {
 		return false
 	}
 	a.reserved += tokens
@@ -85,11 +90,24 @@
 func (a *Account) Want(tokens int64) { a.wanted += tokens }
 
 // Sync takes the rows as read or written.
-func (a *Account) Sync(rows Rows) {
+func (a *Account) Sync(rows Rows, now time.Time) {
 	a.rows = rows
-	a.synced = true
+	a.syncedAt = now
 }
 
+// Stale tells whether the rows should be read again: others may have taken or
+// given back tokens, which matters most when few are left.
+func (a *Account) Stale(now time.Time) bool {
+	limit := staleAfter
+	if a.Left() < a.prepaid/lowDivisor {
+		limit = staleAfterLow
+	}
+	return a.Synced() && a.Free() > 0 && now.Sub(a.syncedAt) > limit
+}
+
+// Age returns the age of the rows.
+func (a *Account) Age(now time.Time) time.Duration { return now.Sub(a.syncedAt) }
+
 // Rows returns the rows as last seen.
 func (a *Account) Rows() Rows { return a.rows }
 
@@ -102,7 +120,7 @@
 // Next returns the next transaction, and false when none is needed. Tokens to
 // give back count as given back from here on.
 func (a *Account) Next(now time.Time) (Step, bool) {
-	if !a.synced {
+	if !a.Synced() {
 		return Step{}, false
 	}
 	goal := a.goal(now)
@@ -134,16 +152,17 @@
 // giveBack marks what is held far beyond the goal as given back.
 func (a *Account) giveBack(free, goal int64, now time.Time) {
 	surplus := free - goal - a.wanted
-	if a.wanted > 0 || surplus <= goal || !a.demand.quiet(now) {
+	if a.wanted > 0 || surplus <= goal/2 || now.Sub(a.returnedAt) < returnInterval {
 		return
 	}
+	a.returnedAt = now
 	a.returned += surplus
 }
 
 // shortfall returns the tokens to take now.
 func (a *Account) shortfall(free, goal int64) int64 {
 	missing := a.wanted - free
-	if missing <= 0 && free-a.wanted >= goal/refillDivisor {
+	if missing <= 0 && float64(free-a.wanted) >= float64(goal)*refillPart {
 		return 0
 	}
 	left := a.Left()
--- a/fleet/allotment/demand.go
+++ b/fleet/allotment/demand.go
@@ -8,37 +8,63 @@
 const (
 	// holdHorizon is how long the held tokens should last at the usual rate
 	// while the platform doesn't answer.
-	holdHorizon = 12 * time.Second
+	holdHorizon = 30 * time.Second
 	// holdDivisor bounds what one router holds by a part of what is left, so
 	// that the end of a budget isn't spread over many routers.
-	holdDivisor = 15
-	// refillDivisor sets the part of the goal at which more is taken.
-	refillDivisor = 2
+	holdDivisor = 8
+	// refillPart is the part of the goal below which more is taken.
+	refillPart = 0.75
 	// demandMemory is how long past demand counts.
 	demandMemory = 10 * time.Second
-	// quietTime is how long after the last reservation a surplus is kept.
-	quietTime = 500 * time.Millisecond
+	// shortestPast is the least time over which a rate is estimated.
+	shortestPast = 2 * time.Second
+	// returnInterval is the time between two returns of a surplus.
+	returnInterval = time.Second
+	// staleAfter and staleAfterLow are the ages at which rows are read again,
+	// the second where less than a part in lowDivisor of the budget is left.
+	staleAfter    = 5 * time.Second
+	staleAfterLow = time.Second
+	lowDivisor    = 5
 )
 
 // demand estimates the tokens reserved a second, by an exponentially weighted
 // sum.
 type demand struct {
-	sum  float64
-	last time.Time
+	sum float64
+	// count is the number of reservations, weighted likewise.
+	count float64
+	first time.Time
+	last  time.Time
 }
 
 func (d *demand) add(tokens int64, now time.Time) {
-	d.sum = d.sum*d.decay(now) + float64(tokens)
+	decay := d.decay(now)
+	d.sum = d.sum*decay + float64(tokens)
+	d.count = d.count*decay + 1
 	d.last = now
+	if d.first.IsZero() {
+		d.first = now
+	}
 }
 
-// rate returns tokens a second.
+// rate returns tokens a second. The weights of a short past sum to less than
+// the memory.
 func (d *demand) rate(now time.Time) float64 {
-	return d.sum * d.decay(now) / demandMemory.Seconds()
+	if d.first.IsZero() {
+		return 0
+	}
+	past := max(now.Sub(d.first), shortestPast).Seconds()
+	memory := demandMemory.Seconds()
+	return d.sum * d.decay(now) / (memory * (1 - math.Exp(-past/memory)))
 }
 
-// quiet tells whether nothing was reserved for a while.
-func (d *demand) quiet(now time.Time) bool { return now.Sub(d.last) >= quietTime }
+// size returns the usual tokens of a reservation.
+func (d *demand) size() float64 {
+	if d.count == 0 {
+		return 0
+	}
+	return d.sum / d.count
+}
 
 func (d *demand) decay(now time.Time) float64 {
 	if d.last.IsZero() {
--- /dev/null
+++ b/fleet/allotment/promise.go
@@ -0,0 +1,100 @@
+package allotment
+
+import (
+	"math"
+	"time"
+)
+
+// Promise bounds what a router may consume of a workspace, over its life, until
+// it makes another. The bound grows with the time since: little in the first
+// seconds, in which a run that died is followed by the next, and so much later
+// that a router cut off from the platform can use all it holds. The platform
+// keeps it, so that the next run on the same machine knows what a run
+// that died can have consumed at most.
+//
+// From the sending of a promise on it holds beside those before it, since it
+// may have been taken. Once it is known to be taken, it replaces them.
+type Promise struct {
+	Limit int64
+	// Rate and Surge make the bound grow: by rate x t + surge x t^3 tokens in
+	// t seconds.
+	Rate, Surge float64
+	Since       time.Time
+}
+
+const (
+	// aheadTime is how long the tokens of a fresh promise last at the usual
+	// rate, beside some reservations of the usual size.
+	aheadTime         = 500 * time.Millisecond
+	aheadReservations = 1.5
+	// rateFactor is the rate of a promise as a multiple of the usual rate.
+	rateFactor = 1.5
+	// surgeFactor is the surge of a promise as a part of a usual reservation
+	// and a second's usual tokens together.
+	surgeFactor = 0.15
+)
+
+// At returns the most tokens that may have been consumed at a time.
+func (p Promise) At(now time.Time) int64 {
+	return p.Limit + p.growth(now.Sub(p.Since).Seconds())
+}
+
+// growth returns the tokens that the bound has grown by after t seconds.
+func (p Promise) growth(t float64) int64 {
+	t = min(max(t, 0), longestGrowth.Seconds())
+	return int64(math.Ceil(p.Rate*t + p.Surge*t*t*t))
+}
+
+// Most returns the most tokens that a holder of the promise can have consumed
+// when elapsed has passed on the platform's clock since the promise's time.
+func (p Promise) Most(elapsed time.Duration) int64 {
+	return p.Limit + p.growth(elapsed.Seconds()*clockMargin)
+}
+
+const (
+	// clockMargin covers steady clocks of different machines.
+	clockMargin = 1.02
+	// longestGrowth keeps the bound within what its type holds.
+	longestGrowth = time.Hour
+)
+
+// Offer returns a promise to send. It covers what is reserved and waits.
+func (a *Account) Offer(now time.Time) Promise {
+	rate := a.demand.rate(now)
+	size := a.demand.size()
+	ahead := rate*aheadTime.Seconds() + size*aheadReservations
+	return Promise{
+		Limit: a.spent + a.reserved + a.wanted + int64(ahead),
+		Rate:  rate * rateFactor,
+		Surge: (rate + size) * surgeFactor,
+		Since: now,
+	}
+}
+
+// Bind makes a promise hold that is about to be sent.
+func (a *Account) Bind(p Promise) { a.promises = append(a.promises, p) }
+
+// TakenPromise replaces all promises by one that the platform has.
+func (a *Account) TakenPromise(p Promise) { a.promises = []Promise{p} }
+
+// DroppedPromise ends the newest promise, which the platform never took.
+func (a *Account) DroppedPromise() {
+	if len(a.promises) > 0 {
+		a.promises = a.promises[:len(a.promises)-1]
+	}
+}
+
+// Promised returns the tokens that the promises leave.
+func (a *Account) Promised(now time.Time) int64 {
+	left := int64(math.MaxInt64)
+	for _, p := range a.promises {
+		left = min(left, p.At(now)-a.spent-a.reserved)
+	}
+	return left
+}
+
+// PromiseBound tells whether tokens are held, but a promise forbids to reserve
+// them.
+func (a *Account) PromiseBound(tokens int64, now time.Time) bool {
+	return tokens <= a.Free() && tokens > a.Promised(now)
+}
--- a/router/allotments/book.go
+++ b/router/allotments/book.go
@@ -10,6 +10,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +34,10 @@
 // Options is what a Book works with. All fields are required.
 type Options struct {
 	Tables platform.Tables
+	Clock  platform.Clock
+	// Machine names the machine: a run of the same machine proves that the
+	// runs before it have ended.
+	Machine string
 	// Holder names this run of the router; no other run ever has the name.
 	Holder string
 	Log    *zap.Logger
@@ -47,11 +53,17 @@
 	closed  bool
 	stop    chan struct{}
 	work    conc.WaitGroup
+
+	noter *noter
 }
 
-// NewBook returns a book that holds nothing.
+// NewBook returns a book that holds nothing, and begins to give back what the
+// run before it on this machine left.
 func NewBook(opts Options) *Book {
-	return &Book{opts: opts, keepers: make(map[string]*keeper), stop: make(chan struct{})}
+	b := &Book{opts: opts, keepers: make(map[string]*keeper), stop: make(chan struct{})}
+	b.noter = newNoter(b)
+	b.work.Go(b.noter.run)
+	return b
 }
 
 // Hold is a reservation. Settle ends it and is called exactly once.
@@ -121,11 +133,8 @@
 		b.closed = true
 		close(b.stop)
 	}
-	keepers := make([]*keeper, 0, len(b.keepers))
-	for _, k := range b.keepers {
-		keepers = append(keepers, k)
-	}
 	b.mu.Unlock()
+	keepers := b.all()
 	b.work.Wait()
 	var group conc.WaitGroup
 	for _, k := range keepers {
@@ -135,10 +144,17 @@
 	return ctx.Err()
 }
 
-// rowKeys returns the keys of a workspace's rows.
-func (b *Book) rowKeys(workspace string) (total, holder string) {
+// all returns the keepers.
+func (b *Book) all() []*keeper {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Collect(maps.Values(b.keepers))
+}
+
+// rowKeys returns the keys of the rows of a workspace and a holder.
+func rowKeys(workspace, holder string) (totalKey, holderKey string) {
 	prefix := "prepaid/" + workspace + "/"
-	return prefix + "total", prefix + "holder." + b.opts.Holder
+	return prefix + "total", prefix + "holder." + holder
 }
 
 // shortOf makes the refusal of a request that the balance doesn't cover.
--- a/router/allotments/keeper.go
+++ b/router/allotments/keeper.go
@@ -65,7 +65,7 @@
 func (k *keeper) reserve(ctx context.Context, tokens, prepaid int64, patience time.Duration) error {
 	k.mu.Lock()
 	k.account.SetPrepaid(prepaid)
-	if len(k.waiters) == 0 && k.account.Reserve(tokens, k.book.opts.Now()) {
+	if k.account.Reserve(tokens, k.book.opts.Now()) {
 		k.mu.Unlock()
 		k.nudge()
 		return nil
@@ -103,6 +103,7 @@
 		if other == w {
 			k.waiters = append(k.waiters[:i], k.waiters[i+1:]...)
 			k.account.Want(-w.tokens)
+			k.logRefusal("budget: refused a reservation; the platform didn't answer in time.", w)
 			return true
 		}
 	}
@@ -174,7 +175,12 @@
 	k.serveWaiters()
 	waiting := len(k.waiters) > 0
 	step, needed := k.account.Next(k.book.opts.Now())
-	mustRead := waiting && !needed && !k.fresh || !k.account.Synced() && waiting
+	if waiting && k.account.PromiseBound(k.waiters[0].tokens, k.book.opts.Now()) {
+		k.mu.Unlock()
+		k.book.noter.nudge()
+		return false, nil
+	}
+	mustRead := waiting && (!needed && !k.fresh || !k.account.Synced()) || k.account.Stale(k.book.opts.Now())
 	if waiting && !needed && k.fresh {
 		k.refuseNewest()
 		k.mu.Unlock()
@@ -191,19 +197,21 @@
 	}
 }
 
-// serveWaiters reserves for the waiters in their order. The lock is held.
+// serveWaiters reserves for the waiters in their order. One that doesn't fit
+// doesn't hold up those behind it. The lock is held.
 func (k *keeper) serveWaiters() {
 	now := k.book.opts.Now()
-	for len(k.waiters) > 0 {
-		w := k.waiters[0]
+	waiting := k.waiters[:0]
+	for _, w := range k.waiters {
 		if !k.account.Reserve(w.tokens, now) {
-			return
+			waiting = append(waiting, w)
+			continue
 		}
 		k.account.Want(-w.tokens)
-		k.waiters = k.waiters[1:]
 		k.shortSince = time.Time{}
 		w.done <- nil
 	}
+	k.waiters = waiting
 }
 
 // refuseNewest refuses the newest waiter: the balance just read doesn't cover
@@ -218,18 +226,24 @@
 	if k.shortSince.IsZero() {
 		k.shortSince = now
 	}
-	rows := k.account.Rows()
-	k.book.opts.Log.Info("budget: refused a reservation; the balance doesn't cover it.",
+	k.logRefusal("budget: refused a reservation; the balance doesn't cover it.", w)
+}
+
+// logRefusal logs what decided against a reservation. The lock is held.
+func (k *keeper) logRefusal(message string, w *waiter) {
+	now := k.book.opts.Now()
+	k.book.opts.Log.Info(message,
 		zap.String("workspace", k.workspace), zap.Int64("tokens", w.tokens),
 		zap.Int64("left", k.account.Left()), zap.Int64("free", k.account.Free()),
-		zap.Uint64("row_version", rows.TotalVersion))
+		zap.Int64("promised", k.account.Promised(now)),
+		zap.Uint64("row_version", k.account.Rows().TotalVersion), zap.Duration("rows_age", k.account.Age(now)))
 }
 
 // read reads the rows.
 func (k *keeper) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	total, holder := k.book.rowKeys(k.workspace)
+	total, holder := rowKeys(k.workspace, k.book.opts.Holder)
 	found, err := k.book.opts.Tables.Read(ctx, total, holder)
 	if err != nil {
 		return err
@@ -240,7 +254,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.account.Sync(rows)
+	k.account.Sync(rows, k.book.opts.Now())
 	k.fresh = true
 	return nil
 }
@@ -250,7 +264,7 @@
 func (k *keeper) commit(ctx context.Context, step allotment.Step) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	total, holder := k.book.rowKeys(k.workspace)
+	total, holder := rowKeys(k.workspace, k.book.opts.Holder)
 	resp, err := k.book.opts.Tables.Commit(ctx, encodeStep(step, total, holder))
 	if err != nil {
 		return err
@@ -265,7 +279,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.account.Sync(rows)
+	k.account.Sync(rows, k.book.opts.Now())
 	return nil
 }
 
@@ -307,3 +321,34 @@
 	case <-time.After(retryMin):
 	}
 }
+
+// promise makes the account hold to a new promise.
+func (k *keeper) promise(now time.Time) allotment.Promise {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p := k.account.Offer(now)
+	k.account.Bind(p)
+	return p
+}
+
+// promiseTaken takes that the platform has the promise.
+func (k *keeper) promiseTaken(p allotment.Promise) {
+	k.mu.Lock()
+	k.account.TakenPromise(p)
+	k.serveWaiters()
+	waiting := len(k.waiters) > 0
+	k.mu.Unlock()
+	if waiting {
+		k.nudge()
+	}
+}
+
+// promiseDropped takes that the platform never took the newest promise.
+func (k *keeper) promiseDropped() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.account.DroppedPromise()
+}
+
+// isUnknown tells whether a commit may still take effect.
+func isUnknown(err error) bool { return errors.Is(err, platform.ErrUnknown) }
--- /dev/null
+++ b/router/allotments/noter.go
@@ -0,0 +1,231 @@
+package allotments
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/gravitational/trace"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/allotment"
+)
+
+const (
+	// noteInterval is the time between two notes at most.
+	noteInterval = time.Second
+	// noteGap is the time between two notes at least.
+	noteGap = 50 * time.Millisecond
+)
+
+// noter keeps the machine's note: what this run may have consumed at most. It
+// begins by giving back what the note of the machine's last run leaves.
+type noter struct {
+	book *Book
+	wake chan struct{}
+	// version is the row's version as last seen.
+	version uint64
+	// pending is a note whose outcome isn't known; nil without one. It is sent
+	// again as it is, so that one set of promises covers either outcome.
+	pending *note
+}
+
+// note is the promises of one note by their keepers.
+type note struct {
+	value    []byte
+	promises map[*keeper]allotment.Promise
+}
+
+func newNoter(b *Book) *noter { return &noter{book: b, wake: make(chan struct{}, 1)} }
+
+// nudge asks for a note soon.
+func (n *noter) nudge() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (n *noter) run() {
+	n.recover()
+	for n.pause(noteGap) {
+		n.write()
+		timer := time.NewTimer(noteInterval - noteGap)
+		select {
+		case <-n.book.stop:
+		case <-n.wake:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// pause waits, and reports false when the book closes.
+func (n *noter) pause(d time.Duration) bool {
+	select {
+	case <-n.book.stop:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (n *noter) key() string { return "routers/" + n.book.opts.Machine + "/note" }
+
+// write sends a note of all accounts.
+func (n *noter) write() {
+	if n.pending == nil {
+		n.pending = n.compose()
+	}
+	if n.pending == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	resp, err := n.book.opts.Tables.Commit(ctx, &pb.CommitRequest{
+		Conditions: []*pb.Condition{{Key: n.key(), Version: n.version}},
+		Writes:     []*pb.Write{{Key: n.key(), Value: n.pending.value}},
+	})
+	switch {
+	case err != nil && isUnknown(err):
+	case err != nil:
+		n.dropped()
+	case resp.Committed:
+		n.version = resp.Version
+		n.taken()
+	default:
+		n.conflict(resp.Conflicts)
+	}
+}
+
+// compose makes a note, and binds this run to its promises. It is nil where
+// nothing is held or the platform's time isn't known.
+func (n *noter) compose() *note {
+	now := n.book.opts.Now()
+	storeMs, known := n.book.opts.Clock.Estimate(now)
+	if !known {
+		return nil
+	}
+	message := &pb.AllotmentNote{Holder: n.book.opts.Holder, StoreMs: storeMs}
+	promises := make(map[*keeper]allotment.Promise)
+	for _, k := range n.book.all() {
+		p := k.promise(now)
+		promises[k] = p
+		message.Bounds = append(message.Bounds, &pb.AllotmentBound{Workspace: k.workspace, Limit: p.Limit, Rate: p.Rate, Surge: p.Surge})
+	}
+	if len(promises) == 0 {
+		return nil
+	}
+	return &note{value: encode(message), promises: promises}
+}
+
+// taken makes the pending note's promises the ones that hold.
+func (n *noter) taken() {
+	for k, p := range n.pending.promises {
+		k.promiseTaken(p)
+	}
+	n.pending = nil
+}
+
+// dropped ends the promises of a note that the platform never took.
+func (n *noter) dropped() {
+	for k := range n.pending.promises {
+		k.promiseDropped()
+	}
+	n.pending = nil
+}
+
+// conflict takes the row as it stands. It can only be this run's own note, sent
+// before and committed late.
+func (n *noter) conflict(rows []*pb.Row) {
+	for _, row := range rows {
+		n.version = row.Version
+		if string(row.Value) == string(n.pending.value) {
+			n.taken()
+			return
+		}
+	}
+	n.book.opts.Log.Warn("budget: the machine's note isn't this run's; sending it again.", zap.Uint64("row_version", n.version))
+}
+
+// recover gives back what the machine's last run held and can't have consumed.
+func (n *noter) recover() {
+	last, ok := n.last()
+	if !ok || last.Holder == "" {
+		return
+	}
+	storeMs, _ := n.book.opts.Clock.Estimate(n.book.opts.Now())
+	elapsed := time.Duration(storeMs-last.StoreMs) * time.Millisecond
+	for _, bound := range last.Bounds {
+		promise := allotment.Promise{Limit: bound.Limit, Rate: bound.Rate, Surge: bound.Surge}
+		most := promise.Most(elapsed)
+		for !n.giveBack(last.Holder, bound.Workspace, most) {
+			if !n.pause(retryMax) {
+				return
+			}
+		}
+	}
+}
+
+// last reads the note of the machine's last run, until the platform answers;
+// false when the book closes.
+func (n *noter) last() (*pb.AllotmentNote, bool) {
+	for {
+		message, err := n.read()
+		if err == nil {
+			return message, true
+		}
+		n.book.opts.Log.Warn("budget: can't read the note of the last run.", zap.Error(err))
+		if !n.pause(retryMax) {
+			return nil, false
+		}
+	}
+}
+
+func (n *noter) read() (*pb.AllotmentNote, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	rows, err := n.book.opts.Tables.Read(ctx, n.key())
+	if err != nil {
+		return nil, err
+	}
+	message := &pb.AllotmentNote{}
+	for _, row := range rows {
+		n.version = row.Version
+		err = proto.Unmarshal(row.Value, message)
+	}
+	return message, trace.Wrap(err, "reading a note")
+}
+
+// giveBack returns a dead holder's tokens beyond what it consumed at most. It
+// reports false when the outcome isn't known.
+func (n *noter) giveBack(holder, workspace string, most int64) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	totalKey, holderKey := rowKeys(workspace, holder)
+	found, err := n.book.opts.Tables.Read(ctx, totalKey, holderKey)
+	if err != nil {
+		return false
+	}
+	rows, err := decodeRows(found, totalKey, holderKey)
+	if err != nil {
+		n.book.opts.Log.Error("budget: a dead holder's rows can't be read.", zap.String("workspace", workspace), zap.Error(err))
+		return true
+	}
+	rest := rows.Taken - rows.Returned - most
+	if rest <= 0 {
+		return true
+	}
+	after := rows
+	after.Total -= rest
+	after.Returned += rest
+	resp, err := n.book.opts.Tables.Commit(ctx, encodeStep(allotment.Step{Before: rows, After: after}, totalKey, holderKey))
+	if err != nil || !resp.Committed {
+		return false
+	}
+	n.book.opts.Log.Info("budget: gave back what the last run held.", zap.String("workspace", workspace),
+		zap.String("holder", holder), zap.Int64("tokens", rest), zap.Int64("consumed_at_most", most))
+	return true
+}
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -63,6 +63,7 @@
 type Platform struct {
 	Tables  platform.Tables
 	Watcher platform.Watcher
+	Clock   platform.Clock
 	// Operator reads the configuration, Directory the targets.
 	Operator  Operator
 	Directory Directory
@@ -116,11 +117,16 @@
 	if err != nil {
 		return nil, err
 	}
+	doors, err := listen(settings.Doors)
+	if err != nil {
+		return nil, err
+	}
 	debug.SetMemoryLimit(int64(settings.MemoryMib) << 20 * memoryPermille / permille)
 	g := &Gateway{settings: settings, platform: p, log: log, registry: prometheus.NewRegistry()}
 	g.targets = placement.New(settings.DataCentre)
 	g.budgets = allotments.NewBook(allotments.Options{
-		Tables: p.Tables, Holder: settings.Name + "." + incarnation, Log: log, Now: time.Now,
+		Tables: p.Tables, Clock: p.Clock, Machine: settings.Name + "." + settings.Doors.Caller,
+		Holder: settings.Name + "." + incarnation, Log: log, Now: time.Now,
 	})
 	g.relay = relay.New(relay.Options{
 		Catalog:  g.catalog.Load,
@@ -132,10 +138,7 @@
 		Log:      log,
 		Now:      time.Now,
 	})
-	err = g.open()
-	if err != nil {
-		return nil, err
-	}
+	g.open(doors)
 	g.follow()
 	log.Info("gateway: started.", zap.String("name", settings.Name), zap.String("incarnation", incarnation),
 		zap.String("callers", settings.Doors.Caller), zap.String("store", settings.StoreAddress))
@@ -151,8 +154,39 @@
 	return hex.EncodeToString(random[:]), nil
 }
 
-// open opens the doors.
-func (g *Gateway) open() error {
+// doors holds the listeners of the doors.
+type doors struct {
+	callers, readiness, metrics net.Listener
+}
+
+// listen opens the doors. That they open also proves that no earlier run on
+// this machine goes on.
+func listen(at *pb.GatewayDoors) (*doors, error) {
+	d := &doors{}
+	for _, door := range []struct {
+		lis     *net.Listener
+		address string
+	}{{&d.callers, at.Caller}, {&d.readiness, at.Readiness}, {&d.metrics, at.Metrics}} {
+		lis, err := net.Listen("tcp", door.address)
+		if err != nil {
+			d.close()
+			return nil, trace.Wrap(err, "opening a door")
+		}
+		*door.lis = lis
+	}
+	return d, nil
+}
+
+func (d *doors) close() {
+	for _, lis := range []net.Listener{d.callers, d.readiness, d.metrics} {
+		if lis != nil {
+			_ = lis.Close()
+		}
+	}
+}
+
+// open begins to serve at the doors.
+func (g *Gateway) open(d *doors) {
 	g.callers = &http.Server{
 		Handler:           g.platform.Handler(g),
 		ReadHeaderTimeout: headerTime,
@@ -162,19 +196,9 @@
 	}
 	g.readiness = &http.Server{Handler: g.readinessRoutes(), ReadHeaderTimeout: headerTime}
 	g.metrics = &http.Server{Handler: g.metricsRoutes(), ReadHeaderTimeout: headerTime}
-	doors := g.settings.Doors
-	for _, door := range []struct {
-		server  *http.Server
-		address string
-	}{{g.metrics, doors.Metrics}, {g.callers, doors.Caller}, {g.readiness, doors.Readiness}} {
-		lis, err := net.Listen("tcp", door.address)
-		if err != nil {
-			g.closeDoors()
-			return trace.Wrap(err, "opening a door")
-		}
-		g.work.Go(func() { g.serve(door.server, lis) })
-	}
-	return nil
+	g.work.Go(func() { g.serve(g.metrics, d.metrics) })
+	g.work.Go(func() { g.serve(g.callers, d.callers) })
+	g.work.Go(func() { g.serve(g.readiness, d.readiness) })
 }
 
 func (g *Gateway) serve(server *http.Server, lis net.Listener) {
--- a/router/platform/watch.go
+++ b/router/platform/watch.go
@@ -1,6 +1,9 @@
 package platform
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Cursor is a place in a table's history of changes.
 type Cursor uint64
@@ -23,3 +26,11 @@
 	// means that changes may have been missed: List again.
 	Changes(ctx context.Context, table string, after Cursor) ([]Entry, Cursor, error)
 }
+
+// Clock tells the time of the platform's steady clock.
+type Clock interface {
+	// Estimate returns the time, in milliseconds, that the platform's clock
+	// shows at a local time, or a little less; false before any call was
+	// answered.
+	Estimate(local time.Time) (int64, bool)
+}
