--- a/fleet/allotment/account.go
+++ b/fleet/allotment/account.go
@@ -156,7 +156,7 @@
 		return
 	}
 	a.returnedAt = now
-	a.returned += surplus
+	a.returned += surplus / returnDivisor
 }
 
 // shortfall returns the tokens to take now.
@@ -169,5 +169,5 @@
 	if missing > left {
 		return 0
 	}
-	return min(max(missing, 0)+goal, left)
+	return min(max(missing, 0)+min(max(goal-max(free-a.wanted, 0), 0), left/aheadDivisor), left)
 }
--- a/fleet/allotment/demand.go
+++ b/fleet/allotment/demand.go
@@ -9,9 +9,15 @@
 	// holdHorizon is how long the held tokens should last at the usual rate
 	// while the platform doesn't answer.
 	holdHorizon = 30 * time.Second
-	// holdDivisor bounds what one router holds by a part of what is left, so
-	// that the end of a budget isn't spread over many routers.
-	holdDivisor = 8
+	// holdDivisor bounds what one router holds by a part of what is left. With
+	// n routers that all want more, each comes to hold a part in n+holdDivisor.
+	holdDivisor = 2
+	// aheadDivisor bounds what one transaction takes beyond what waits by a
+	// part of what is left, so that the first to ask doesn't take most.
+	aheadDivisor = 10
+	// returnDivisor is the part of a surplus that is given back at once; the
+	// rest follows if it is still a surplus.
+	returnDivisor = 2
 	// refillPart is the part of the goal below which more is taken.
 	refillPart = 0.75
 	// demandMemory is how long past demand counts.
--- a/fleet/allotment/promise.go
+++ b/fleet/allotment/promise.go
@@ -31,7 +31,7 @@
 	rateFactor = 1.5
 	// surgeFactor is the surge of a promise as a part of a usual reservation
 	// and a second's usual tokens together.
-	surgeFactor = 0.15
+	surgeFactor = 0.08
 )
 
 // At returns the most tokens that may have been consumed at a time.
--- a/router/allotments/keeper.go
+++ b/router/allotments/keeper.go
@@ -22,6 +22,9 @@
 	// retryMin and retryMax bound the random wait after a failed call.
 	retryMin = 50 * time.Millisecond
 	retryMax = 400 * time.Millisecond
+	// overdueAfter is the age of a call from which on requests don't wait for
+	// it.
+	overdueAfter = 300 * time.Millisecond
 	// outageRetry is advised while the platform doesn't answer.
 	outageRetry = time.Second
 )
@@ -46,6 +49,8 @@
 	fresh bool
 	// down says that the platform didn't answer the last call.
 	down bool
+	// callBegan is when the call in progress began; zero without one.
+	callBegan time.Time
 	// shortSince is when the balance first didn't cover a request; zero while
 	// it covers them.
 	shortSince time.Time
@@ -70,6 +75,10 @@
 		k.nudge()
 		return nil
 	}
+	if k.overdue() {
+		k.mu.Unlock()
+		return unreachable()
+	}
 	w := &waiter{tokens: tokens, done: make(chan error, 1)}
 	k.waiters = append(k.waiters, w)
 	k.account.Want(tokens)
@@ -90,11 +99,22 @@
 	case <-ctx.Done():
 	}
 	if k.leave(w) {
-		return errkind.New(errkind.BudgetUnreachable, "the prepaid balance can't be drawn on now").After(outageRetry)
+		return unreachable()
 	}
 	return <-w.done
 }
 
+// overdue tells whether the platform's answer is late, so that waiting for it
+// is in vain. The lock is held.
+func (k *keeper) overdue() bool {
+	return k.down || !k.callBegan.IsZero() && k.book.opts.Now().Sub(k.callBegan) > overdueAfter
+}
+
+// unreachable is the refusal while tokens can't be had from the platform.
+func unreachable() error {
+	return errkind.New(errkind.BudgetUnreachable, "the prepaid balance can't be drawn on now").After(outageRetry)
+}
+
 // leave removes a waiter. It reports false when its outcome is there already.
 func (k *keeper) leave(w *waiter) bool {
 	k.mu.Lock()
@@ -189,9 +209,9 @@
 	k.mu.Unlock()
 	switch {
 	case mustRead:
-		return true, k.noted(k.read(ctx))
+		return true, k.timed(func() error { return k.read(ctx) })
 	case needed:
-		return true, k.noted(k.commit(ctx, step))
+		return true, k.timed(func() error { return k.commit(ctx, step) })
 	default:
 		return false, nil
 	}
@@ -283,6 +303,20 @@
 	return nil
 }
 
+// timed makes a call, and notes when it began and how it ended.
+func (k *keeper) timed(call func() error) error {
+	k.began(k.book.opts.Now())
+	err := call()
+	k.began(time.Time{})
+	return k.noted(err)
+}
+
+func (k *keeper) began(t time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.callBegan = t
+}
+
 // noted logs when the platform is lost and regained.
 func (k *keeper) noted(err error) error {
 	k.mu.Lock()
