Keep scarce tokens for more urgent requests

Cause: while cut off, and at the end of a budget, whoever came first took the tokens; quick questions need a tenth of them and are worth the most. What more urgent requests will need for the rest of an outage is kept.

--- a/fleet/allotment/account.go
+++ b/fleet/allotment/account.go
@@ -46,6 +46,10 @@
 	// wanted is the sum of the reservations that wait.
 	wanted int64
 	demand demand
+	// byRank is the demand of each rank of requests; 0 is the most urgent.
+	byRank [ranks]demand
+	// cutSince is when the platform stopped answering; zero while it answers.
+	cutSince time.Time
 	// promises hold together.
 	promises []Promise
 }
@@ -70,16 +74,52 @@
 func (a *Account) Synced() bool { return !a.syncedAt.IsZero() }
 
 // Reserve sets tokens aside for a request at its most. It reports false, and
-// changes nothing, when too few are held or promised.
-func (a *Account) Reserve(tokens int64, now time.Time) bool {
-	if tokens > a.Free() || tokens > a.Promised(now) {
+// changes nothing, when too few are held or promised, or when what would be
+// left is kept for more urgent requests.
+func (a *Account) Reserve(tokens int64, rank int, now time.Time) bool {
+	if tokens > a.Free()-a.kept(rank, now) || tokens > a.Promised(now) {
 		return false
 	}
 	a.reserved += tokens
-	a.demand.add(tokens, now)
 	return true
 }
 
+// Asked notes a request for tokens.
+func (a *Account) Asked(tokens int64, rank int, now time.Time) {
+	a.demand.add(tokens, now)
+	a.byRank[clampRank(rank)].add(tokens, now)
+}
+
+// SetCut says whether the platform answers.
+func (a *Account) SetCut(cut bool, now time.Time) {
+	switch {
+	case !cut:
+		a.cutSince = time.Time{}
+	case a.cutSince.IsZero():
+		a.cutSince = now
+	}
+}
+
+// kept returns the tokens that are kept for requests more urgent than the
+// rank, where tokens are scarce: the platform can't be reached, or has too few.
+func (a *Account) kept(rank int, now time.Time) int64 {
+	rate := 0.0
+	for i := range clampRank(rank) {
+		rate += a.byRank[i].rate(now)
+	}
+	if !a.cutSince.IsZero() {
+		horizon := max(keepWhileCut-now.Sub(a.cutSince), keepAtEnd)
+		return int64(rate * horizon.Seconds())
+	}
+	kept := int64(rate * keepAtEnd.Seconds())
+	if a.Left()/holdDivisor < kept {
+		return kept
+	}
+	return 0
+}
+
+func clampRank(rank int) int { return min(max(rank, 0), ranks-1) }
+
 // Settle ends a reservation of which used tokens were consumed.
 func (a *Account) Settle(reserved, used int64) {
 	a.reserved -= reserved
--- a/fleet/allotment/demand.go
+++ b/fleet/allotment/demand.go
@@ -22,6 +22,13 @@
 	refillPart = 0.75
 	// demandMemory is how long past demand counts.
 	demandMemory = 10 * time.Second
+	// ranks is the number of ranks of urgency.
+	ranks = 10
+	// keepWhileCut is how long an outage of the platform is expected to last:
+	// the demand of more urgent requests is kept for what remains of it.
+	keepWhileCut = 8 * time.Second
+	// keepAtEnd is how long that demand is kept where a budget is near its end.
+	keepAtEnd = time.Second
 	// shortestPast is the least time over which a rate is estimated.
 	shortestPast = 2 * time.Second
 	// returnInterval is the time between two returns of a surplus.
--- a/router/allotments/keeper.go
+++ b/router/allotments/keeper.go
@@ -32,6 +32,7 @@
 // waiter is a reservation that waits for tokens.
 type waiter struct {
 	tokens int64
+	rank   int
 	// done carries nil when the tokens are reserved.
 	done chan error
 }
@@ -67,10 +68,13 @@
 }
 
 // reserve takes tokens that are held, or waits for the platform's.
-func (k *keeper) reserve(ctx context.Context, tokens, prepaid int64, patience time.Duration) error {
+func (k *keeper) reserve(ctx context.Context, tokens int64, rank int, prepaid int64, patience time.Duration) error {
 	k.mu.Lock()
 	k.account.SetPrepaid(prepaid)
-	if k.account.Reserve(tokens, k.book.opts.Now()) {
+	now := k.book.opts.Now()
+	k.account.SetCut(k.overdue(), now)
+	k.account.Asked(tokens, rank, now)
+	if k.account.Reserve(tokens, rank, now) {
 		k.mu.Unlock()
 		k.nudge()
 		return nil
@@ -79,7 +83,7 @@
 		k.mu.Unlock()
 		return unreachable()
 	}
-	w := &waiter{tokens: tokens, done: make(chan error, 1)}
+	w := &waiter{tokens: tokens, rank: rank, done: make(chan error, 1)}
 	k.waiters = append(k.waiters, w)
 	k.account.Want(tokens)
 	k.fresh = false
@@ -223,7 +227,7 @@
 	now := k.book.opts.Now()
 	waiting := k.waiters[:0]
 	for _, w := range k.waiters {
-		if !k.account.Reserve(w.tokens, now) {
+		if !k.account.Reserve(w.tokens, w.rank, now) {
 			waiting = append(waiting, w)
 			continue
 		}
--- a/router/allotments/noter.go
+++ b/router/allotments/noter.go
@@ -215,6 +215,8 @@
 		return true
 	}
 	rest := rows.Taken - rows.Returned - most
+	n.book.opts.Log.Info("budget: closing the last run's account.", zap.String("workspace", workspace), zap.String("holder", holder),
+		zap.Int64("taken", rows.Taken), zap.Int64("returned", rows.Returned), zap.Int64("consumed_at_most", most))
 	if rest <= 0 {
 		return true
 	}
@@ -226,6 +228,6 @@
 		return false
 	}
 	n.book.opts.Log.Info("budget: gave back what the last run held.", zap.String("workspace", workspace),
-		zap.String("holder", holder), zap.Int64("tokens", rest), zap.Int64("consumed_at_most", most))
+		zap.String("holder", holder), zap.Int64("tokens", rest))
 	return true
 }
--- a/router/relay/journey.go
+++ b/router/relay/journey.go
@@ -36,6 +36,8 @@
 	mayHaveRun bool
 	// events counts the events passed on.
 	events int64
+	// consumed is the tokens billed.
+	consumed int64
 	// firstByte is the time to the first byte passed on.
 	firstByte time.Duration
 	outcome   string
@@ -185,7 +187,8 @@
 	if j.service.Engine != nil {
 		perEvent = max(j.service.Engine.EventTokens, 1)
 	}
-	j.hold.Settle(j.Prompt.InputTokens + min(j.events*perEvent, j.Prompt.MaxOutputTokens))
+	j.consumed = j.Prompt.InputTokens + min(j.events*perEvent, j.Prompt.MaxOutputTokens)
+	j.hold.Settle(j.consumed)
 }
 
 // log writes the one line of the request.
@@ -199,7 +202,7 @@
 	}
 	if j.admitted != nil {
 		fields = append(fields, zap.String("route", j.route.Name), zap.String("workspace", j.workspaceName()),
-			zap.Uint64("config", j.catalog.Version), zap.Int64("events", j.events), zap.Duration("first_byte", j.firstByte))
+			zap.Uint64("config", j.catalog.Version), zap.Int64("events", j.events), zap.Int64("consumed", j.consumed), zap.Duration("first_byte", j.firstByte))
 	}
 	if err != nil {
 		fields = append(fields, zap.Error(err))
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -144,7 +144,7 @@
 		return &allotments.Hold{}, nil
 	}
 	patience := min(a.route.Goal/2, a.timeout()/4)
-	hold, err := r.Budgets.Reserve(ctx, a.workspace, a.Prompt.Bound(), patience)
+	hold, err := r.Budgets.Reserve(ctx, a.workspace, a.Prompt.Bound(), a.route.Priority, patience)
 	if err != nil {
 		return nil, errkind.As(err)
 	}
