--- a/fleet/allotment/account.go
+++ b/fleet/allotment/account.go
@@ -57,6 +57,9 @@
 // SetPrepaid sets the most tokens that all routers may take together.
 func (a *Account) SetPrepaid(tokens int64) { a.prepaid = tokens }
 
+// Prepaid returns the most tokens that all routers may take together.
+func (a *Account) Prepaid() int64 { return a.prepaid }
+
 // Free returns the tokens that can be reserved now. It is negative where the
 // prepaid amount was lowered below what was taken.
 func (a *Account) Free() int64 {
--- a/fleet/errkind/errkind.go
+++ b/fleet/errkind/errkind.go
@@ -31,6 +31,8 @@
 	BadMethod
 	// BodyTooLarge is a body above the caller limit.
 	BodyTooLarge
+	// HeaderTooLarge is a header above the caller limit.
+	HeaderTooLarge
 	// SlowCaller is a caller that didn't send its request in time.
 	SlowCaller
 	// UnknownKey is a missing or unknown bearer key.
@@ -136,6 +138,7 @@
 	BadRequest:          {"bad_request", http.StatusBadRequest, codes.InvalidArgument, notRun, RetryNever},
 	BadMethod:           {"bad_method", http.StatusMethodNotAllowed, codes.Unimplemented, notRun, RetryNever},
 	BodyTooLarge:        {"body_too_large", http.StatusRequestEntityTooLarge, codes.InvalidArgument, notRun, RetryNever},
+	HeaderTooLarge:      {"header_too_large", http.StatusRequestHeaderFieldsTooLarge, codes.InvalidArgument, notRun, RetryNever},
 	SlowCaller:          {"slow_caller", http.StatusRequestTimeout, codes.DeadlineExceeded, notRun, RetryLater},
 	UnknownKey:          {"unknown_key", http.StatusUnauthorized, codes.Unauthenticated, notRun, RetryNever},
 	UnknownService:      {"unknown_service", http.StatusNotFound, codes.NotFound, notRun, RetryNever},
--- a/router/cmd/cuminrock-router/gateway.go
+++ b/router/cmd/cuminrock-router/gateway.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"os"
@@ -64,16 +65,44 @@
 	}
 }
 
-// waitForStop returns at the signal of a planned stop. SIGHUP reads the
-// settings again.
+// settingsInterval is how often the settings file is compared; it may change
+// without a signal.
+const settingsInterval = 2 * time.Second
+
+// waitForStop returns at the signal of a planned stop. SIGHUP, and a change of
+// the file, reads the settings again.
 func waitForStop(path string, s *pb.GatewaySettings, client *store.Client, log *zap.Logger) {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			return
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	changed := newFileWatch(path)
+	for {
+		select {
+		case sig := <-signals:
+			if sig != syscall.SIGHUP {
+				return
+			}
+			reload(path, s, client, log)
+		case <-ticker.C:
+			if changed() {
+				reload(path, s, client, log)
+			}
+		}
+	}
+}
+
+// newFileWatch returns a function that tells whether the file's content changed
+// since the last call. A file that can't be read counts as unchanged.
+func newFileWatch(path string) func() bool {
+	last, _ := os.ReadFile(path)
+	return func() bool {
+		content, err := os.ReadFile(path)
+		if err != nil || bytes.Equal(content, last) {
+			return false
 		}
-		reload(path, s, client, log)
+		last = content
+		return true
 	}
 }
 
--- a/router/gateway/follow.go
+++ b/router/gateway/follow.go
@@ -21,6 +21,8 @@
 	// replace takes all rows, change some that changed.
 	replace(rows []platform.Entry)
 	change(rows []platform.Entry)
+	// idle is called from time to time.
+	idle()
 }
 
 // follow begins to follow the store.
@@ -70,6 +72,7 @@
 		if len(rows) > 0 {
 			v.change(rows)
 		}
+		v.idle()
 	}
 }
 
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -240,13 +240,16 @@
 	g.relay.Serve(ctx, req, out)
 }
 
-// MaxBodyBytes returns the longest body that callers may send.
-func (g *Gateway) MaxBodyBytes() int64 {
-	c := g.catalog.Load()
-	if c == nil || c.Limits.BodyBytes == 0 {
-		return defaultBodyBytes
+// Limits returns what callers may send.
+func (g *Gateway) Limits() catalog.Limits {
+	var limits catalog.Limits
+	if c := g.catalog.Load(); c != nil {
+		limits = c.Limits
 	}
-	return c.Limits.BodyBytes
+	if limits.BodyBytes == 0 {
+		limits.BodyBytes = defaultBodyBytes
+	}
+	return limits
 }
 
 // Closing tells whether connections are to end with their answers.
--- a/router/gateway/view.go
+++ b/router/gateway/view.go
@@ -27,6 +27,9 @@
 	}
 }
 
+// idle implements view.
+func (v *catalogView) idle() {}
+
 // configure puts a configuration in force where it is newer.
 func (g *Gateway) configure(data []byte) {
 	next, err := g.platform.Operator.Parse(data)
@@ -52,23 +55,74 @@
 type targetView struct {
 	gateway *Gateway
 	known   map[string]placement.Target
+	// lapsed are targets whose entries vanished; they are used until
+	// lapsedUntil.
+	lapsed      map[string]placement.Target
+	lapsedUntil time.Time
 }
 
 func newTargetView(g *Gateway) *targetView {
 	return &targetView{gateway: g, known: make(map[string]placement.Target)}
 }
 
+// replace takes all rows. Targets of a service that lost most of its entries
+// since the last list are kept for a while.
 func (v *targetView) replace(rows []platform.Entry) {
-	clear(v.known)
-	v.change(rows)
+	before := v.known
+	v.known = make(map[string]placement.Target, len(rows))
+	for _, row := range rows {
+		v.take(row)
+	}
+	v.lapsed = lapsed(before, v.known)
+	v.lapsedUntil = time.Now().Add(lapseGrace)
+	if len(v.lapsed) > 0 {
+		v.gateway.log.Warn("targets: most entries of a service vanished at once; using it on for a while.", zap.Int("targets", len(v.lapsed)))
+	}
+	v.install()
 }
 
 func (v *targetView) change(rows []platform.Entry) {
 	for _, row := range rows {
+		delete(v.lapsed, row.Key)
 		v.take(row)
 	}
-	v.gateway.targets.Update(slices.Collect(maps.Values(v.known)))
-	v.gateway.hasTarget.Store(len(v.known) > 0)
+	v.install()
+}
+
+// idle drops the lapsed targets when their time is over.
+func (v *targetView) idle() {
+	if len(v.lapsed) > 0 && time.Now().After(v.lapsedUntil) {
+		v.lapsed = nil
+		v.install()
+	}
+}
+
+// install gives the targets to the table.
+func (v *targetView) install() {
+	targets := slices.Collect(maps.Values(v.known))
+	targets = slices.AppendSeq(targets, maps.Values(v.lapsed))
+	v.gateway.targets.Update(targets)
+	v.gateway.hasTarget.Store(len(targets) > 0)
+}
+
+// lapsed returns the targets that are missing now, of the services that kept
+// fewer than half of theirs.
+func lapsed(before, now map[string]placement.Target) map[string]placement.Target {
+	had, has := make(map[string]int), make(map[string]int)
+	for id, target := range before {
+		had[target.Service]++
+		if _, still := now[id]; still {
+			has[target.Service]++
+		}
+	}
+	missing := make(map[string]placement.Target)
+	for id, target := range before {
+		_, still := now[id]
+		if !still && !target.Leaving && 2*has[target.Service] < had[target.Service] {
+			missing[id] = target
+		}
+	}
+	return missing
 }
 
 // take takes one row. One that can't be read names no target.
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -34,6 +34,10 @@
 	defaultTimeout = 60 * time.Second
 	// maxUnreached bounds the targets tried in vain for one request.
 	maxUnreached = 3
+	// outcomeAnswered and outcomeLeft are outcomes in logs and metrics beside
+	// the kinds of errors.
+	outcomeAnswered = "answered"
+	outcomeLeft     = "caller left"
 	// notReadyRetry is advised before there is a configuration.
 	notReadyRetry = time.Second
 )
@@ -74,6 +78,9 @@
 		out.Refuse(refusal)
 		j.outcome = refusal.Kind.String()
 	}
+	if ctx.Err() != nil && j.outcome != outcomeAnswered {
+		j.outcome = outcomeLeft
+	}
 	j.log(req, err)
 }
 
@@ -114,9 +121,6 @@
 			return nil, errkind.New(errkind.UnknownKey, "the API key isn't known")
 		}
 	}
-	if c.Limits.BodyBytes > 0 && int64(len(req.Body)) > c.Limits.BodyBytes {
-		return nil, errkind.New(errkind.BodyTooLarge, "the body is longer than %d bytes", c.Limits.BodyBytes)
-	}
 	a.service = c.Service(a.route.ServiceFor(req.ID))
 	if a.service == nil {
 		return nil, errkind.New(errkind.NoTarget, "the route's service isn't declared").After(notReadyRetry)
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -118,7 +118,7 @@
 }
 
 func (j *journey) callerLeft() bool {
-	j.outcome = "caller left"
+	j.outcome = outcomeLeft
 	j.out.Break()
 	return false
 }
@@ -132,7 +132,7 @@
 			return nil
 		}
 	}
-	j.outcome = "answered"
+	j.outcome = outcomeAnswered
 	j.out.End()
 	return nil
 }
--- a/router/relay/whole.go
+++ b/router/relay/whole.go
@@ -57,14 +57,14 @@
 
 // pass gives a whole answer to the caller.
 func (j *journey) pass(status int, header http.Header, body []byte) {
-	j.status, j.outcome = status, "answered"
+	j.status, j.outcome = status, outcomeAnswered
 	j.firstByte = j.relay.Now().Sub(j.Arrived)
 	err := j.out.Head(status, header, int64(len(body)))
 	if err == nil && len(body) > 0 {
 		err = j.out.Piece(body)
 	}
 	if err != nil {
-		j.outcome = "caller left"
+		j.outcome = outcomeLeft
 		j.out.Break()
 		return
 	}
