--- /dev/null
+++ b/fleet/allotment/account_test.go
@@ -0,0 +1,94 @@
+package allotment
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1000, 0)
+
+// taken makes an account of a prepaid amount that took what it asked for.
+func taken(t *testing.T, prepaid, wanted int64) *Account {
+	t.Helper()
+	a := &Account{}
+	a.SetPrepaid(prepaid)
+	a.Sync(Rows{}, start)
+	a.Asked(wanted, 0, start)
+	a.Want(wanted)
+	step, ok := a.Next(start)
+	is.New(t).True(ok)
+	after := step.After
+	after.TotalVersion, after.HolderVersion = 1, 1
+	a.Sync(after, start)
+	a.Want(-wanted)
+	return a
+}
+
+func TestTakesWhatWaitsAndSomeAhead(t *testing.T) {
+	is := is.New(t)
+	a := taken(t, 10000, 100)
+	is.True(a.Free() >= 100)
+	is.True(a.Free() <= 100+10000/aheadDivisor)
+	is.True(a.Reserve(100, 0, start))
+	a.Settle(100, 40)
+	is.Equal(a.Rows().Taken-a.Free(), int64(40))
+}
+
+func TestTakesNothingThatIsNotLeft(t *testing.T) {
+	is := is.New(t)
+	a := &Account{}
+	a.SetPrepaid(100)
+	a.Sync(Rows{Total: 60, TotalVersion: 4}, start)
+	a.Want(41)
+	_, ok := a.Next(start)
+	is.True(!ok)
+}
+
+func TestSurplusGoesBackWhenDemandEnds(t *testing.T) {
+	is := is.New(t)
+	a := taken(t, 10000, 2000)
+	before := a.Free()
+	step, ok := a.Next(start.Add(time.Minute))
+	is.True(ok)
+	is.True(step.After.Returned > 0)
+	is.True(a.Free() < before) // no longer held from here on
+	is.Equal(step.After.Total, step.Before.Total-step.After.Returned)
+}
+
+func TestLoweredBudgetStopsSpending(t *testing.T) {
+	is := is.New(t)
+	a := taken(t, 10000, 1000)
+	a.SetPrepaid(10)
+	is.True(!a.Reserve(1000, 0, start))
+}
+
+func TestScarceTokensAreKeptForUrgentRequests(t *testing.T) {
+	is := is.New(t)
+	a := taken(t, 4000, 400)
+	a.SetCut(true, start)
+	free := a.Free()
+	is.True(!a.Reserve(free, 5, start)) // rank 0 asked for 400 just now
+	is.True(a.Reserve(free, 0, start))
+}
+
+func TestPromiseBindsUntilTheNext(t *testing.T) {
+	is := is.New(t)
+	a := taken(t, 100000, 10)
+	p := Promise{Limit: 5, Rate: 1, Since: start}
+	a.Bind(p)
+	is.True(!a.Reserve(10, 0, start))
+	is.True(a.PromiseBound(10, start))
+	is.True(a.Reserve(10, 0, start.Add(5*time.Second)))
+	a.TakenPromise(Promise{Limit: 1000, Since: start})
+	is.True(!a.PromiseBound(10, start))
+}
+
+func TestBoundOfADeadRunCoversItsPromise(t *testing.T) {
+	is := is.New(t)
+	p := Promise{Limit: 100, Rate: 10, Surge: 2, Since: start}
+	for _, elapsed := range []time.Duration{0, time.Second, 7 * time.Second} {
+		is.True(p.Most(elapsed) >= p.At(start.Add(elapsed)))
+	}
+}
--- /dev/null
+++ b/fleet/placement/placement_test.go
@@ -0,0 +1,133 @@
+package placement
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var now = time.Unix(1000, 0)
+
+func targets(n int) []Target {
+	list := make([]Target, n)
+	for i := range list {
+		list[i] = Target{ID: "t" + strconv.Itoa(i), Service: "s", Address: strconv.Itoa(i), DataCentre: "dc" + strconv.Itoa(i%3), Slots: 64}
+	}
+	return list
+}
+
+func table(dataCentre string, n int) *Table {
+	t := New(dataCentre)
+	t.Update(targets(n))
+	return t
+}
+
+func TestRoutersAgreeOnTheTargetOfAPrompt(t *testing.T) {
+	is := is.New(t)
+	a, b := table("dc0", 12), table("dc1", 12)
+	used := make(map[string]bool)
+	for affinity := range uint64(200) {
+		r := &Request{Service: "s", Affinity: affinity + 1, Now: now}
+		x, err := a.Pick(r)
+		is.NoErr(err)
+		y, err := b.Pick(r)
+		is.NoErr(err)
+		is.Equal(x.Target().ID, y.Target().ID)
+		used[x.Target().ID] = true
+		x.Done(OK, now)
+		y.Done(OK, now)
+	}
+	is.Equal(len(used), 12)
+}
+
+func TestOnePromptDoesNotOverloadItsTarget(t *testing.T) {
+	is := is.New(t)
+	tb := table("dc0", 4)
+	counts := make(map[string]int)
+	for range 100 {
+		lease, err := tb.Pick(&Request{Service: "s", Affinity: 7, Now: now})
+		is.NoErr(err)
+		counts[lease.Target().ID]++
+	}
+	for _, n := range counts {
+		is.True(float64(n) <= 100/4*loadBound+loadSlack+1)
+	}
+}
+
+func TestLeavingAndTriedTargetsGetNothing(t *testing.T) {
+	is := is.New(t)
+	list := targets(3)
+	list[0].Leaving = true
+	tb := New("dc0")
+	tb.Update(list)
+	for range 10 {
+		lease, err := tb.Pick(&Request{Service: "s", Exclude: []string{"t1"}, Now: now})
+		is.NoErr(err)
+		is.Equal(lease.Target().ID, "t2")
+	}
+	_, err := tb.Pick(&Request{Service: "s", Exclude: []string{"t1", "t2"}, Now: now})
+	is.True(err != nil)
+	_, err = tb.Pick(&Request{Service: "other", Now: now})
+	is.True(err != nil)
+}
+
+func TestUnreachableTargetIsLeftAloneForAWhile(t *testing.T) {
+	is := is.New(t)
+	tb := table("dc0", 2)
+	lease, err := tb.Pick(&Request{Service: "s", Now: now})
+	is.NoErr(err)
+	bad := lease.Target().ID
+	lease.Done(Unreachable, now)
+	for range 5 {
+		next, err := tb.Pick(&Request{Service: "s", Now: now.Add(suspectMin / 2)})
+		is.NoErr(err)
+		is.True(next.Target().ID != bad)
+	}
+}
+
+func TestSuspectTargetsServeWhenThereAreNoOthers(t *testing.T) {
+	is := is.New(t)
+	tb := table("dc0", 1)
+	lease, err := tb.Pick(&Request{Service: "s", Now: now})
+	is.NoErr(err)
+	lease.Done(Unreachable, now)
+	_, err = tb.Pick(&Request{Service: "s", Now: now})
+	is.NoErr(err)
+}
+
+func TestNewRunUnderAnOldNameStartsFresh(t *testing.T) {
+	is := is.New(t)
+	tb := table("dc0", 2)
+	lease, err := tb.Pick(&Request{Service: "s", Now: now})
+	is.NoErr(err)
+	bad := lease.Target().ID
+	lease.Done(Unreachable, now)
+	list := targets(2)
+	for i := range list {
+		list[i].Born = 5
+	}
+	tb.Update(list)
+	again := false
+	for range 2 {
+		next, err := tb.Pick(&Request{Service: "s", Now: now})
+		is.NoErr(err)
+		again = again || next.Target().ID == bad
+	}
+	is.True(again)
+}
+
+func TestToldLoadCounts(t *testing.T) {
+	is := is.New(t)
+	tb := table("dc9", 2)
+	lease, err := tb.Pick(&Request{Service: "s", Now: now})
+	is.NoErr(err)
+	busy := lease.Target().ID
+	lease.Told(Load{Running: 50, Slots: 64}, now)
+	for range 10 {
+		next, err := tb.Pick(&Request{Service: "s", Now: now})
+		is.NoErr(err)
+		is.True(next.Target().ID != busy)
+	}
+}
--- /dev/null
+++ b/router/eventstream/reader_test.go
@@ -0,0 +1,60 @@
+package eventstream
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestEventsKeepEveryByte(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		events := rapid.SliceOfN(rapid.StringMatching(`(id: [0-9]{1,4}\r?\n)?data: ?[a-z: ]{0,900}\r?\n\r?\n`), 1, 5).Draw(t, "events")
+		text := strings.Join(events, "")
+		reader := NewReader(iotest.HalfReader(strings.NewReader(text)))
+		var got []byte
+		count := 0
+		for {
+			e, err := reader.Next()
+			if err == io.EOF {
+				break
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			got = append(got, e.Raw...)
+			count++
+		}
+		if !bytes.Equal(got, []byte(text)) || count != len(events) {
+			t.Fatalf("%d events of %d, %q of %q", count, len(events), got, text)
+		}
+	})
+}
+
+func TestFieldsOfAnEvent(t *testing.T) {
+	is := is.New(t)
+	e, err := NewReader(strings.NewReader("x-weight-versions: 4\nid: 12\ndata: one\ndata: two\n\n")).Next()
+	is.NoErr(err)
+	is.Equal(e.ID, "12")
+	is.Equal(string(e.Data), "one")
+}
+
+func TestAnEndWithinAnEventIsNoEvent(t *testing.T) {
+	is := is.New(t)
+	reader := NewReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b"))
+	_, err := reader.Next()
+	is.NoErr(err)
+	_, err = reader.Next()
+	is.True(errors.Is(err, io.ErrUnexpectedEOF))
+}
+
+func TestATooLongEventIsRefused(t *testing.T) {
+	is := is.New(t)
+	_, err := NewReader(strings.NewReader("data: " + strings.Repeat("x", maxEventBytes+10) + "\n\n")).Next()
+	is.True(errors.Is(err, ErrTooLong))
+}
--- /dev/null
+++ b/router/exchange/exchange_test.go
@@ -0,0 +1,208 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const echoHeader = "X-Attempt-Id"
+
+// target is a listener whose connections a test serves by hand.
+type target struct {
+	t   *testing.T
+	lis net.Listener
+}
+
+func newTarget(t *testing.T) *target {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = lis.Close() })
+	return &target{t: t, lis: lis}
+}
+
+// serve gives the next connection to a function, in a goroutine.
+func (g *target) serve(handle func(c net.Conn, requests *bufio.Reader)) {
+	go func() {
+		c, err := g.lis.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		handle(c, bufio.NewReader(c))
+	}()
+}
+
+func (g *target) request(id, body string) *Request {
+	return &Request{Address: g.lis.Addr().String(), Method: http.MethodPost, Target: "/a%2Fb?q=1", Host: "h.example",
+		Header: http.Header{echoHeader: {id}}, Body: []byte(body), EchoHeader: echoHeader, Echo: id}
+}
+
+func readRequest(r *bufio.Reader) (*http.Request, string) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return nil, ""
+	}
+	body, _ := io.ReadAll(req.Body)
+	return req, string(body)
+}
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+func readAll(t *testing.T, a *Answer) string {
+	t.Helper()
+	body, err := io.ReadAll(a)
+	is.New(t).NoErr(err)
+	a.Close()
+	return string(body)
+}
+
+func TestRequestArrivesAsItIs(t *testing.T) {
+	is := is.New(t)
+	g := newTarget(t)
+	got := make(chan *http.Request, 1)
+	g.serve(func(c net.Conn, r *bufio.Reader) {
+		req, body := readRequest(r)
+		req.Header.Set("Body", body)
+		got <- req
+		_, _ = io.WriteString(c, answer("1", "ok"))
+	})
+	a, err := NewPool(time.Now).Do(context.Background(), g.request("1", "hello"))
+	is.NoErr(err)
+	is.Equal(readAll(t, a), "ok")
+	req := <-got
+	is.Equal(req.RequestURI, "/a%2Fb?q=1")
+	is.Equal(req.Host, "h.example")
+	is.Equal(req.Header.Get("Body"), "hello")
+	is.Equal(req.ContentLength, int64(5))
+}
+
+func TestLateAnswerOfAnotherRequestIsSkipped(t *testing.T) {
+	is := is.New(t)
+	g := newTarget(t)
+	g.serve(func(c net.Conn, r *bufio.Reader) {
+		_, _ = readRequest(r)
+		_, _ = io.WriteString(c, answer("1", "one"))
+		_, _ = readRequest(r)
+		_, _ = io.WriteString(c, answer("1", "one")+answer("2", "two"))
+	})
+	pool := NewPool(time.Now)
+	a, err := pool.Do(context.Background(), g.request("1", ""))
+	is.NoErr(err)
+	is.Equal(readAll(t, a), "one")
+	a, err = pool.Do(context.Background(), g.request("2", ""))
+	is.NoErr(err)
+	is.Equal(readAll(t, a), "two")
+}
+
+func TestConnectionWithStrayBytesIsNotUsedAgain(t *testing.T) {
+	is := is.New(t)
+	g := newTarget(t)
+	stray := make(chan struct{})
+	g.serve(func(c net.Conn, r *bufio.Reader) {
+		_, _ = readRequest(r)
+		_, _ = io.WriteString(c, answer("1", "one"))
+		_, _ = io.WriteString(c, answer("1", "one"))
+		close(stray)
+		_, _ = io.Copy(io.Discard, c)
+	})
+	pool := NewPool(time.Now)
+	a, err := pool.Do(context.Background(), g.request("1", ""))
+	is.NoErr(err)
+	is.Equal(readAll(t, a), "one")
+	<-stray
+	g.serve(func(c net.Conn, r *bufio.Reader) {
+		_, _ = readRequest(r)
+		_, _ = io.WriteString(c, answer("2", "two"))
+	})
+	a, err = pool.Do(context.Background(), g.request("2", ""))
+	is.NoErr(err)
+	is.Equal(readAll(t, a), "two")
+}
+
+func TestEarlyAnswerToALongBodyEndsTheConnection(t *testing.T) {
+	is := is.New(t)
+	g := newTarget(t)
+	rest := make(chan struct{})
+	g.serve(func(c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(c, answer("1", "no"))
+		<-rest
+	})
+	defer close(rest)
+	pool := NewPool(time.Now)
+	a, err := pool.Do(context.Background(), g.request("1", strings.Repeat("x", 32<<20)))
+	is.NoErr(err)
+	is.Equal(readAll(t, a), "no")
+	is.Equal(pool.take(g.lis.Addr().String()), nil)
+}
+
+func TestBrokenAnswerIsNotWhole(t *testing.T) {
+	is := is.New(t)
+	g := newTarget(t)
+	g.serve(func(c net.Conn, r *bufio.Reader) {
+		_, _ = readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nContent-Length: 9\r\n\r\nhalf")
+	})
+	a, err := NewPool(time.Now).Do(context.Background(), g.request("1", ""))
+	is.NoErr(err)
+	_, err = io.ReadAll(a)
+	is.True(errors.Is(err, io.ErrUnexpectedEOF))
+	a.Close()
+}
+
+func TestFailureTellsWhetherAnythingWasSent(t *testing.T) {
+	is := is.New(t)
+	g := newTarget(t)
+	r := g.request("1", "")
+	g.serve(func(c net.Conn, r *bufio.Reader) { _, _ = readRequest(r) })
+	_, err := NewPool(time.Now).Do(context.Background(), r)
+	is.True(errors.Is(err, ErrBroken))
+	_ = g.lis.Close()
+	_, err = NewPool(time.Now).Do(context.Background(), r)
+	is.True(errors.Is(err, ErrNotSent))
+}
+
+func TestBytesThatAreNoAnswerBreakTheExchange(t *testing.T) {
+	is := is.New(t)
+	g := newTarget(t)
+	g.serve(func(c net.Conn, r *bufio.Reader) {
+		_, _ = readRequest(r)
+		_, _ = io.WriteString(c, "\x16\x03\x01\x00 no answer\r\n\r\n")
+	})
+	_, err := NewPool(time.Now).Do(context.Background(), g.request("1", ""))
+	is.True(errors.Is(err, ErrBroken))
+}
+
+func TestEndOfTheCallerClosesTheConnection(t *testing.T) {
+	is := is.New(t)
+	g := newTarget(t)
+	closed := make(chan struct{})
+	g.serve(func(c net.Conn, r *bufio.Reader) {
+		_, _ = readRequest(r)
+		_, _ = io.Copy(io.Discard, c)
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(10*time.Millisecond, cancel)
+	_, err := NewPool(time.Now).Do(ctx, g.request("1", ""))
+	is.True(err != nil)
+	<-closed
+}
+
+func TestIdleTimeFollowsTheTarget(t *testing.T) {
+	is := is.New(t)
+	is.Equal(idleLimit(http.Header{"Keep-Alive": {"timeout=5, max=10"}}), 5*time.Second-idleMargin)
+	is.Equal(idleLimit(http.Header{"Keep-Alive": {"timeout=1"}}), time.Duration(0))
+	is.Equal(idleLimit(http.Header{}), defaultIdleLimit)
+}
--- /dev/null
+++ b/router/relay/relay_test.go
@@ -0,0 +1,206 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"cuminrock.example/fleet/catalog"
+	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/placement"
+	"cuminrock.example/fleet/retry"
+	"cuminrock.example/router/allotments"
+)
+
+// upstream answers sends by a list of outcomes.
+type upstream struct {
+	outcomes []outcome
+	sends    []Send
+}
+
+type outcome struct {
+	err    error
+	status int
+	body   string
+	// breaks makes the body end with an error.
+	breaks bool
+}
+
+func (u *upstream) Send(_ context.Context, s *Send) (Reply, error) {
+	u.sends = append(u.sends, *s)
+	o := u.outcomes[len(u.sends)-1]
+	if o.err != nil {
+		return nil, o.err
+	}
+	return &reply{Reader: strings.NewReader(o.body), outcome: o}, nil
+}
+
+type reply struct {
+	io.Reader
+	outcome outcome
+}
+
+func (r *reply) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err == io.EOF && r.outcome.breaks {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+func (r *reply) Status() int                     { return r.outcome.status }
+func (r *reply) Header() http.Header             { return http.Header{"X-Response-Signature": {"s"}} }
+func (r *reply) Length() int64                   { return -1 }
+func (r *reply) SetReadDeadline(time.Time) error { return nil }
+func (r *reply) Load() *placement.Load           { return nil }
+func (r *reply) Close()                          {}
+
+// caller records its answer.
+type caller struct {
+	refused *errkind.Error
+	status  int
+	body    string
+	ended   bool
+	broken  bool
+}
+
+func (c *caller) Refuse(err *errkind.Error)                { c.refused = err }
+func (c *caller) Head(s int, _ http.Header, _ int64) error { c.status = s; return nil }
+func (c *caller) Piece(p []byte) error                     { c.body += string(p); return nil }
+func (c *caller) End()                                     { c.ended = true }
+func (c *caller) Break()                                   { c.broken = true }
+
+// serve sends one request through a relay whose upstream has the outcomes.
+func serve(route *catalog.Route, outcomes ...outcome) (*caller, *upstream) {
+	up := &upstream{outcomes: outcomes}
+	route.Host, route.Prefix, route.Public = "h", "/", true
+	route.Shares = []catalog.Share{{Service: "s", Weight: 1}}
+	route.Timeout, route.Goal = time.Minute, time.Second
+	c := catalog.New(catalog.Parts{Version: 1, Routes: []*catalog.Route{route}, Services: []*catalog.Service{{Name: "s"}}})
+	targets := placement.New("dc")
+	targets.Update([]placement.Target{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}, {ID: "c", Service: "s"}, {ID: "d", Service: "s"}})
+	retries := retry.NewBudgets(1000, 10)
+	for range 5 {
+		retries.Service("s").Deposit()
+	}
+	r := New(Options{
+		Catalog: func() *catalog.Catalog { return c }, Targets: targets, Retries: retries, Upstream: up,
+		Budgets: &allotments.Book{}, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now,
+	})
+	out := &caller{}
+	r.Serve(context.Background(), &Request{ID: "1", HostName: "h", Path: "/x", Arrived: time.Now()}, out)
+	return out, up
+}
+
+var (
+	failed      = outcome{err: errkind.New(errkind.TargetFailed, "broke")}
+	refused     = outcome{err: errkind.New(errkind.TargetRefused, "full")}
+	unreachable = outcome{err: errkind.New(errkind.TargetUnreachable, "gone")}
+	good        = outcome{status: 200, body: "good"}
+)
+
+func TestAtMostOnceIsNotSentAgainAfterAFailure(t *testing.T) {
+	is := is.New(t)
+	out, up := serve(&catalog.Route{Kind: catalog.AtMostOnce, MaxSends: 3}, failed, good)
+	is.Equal(len(up.sends), 1)
+	is.Equal(out.refused.Kind.Answer().Status, http.StatusBadGateway)
+}
+
+func TestAtMostOnceGoesOnWhereNothingRan(t *testing.T) {
+	is := is.New(t)
+	out, up := serve(&catalog.Route{Kind: catalog.AtMostOnce, MaxSends: 2}, unreachable, refused, good)
+	is.Equal(len(up.sends), 3)
+	is.Equal(out.body, "good")
+	is.True(out.ended)
+}
+
+func TestRefusalIsTrueAndSaysWhenToComeBack(t *testing.T) {
+	is := is.New(t)
+	out, _ := serve(&catalog.Route{Kind: catalog.AtMostOnce, MaxSends: 1}, refused)
+	is.Equal(out.refused.Kind.Answer().Status, http.StatusServiceUnavailable)
+	is.True(out.refused.RetryAfter > 0)
+}
+
+func TestRefusalAfterASendThatMayHaveRunPromisesNothing(t *testing.T) {
+	is := is.New(t)
+	out, _ := serve(&catalog.Route{Kind: catalog.Idempotent, MaxSends: 2}, failed, refused)
+	is.Equal(out.refused.Kind.Answer().Status, http.StatusBadGateway)
+}
+
+func TestIdempotentIsSentAgain(t *testing.T) {
+	is := is.New(t)
+	out, up := serve(&catalog.Route{Kind: catalog.Idempotent, MaxSends: 2}, outcome{status: 500, body: "bad"}, good)
+	is.Equal(len(up.sends), 2)
+	is.True(up.sends[0].Target.ID != up.sends[1].Target.ID)
+	is.Equal(out.body, "good")
+}
+
+func TestLastFailureOfATargetIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	out, _ := serve(&catalog.Route{Kind: catalog.Idempotent, MaxSends: 1}, outcome{status: 500, body: "bad"})
+	is.Equal(out.status, 500)
+	is.Equal(out.body, "bad")
+}
+
+func TestHalfAnAnswerIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	out, _ := serve(&catalog.Route{Kind: catalog.AtMostOnce, MaxSends: 1}, outcome{status: 200, body: "ha", breaks: true})
+	is.Equal(out.body, "")
+	is.Equal(out.refused.Kind, errkind.TargetFailed)
+}
+
+const (
+	firstEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	lastEvents  = "id: 3\ndata: c\n\n"
+)
+
+func TestResumableStreamGoesOnAfterItsLastWholeEvent(t *testing.T) {
+	is := is.New(t)
+	out, up := serve(&catalog.Route{Kind: catalog.Stream, Resumable: true, MaxSends: 2},
+		outcome{status: 200, body: firstEvents + "id: 3\nda", breaks: true}, outcome{status: 200, body: lastEvents})
+	is.Equal(up.sends[1].ResumeAfter, "2")
+	is.Equal(out.body, firstEvents+lastEvents)
+	is.True(out.ended)
+}
+
+func TestOtherStreamIsBrokenOff(t *testing.T) {
+	is := is.New(t)
+	out, up := serve(&catalog.Route{Kind: catalog.Stream, MaxSends: 2}, outcome{status: 200, body: firstEvents, breaks: true}, good)
+	is.Equal(len(up.sends), 1)
+	is.Equal(out.body, firstEvents)
+	is.True(out.broken)
+	is.True(!out.ended)
+}
+
+func TestUnknownRouteIsNotFound(t *testing.T) {
+	is := is.New(t)
+	r := New(Options{Catalog: func() *catalog.Catalog { return catalog.New(catalog.Parts{}) },
+		Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now})
+	out := &caller{}
+	r.Serve(context.Background(), &Request{ID: "1", HostName: "h", Path: "/"}, out)
+	is.Equal(out.refused.Kind.Answer().Status, http.StatusNotFound)
+}
+
+func TestWithoutConfigurationCallersAreToldToComeBack(t *testing.T) {
+	is := is.New(t)
+	r := New(Options{Catalog: func() *catalog.Catalog { return nil },
+		Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now})
+	out := &caller{}
+	r.Serve(context.Background(), &Request{ID: "1", HostName: "h", Path: "/"}, out)
+	is.Equal(out.refused.Kind.Answer().Status, http.StatusServiceUnavailable)
+	is.True(out.refused.RetryAfter > 0)
+}
+
+func TestAdviceStaysWithinTheCallersTime(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	req := &Request{Patience: time.Second, Arrived: now.Add(-200 * time.Millisecond)}
+	err := advised(errkind.New(errkind.NoTarget, "none").After(time.Minute), req, now)
+	is.Equal(err.RetryAfter, 200*time.Millisecond)
+}
