--- a/fleet/allotment/model_test.go
+++ b/fleet/allotment/model_test.go
@@ -39,7 +39,6 @@
 	reserved []int64
 	// noted is the promise that the store has; pending may be there too.
 	noted, pending *Promise
-	consumed       int64
 }
 
 func (w *world) rowsOf(id int) Rows {
