--- a/fleet/allotment/demand.go
+++ b/fleet/allotment/demand.go
@@ -14,7 +14,7 @@
 	holdDivisor = 2
 	// aheadDivisor bounds what one transaction takes beyond what waits by a
 	// part of what is left, so that the first to ask doesn't take most.
-	aheadDivisor = 10
+	aheadDivisor = 5
 	// returnDivisor is the part of a surplus that is given back at once; the
 	// rest follows if it is still a surplus.
 	returnDivisor = 2
@@ -36,7 +36,7 @@
 	// staleAfter and staleAfterLow are the ages at which rows are read again,
 	// the second where less than a part in lowDivisor of the budget is left.
 	staleAfter    = 5 * time.Second
-	staleAfterLow = time.Second
+	staleAfterLow = 2 * time.Second
 	lowDivisor    = 5
 )
 
--- a/fleet/allotment/promise.go
+++ b/fleet/allotment/promise.go
@@ -26,12 +26,12 @@
 	// aheadTime is how long the tokens of a fresh promise last at the usual
 	// rate, beside some reservations of the usual size.
 	aheadTime         = 500 * time.Millisecond
-	aheadReservations = 1.0
+	aheadReservations = 0.5
 	// rateFactor is the rate of a promise as a multiple of the usual rate.
-	rateFactor = 0.75
+	rateFactor = 0.5
 	// surgeFactor is the surge of a promise as a part of a usual reservation
 	// and a second's usual tokens together.
-	surgeFactor = 0.15
+	surgeFactor = 0.1
 )
 
 // At returns the most tokens that may have been consumed at a time.
--- a/router/allotments/book_test.go
+++ b/router/allotments/book_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"cuminrock.example/fleet/catalog"
@@ -31,7 +32,7 @@
 }
 
 func newBook(tables platform.Tables, holder string) *Book {
-	return NewBook(Options{Tables: tables, Clock: clock{}, Machine: "m." + holder[:1], Holder: holder, Log: zap.NewNop(), Now: time.Now})
+	return NewBook(Options{Tables: tables, Clock: clock{}, Machine: "m." + holder[:1], Holder: holder, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now})
 }
 
 func totalTaken(t *testing.T, tables platform.Tables) int64 {
--- a/router/allotments/keeper.go
+++ b/router/allotments/keeper.go
@@ -25,6 +25,10 @@
 	// overdueAfter is the age of a call from which on requests don't wait for
 	// it.
 	overdueAfter = 300 * time.Millisecond
+	// conflictPause and conflictPauseUrgent bound the random wait after a
+	// conflict, the second where requests wait.
+	conflictPause       = 500 * time.Millisecond
+	conflictPauseUrgent = 10 * time.Millisecond
 	// outageRetry is advised while the platform doesn't answer.
 	outageRetry = time.Second
 )
@@ -127,7 +131,7 @@
 		if other == w {
 			k.waiters = append(k.waiters[:i], k.waiters[i+1:]...)
 			k.account.Want(-w.tokens)
-			k.logRefusal("budget: refused a reservation; the platform didn't answer in time.", w)
+			k.logRefusal("budget: refused a reservation; the platform didn't answer in time.", refusedUnreachable, w)
 			return true
 		}
 	}
@@ -250,11 +254,12 @@
 	if k.shortSince.IsZero() {
 		k.shortSince = now
 	}
-	k.logRefusal("budget: refused a reservation; the balance doesn't cover it.", w)
+	k.logRefusal("budget: refused a reservation; the balance doesn't cover it.", refusedShort, w)
 }
 
 // logRefusal logs what decided against a reservation. The lock is held.
-func (k *keeper) logRefusal(message string, w *waiter) {
+func (k *keeper) logRefusal(message, reason string, w *waiter) {
+	k.book.opts.Metrics.refused.WithLabelValues(reason).Inc()
 	now := k.book.opts.Now()
 	k.book.opts.Log.Info(message,
 		zap.String("workspace", k.workspace), zap.Int64("tokens", w.tokens),
@@ -263,16 +268,23 @@
 		zap.Uint64("row_version", k.account.Rows().TotalVersion), zap.Duration("rows_age", k.account.Age(now)))
 }
 
-// read reads the rows.
+// read reads the rows. Once it is known, only this run writes the holder's row:
+// one that changed by a late commit shows at the next transaction.
 func (k *keeper) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	total, holder := rowKeys(k.workspace, k.book.opts.Holder)
-	found, err := k.book.opts.Tables.Read(ctx, total, holder)
+	keys := []string{total, holder}
+	known, synced := k.knownRows()
+	if synced {
+		keys = keys[:1]
+	}
+	found, err := k.book.opts.Tables.Read(ctx, keys...)
+	k.book.opts.Metrics.called(callRead, true, err)
 	if err != nil {
 		return err
 	}
-	rows, err := decodeRows(found, total, holder)
+	rows, err := mergeRows(known, found, total, holder)
 	if err != nil {
 		return err
 	}
@@ -283,6 +295,13 @@
 	return nil
 }
 
+// knownRows returns the rows as last seen, and whether they were ever read.
+func (k *keeper) knownRows() (allotment.Rows, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.account.Rows(), k.account.Synced()
+}
+
 // commit makes the transaction of a step. A conflict brings the rows as they
 // stand.
 func (k *keeper) commit(ctx context.Context, step allotment.Step) error {
@@ -290,6 +309,7 @@
 	defer cancel()
 	total, holder := rowKeys(k.workspace, k.book.opts.Holder)
 	resp, err := k.book.opts.Tables.Commit(ctx, encodeStep(step, total, holder))
+	k.book.opts.Metrics.called(callCommit, resp.GetCommitted(), err)
 	if err != nil {
 		return err
 	}
@@ -301,6 +321,7 @@
 	if err != nil {
 		return err
 	}
+	defer k.yield(resp.Committed)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.account.Sync(rows, k.book.opts.Now())
@@ -321,6 +342,25 @@
 	k.callBegan = t
 }
 
+// yield waits after a conflict, a little where requests wait for the tokens and
+// longer otherwise, so that routers that write the same row come apart.
+func (k *keeper) yield(committed bool) {
+	if committed {
+		return
+	}
+	k.mu.Lock()
+	most := conflictPause
+	if len(k.waiters) > 0 {
+		most = conflictPauseUrgent
+	}
+	k.mu.Unlock()
+	select {
+	case <-k.book.stop:
+	case <-k.wake:
+	case <-time.After(rand.N(most)):
+	}
+}
+
 // noted logs when the platform is lost and regained.
 func (k *keeper) noted(err error) error {
 	k.mu.Lock()
--- a/router/allotments/noter.go
+++ b/router/allotments/noter.go
@@ -88,6 +88,7 @@
 		Conditions: []*pb.Condition{{Key: n.key(), Version: n.version}},
 		Writes:     []*pb.Write{{Key: n.key(), Value: n.pending.value}},
 	})
+	n.book.opts.Metrics.called(callNote, resp.GetCommitted(), err)
 	switch {
 	case err != nil && isUnknown(err):
 	case err != nil:
--- a/router/gateway/follow.go
+++ b/router/gateway/follow.go
@@ -14,6 +14,11 @@
 	// relistMin and relistMax bound the random wait after a failed call.
 	relistMin = 50 * time.Millisecond
 	relistMax = 250 * time.Millisecond
+	// configPace and targetPace are the waits before further changes of a
+	// table are asked for. Targets change with each of their heartbeats, and
+	// what comes in one answer costs one call.
+	configPace = 100 * time.Millisecond
+	targetPace = 500 * time.Millisecond
 )
 
 // view takes what a watched table holds.
@@ -29,19 +34,19 @@
 func (g *Gateway) follow() {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.stopWork = cancel
-	g.work.Go(func() { g.followTable(ctx, g.platform.Operator.Table, &catalogView{gateway: g}) })
+	g.work.Go(func() { g.followTable(ctx, g.platform.Operator.Table, &catalogView{gateway: g}, configPace) })
 	g.work.Go(func() {
-		g.followTable(ctx, g.platform.Directory.Table, newTargetView(g))
+		g.followTable(ctx, g.platform.Directory.Table, newTargetView(g), targetPace)
 	})
 	g.work.Go(func() { g.sweep(ctx) })
 }
 
 // followTable lists a table and takes its changes, and lists it again after any
 // failure: what happened meanwhile may have been missed.
-func (g *Gateway) followTable(ctx context.Context, table string, v view) {
+func (g *Gateway) followTable(ctx context.Context, table string, v view, pace time.Duration) {
 	lost := false
 	for ctx.Err() == nil {
-		err := g.followOnce(ctx, table, v, &lost)
+		err := g.followOnce(ctx, table, v, pace, &lost)
 		if ctx.Err() != nil {
 			return
 		}
@@ -54,7 +59,7 @@
 }
 
 // followOnce follows a table until a call fails.
-func (g *Gateway) followOnce(ctx context.Context, table string, v view, lost *bool) error {
+func (g *Gateway) followOnce(ctx context.Context, table string, v view, pace time.Duration, lost *bool) error {
 	rows, cursor, err := g.platform.Watcher.List(ctx, table)
 	if err != nil {
 		return err
@@ -71,6 +76,7 @@
 		}
 		if len(rows) > 0 {
 			v.change(rows)
+			pause(ctx, pace)
 		}
 		v.idle()
 	}
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -126,7 +126,8 @@
 	g.targets = placement.New(settings.DataCentre)
 	g.budgets = allotments.NewBook(allotments.Options{
 		Tables: p.Tables, Clock: p.Clock, Machine: settings.Name + "." + settings.Doors.Caller,
-		Holder: settings.Name + "." + incarnation, Log: log, Now: time.Now,
+		Holder:  settings.Name + "." + incarnation,
+		Metrics: allotments.NewMetrics(g.registry), Log: log, Now: time.Now,
 	})
 	g.relay = relay.New(relay.Options{
 		Catalog:  g.catalog.Load,
