--- a/router/allotments/keeper.go
+++ b/router/allotments/keeper.go
@@ -25,10 +25,12 @@
 	// overdueAfter is the age of a call from which on requests don't wait for
 	// it.
 	overdueAfter = 300 * time.Millisecond
-	// conflictPause and conflictPauseUrgent bound the random wait after a
-	// conflict, the second where requests wait.
-	conflictPause       = 500 * time.Millisecond
-	conflictPauseUrgent = 10 * time.Millisecond
+	// conflictPause bounds the random wait after a conflict.
+	conflictPause = 10 * time.Millisecond
+	// backoffMin and backoffMax bound how long transactions for which no
+	// request waits are put off after a conflict.
+	backoffMin = 250 * time.Millisecond
+	backoffMax = 4 * time.Second
 	// outageRetry is advised while the platform doesn't answer.
 	outageRetry = time.Second
 )
@@ -54,6 +56,10 @@
 	fresh bool
 	// down says that the platform didn't answer the last call.
 	down bool
+	// backoff is the present wait after a conflict, and aheadAfter the end of
+	// the last one.
+	backoff    time.Duration
+	aheadAfter time.Time
 	// callBegan is when the call in progress began; zero without one.
 	callBegan time.Time
 	// shortSince is when the balance first didn't cover a request; zero while
@@ -202,6 +208,10 @@
 	k.mu.Lock()
 	k.serveWaiters()
 	waiting := len(k.waiters) > 0
+	if !waiting && k.account.Synced() && k.book.opts.Now().Before(k.aheadAfter) {
+		k.mu.Unlock()
+		return false, nil
+	}
 	step, needed := k.account.Next(k.book.opts.Now())
 	if waiting && k.account.PromiseBound(k.waiters[0].tokens, k.book.opts.Now()) {
 		k.mu.Unlock()
@@ -342,22 +352,20 @@
 	k.callBegan = t
 }
 
-// yield waits after a conflict, a little where requests wait for the tokens and
-// longer otherwise, so that routers that write the same row come apart.
+// yield makes routers that write the same rows come apart: after a conflict,
+// transactions for which no request waits are put off, for longer with each
+// conflict, and others wait a little.
 func (k *keeper) yield(committed bool) {
-	if committed {
-		return
-	}
 	k.mu.Lock()
-	most := conflictPause
-	if len(k.waiters) > 0 {
-		most = conflictPauseUrgent
+	if committed {
+		k.backoff /= 2
+	} else {
+		k.backoff = min(max(2*k.backoff, backoffMin), backoffMax)
 	}
+	k.aheadAfter = k.book.opts.Now().Add(k.backoff/2 + rand.N(k.backoff/2+1))
 	k.mu.Unlock()
-	select {
-	case <-k.book.stop:
-	case <-k.wake:
-	case <-time.After(rand.N(most)):
+	if !committed {
+		time.Sleep(rand.N(conflictPause))
 	}
 }
 
