--- /dev/null
+++ b/fleet/retry/budgets_test.go
@@ -0,0 +1,24 @@
+package retry
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestBudgetsStartEmptyAndStayWithinTheRatio(t *testing.T) {
+	is := is.New(t)
+	b := NewBudgets(200, 4)
+	is.True(!b.Service("s").Withdraw())
+	granted := 0
+	const requests = 1000
+	for range requests {
+		b.Service("s").Deposit()
+		if b.Service("s").Withdraw() {
+			granted++
+		}
+	}
+	is.True(granted <= requests*200/1000)
+	is.True(granted > 0)
+	is.True(!b.Service("other").Withdraw()) // each service has its own
+}
--- /dev/null
+++ b/router/logging/logging_test.go
@@ -0,0 +1,46 @@
+package logging
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+)
+
+// stuck is an output that takes nothing until it is released.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+func TestLinesAreWritten(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log, flush, err := New("info", &out)
+	is.NoErr(err)
+	log.Info("part: something happened.", zap.String("request", "r1"))
+	log.Debug("part: not written.")
+	flush()
+	is.Equal(strings.Count(out.String(), "\n"), 1)
+	is.True(strings.Contains(out.String(), `"request":"r1"`))
+}
+
+func TestAStuckOutputHoldsNobodyUp(t *testing.T) {
+	is := is.New(t)
+	out := stuck{release: make(chan struct{})}
+	log, _, err := New("info", out)
+	is.NoErr(err)
+	for range 3 * queueLines {
+		log.Info("part: a line.")
+	}
+	close(out.release)
+}
+
+func TestUnknownLevelIsRefused(t *testing.T) {
+	_, _, err := New("loud", &bytes.Buffer{})
+	is.New(t).True(err != nil)
+}
--- /dev/null
+++ b/router/settings/gateway_test.go
@@ -0,0 +1,31 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const gatewaySample = `{"name":"g","data_centre":"z","doors":{"caller":"10.0.0.1:80","readiness":"10.0.0.1:81","metrics":"10.0.0.1:82"},
+ "store_address":"10.0.0.9:1","retries":{"ratio":0.2},"times":{"stop_s":8},"memory_mib":134}`
+
+func TestGatewaySettings(t *testing.T) {
+	is := is.New(t)
+	s, err := ParseGateway([]byte(gatewaySample))
+	is.NoErr(err)
+	is.Equal(s.Times.StopS, 8.0)
+	is.Equal(s.Log.Level, "info")
+}
+
+func TestFaultsOfGatewaySettingsAreNamed(t *testing.T) {
+	is := is.New(t)
+	_, err := ParseGateway([]byte(`{}`))
+	for _, path := range []string{"name", "data_centre", "doors.caller", "doors.readiness", "doors.metrics", "store_address", "times.stop_s", "memory_mib"} {
+		is.True(strings.Contains(err.Error(), path+":"))
+	}
+	_, err = ParseGateway([]byte(strings.Replace(gatewaySample, "0.2", "2", 1)))
+	is.True(strings.Contains(err.Error(), "retries.ratio"))
+	_, err = ParseGateway([]byte(strings.Replace(gatewaySample, `"name"`, `"nome"`, 1)))
+	is.True(err != nil) // unknown fields are refused
+}
