Let a prompt's target be busier before another takes its requests

Cause: shared prompt parts were read again where the bound of load sent requests to a second target.

--- a/ctl/sheetcmd/check.go
+++ b/ctl/sheetcmd/check.go
@@ -15,6 +15,7 @@
 // settingsCheck checks settings files.
 type settingsCheck struct {
 	shared
+	gateway bool
 }
 
 // Name implements subcommands.Command.
@@ -25,14 +26,17 @@
 
 // Usage implements subcommands.Command.
 func (*settingsCheck) Usage() string {
-	return `settings-check [--json] FILE...
+	return `settings-check [--json] [--gateway] FILE...
 Checks settings files as a whole, and that no two routers have the same name or
-peer door. Names each fault with the path of its field. Exits 1 on faults.
+peer door. With --gateway the files are those of gateways on a hosting platform. Names each fault with the path of its field. Exits 1 on faults.
 `
 }
 
 // SetFlags implements subcommands.Command.
-func (c *settingsCheck) SetFlags(f *flag.FlagSet) { c.outputFlags(f) }
+func (c *settingsCheck) SetFlags(f *flag.FlagSet) {
+	c.outputFlags(f)
+	f.BoolVar(&c.gateway, "gateway", false, "check settings of gateways")
+}
 
 // fileResult is the outcome for one settings file.
 type fileResult struct {
@@ -46,7 +50,11 @@
 	if f.NArg() == 0 {
 		return c.env.Misused(c.Name(), "a FILE is needed")
 	}
-	results := checkFiles(f.Args())
+	check := checkFiles
+	if c.gateway {
+		check = checkGatewayFiles
+	}
+	results := check(f.Args())
 	status := cli.Done
 	for _, r := range results {
 		if len(r.Faults) > 0 {
@@ -72,6 +80,22 @@
 	}
 }
 
+// checkGatewayFiles checks each file of a gateway.
+func checkGatewayFiles(files []string) []fileResult {
+	results := make([]fileResult, len(files))
+	for i, file := range files {
+		results[i] = fileResult{File: file, Faults: settings.Faults{}}
+		s, err := settings.LoadGateway(file)
+		var faults settings.Faults
+		if errors.As(err, &faults) {
+			results[i].Faults = faults
+			continue
+		}
+		results[i].Router = s.Name
+	}
+	return results
+}
+
 // checkFiles checks each file, and all against each other.
 func checkFiles(files []string) []fileResult {
 	results := make([]fileResult, len(files))
--- a/ctl/sheetcmd/sheetcmd_test.go
+++ b/ctl/sheetcmd/sheetcmd_test.go
@@ -211,3 +211,18 @@
 		is.Equal(exit, cli.Usage)
 	}
 }
+
+func TestSettingsCheckOfGateways(t *testing.T) {
+	is := is.New(t)
+	good := filepath.Join(t.TempDir(), "good.json")
+	is.NoErr(os.WriteFile(good, []byte(`{"name":"g","data_centre":"z","doors":{"caller":"10.0.0.1:80","readiness":"10.0.0.1:81","metrics":"10.0.0.1:82"},
+		"store_address":"10.0.0.9:1","times":{"stop_s":8},"memory_mib":134}`), 0o600))
+	out, exit := run("settings-check", "--gateway", good)
+	is.Equal(exit, cli.Done)
+	is.True(strings.Contains(out, "router g is good"))
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	is.NoErr(os.WriteFile(bad, []byte(`{"name":"g"}`), 0o600))
+	out, exit = run("settings-check", "--gateway", bad)
+	is.Equal(exit, cli.Negative)
+	is.True(strings.Contains(out, "store_address:"))
+}
--- a/fleet/allotment/promise.go
+++ b/fleet/allotment/promise.go
@@ -28,7 +28,7 @@
 	aheadTime         = 500 * time.Millisecond
 	aheadReservations = 0.5
 	// rateFactor is the rate of a promise as a multiple of the usual rate.
-	rateFactor = 0.5
+	rateFactor = 1.0
 	// surgeFactor is the surge of a promise as a part of a usual reservation
 	// and a second's usual tokens together.
 	surgeFactor = 0.1
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -12,9 +12,9 @@
 const (
 	// loadBound bounds the load of a target that is picked by its rank, as a
 	// part of the mean load.
-	loadBound = 1.25
+	loadBound = 1.5
 	// loadSlack is added to that bound, in requests.
-	loadSlack = 3.0
+	loadSlack = 6.0
 	// loadMemory is how long a target's own word counts.
 	loadMemory = 2 * time.Second
 	// farPenalty is what a target of another data centre is held to be more
