--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -12,9 +12,9 @@
 const (
 	// loadBound bounds the load of a target that is picked by its rank, as a
 	// part of the mean load.
-	loadBound = 1.5
+	loadBound = 2.0
 	// loadSlack is added to that bound, in requests.
-	loadSlack = 6.0
+	loadSlack = 12.0
 	// loadMemory is how long a target's own word counts.
 	loadMemory = 2 * time.Second
 	// farPenalty is what a target of another data centre is held to be more
