Advise a short wait while tokens can't be drawn

Cause: a request refused for want of tokens here was told to come back after a second, though its next try comes to another router that may hold them, and was late then.

--- a/router/allotments/keeper.go
+++ b/router/allotments/keeper.go
@@ -31,8 +31,9 @@
 	// request waits are put off after a conflict.
 	backoffMin = 250 * time.Millisecond
 	backoffMax = 4 * time.Second
-	// outageRetry is advised while the platform doesn't answer.
-	outageRetry = time.Second
+	// outageRetry is advised while the platform doesn't answer: the next try
+	// comes to another router, which may hold what this one lacks.
+	outageRetry = 100 * time.Millisecond
 )
 
 // waiter is a reservation that waits for tokens.
