Take a data centre out of reach as suspect as a whole; probe one request at a time

Cause: while a zone was cut off, each target beyond the cut cost requests 0.5 s of dialling, again and again as its suspicion ended. Two targets of another data centre without an answer in between make all of it suspect; after a suspicion one request probes. Dials end after 0.3 s.

--- a/fleet/placement/outcome.go
+++ b/fleet/placement/outcome.go
@@ -14,22 +14,14 @@
 	Refused
 	// Failed is a target that answered with a failure or broke off.
 	Failed
-	// Silent is a target that didn't answer in time.
+	// Silent is a target that didn't answer, or acknowledge, in time.
 	Silent
 	// Unreachable is a target that no connection could be made to.
 	Unreachable
 )
 
-const (
-	// suspectMin and suspectMax bound how long a suspect target gets no work.
-	suspectMin = 500 * time.Millisecond
-	suspectMax = 4 * time.Second
-	// refusedPause is how long a target that refused gets no work.
-	refusedPause = 100 * time.Millisecond
-	// strikesToSuspect is the number of failures in a row that make a target
-	// suspect; one unreachable target is suspect at once.
-	strikesToSuspect = 2
-)
+// refusedPause is how long a target that refused gets no work.
+const refusedPause = 100 * time.Millisecond
 
 // Told takes the target's own word of its load.
 func (l *Lease) Told(load Load, now time.Time) {
@@ -44,37 +36,58 @@
 	defer l.table.mu.Unlock()
 	s := l.state
 	s.own--
+	l.endProbe()
 	switch result {
 	case OK:
 		s.strikes = 0
-		s.suspectUntil = time.Time{}
+		s.health.clear()
+		l.table.site(s.target.DataCentre).answered()
 	case Refused:
-		s.suspectUntil = later(s.suspectUntil, now.Add(refusedPause))
-	case Failed, Silent:
+		s.refusedUntil = now.Add(refusedPause)
+		l.table.site(s.target.DataCentre).answered()
+	case Failed:
+		s.strike(now, strikesToSuspect)
+	case Silent:
 		s.strike(now, strikesToSuspect)
+		l.table.missed(s, now)
 	case Unreachable:
 		s.strike(now, 1)
+		l.table.missed(s, now)
 	}
 }
 
-// strike counts a failure; from the given number in a row on the target is
-// suspect for a time that doubles with each.
+// endProbe lets the next request probe a suspect.
+func (l *Lease) endProbe() {
+	if l.probesTarget {
+		l.state.health.probing = false
+	}
+	if l.probesSite {
+		l.table.site(l.state.target.DataCentre).health.probing = false
+	}
+}
+
+// strike counts a failure; the given number in a row makes the target suspect.
 func (s *state) strike(now time.Time, enough int) {
 	s.strikes++
-	extra := s.strikes - enough
-	if extra < 0 {
-		return
+	if s.strikes >= enough {
+		s.health.fail(now)
 	}
-	wait := min(suspectMin<<min(extra, 8), suspectMax)
-	s.suspectUntil = now.Add(wait)
 }
 
-// healthy tells whether the target isn't suspect.
-func (s *state) healthy(now time.Time) bool { return !now.Before(s.suspectUntil) }
+// missed notes that a target couldn't be reached. The router's own data centre
+// is never suspect as a whole.
+func (t *Table) missed(s *state, now time.Time) {
+	if s.target.DataCentre != t.dataCentre {
+		t.site(s.target.DataCentre).missed(s.target.ID, now)
+	}
+}
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+// site returns what was learnt of a data centre. The lock is held.
+func (t *Table) site(dataCentre string) *site {
+	known := t.sites[dataCentre]
+	if known == nil {
+		known = &site{health: newHealth()}
+		t.sites[dataCentre] = known
 	}
-	return b
+	return known
 }
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -39,6 +39,8 @@
 type Lease struct {
 	table *Table
 	state *state
+	// probesTarget and probesSite say that the request probes a suspect.
+	probesTarget, probesSite bool
 }
 
 // Target returns the picked target.
@@ -58,7 +60,11 @@
 	s := t.choose(open, r)
 	s.own++
 	s.sentSince++
-	return &Lease{table: t, state: s}, nil
+	return &Lease{
+		table: t, state: s,
+		probesTarget: s.health.sent(),
+		probesSite:   t.site(s.target.DataCentre).health.sent(),
+	}, nil
 }
 
 // open returns the targets that may get the request. Where all of them are
@@ -69,7 +75,7 @@
 		if s.target.Leaving || slices.Contains(r.Exclude, s.target.ID) {
 			continue
 		}
-		if healthy && !s.healthy(r.Now) {
+		if healthy && !t.takes(s, r.Now) {
 			continue
 		}
 		open = append(open, s)
@@ -77,6 +83,11 @@
 	return open
 }
 
+// takes tells whether neither the target nor its data centre is suspect.
+func (t *Table) takes(s *state, now time.Time) bool {
+	return s.health.open(now) && !now.Before(s.refusedUntil) && t.site(s.target.DataCentre).health.open(now)
+}
+
 // choose picks one of the open targets.
 func (t *Table) choose(open []*state, r *Request) *state {
 	if r.Affinity == 0 {
--- a/fleet/placement/placement_test.go
+++ b/fleet/placement/placement_test.go
@@ -131,3 +131,45 @@
 		is.True(next.Target().ID != busy)
 	}
 }
+
+func TestDataCentreOutOfReachGetsNothing(t *testing.T) {
+	is := is.New(t)
+	tb := table("dc0", 9) // t1, t4, t7 are in dc1
+	for _, id := range []string{"t1", "t4"} {
+		is.Equal(tb.byID[id].target.DataCentre, "dc1")
+		lease := &Lease{table: tb, state: tb.byID[id]}
+		tb.byID[id].own++
+		lease.Done(Unreachable, now)
+	}
+	for affinity := range uint64(100) {
+		lease, err := tb.Pick(&Request{Service: "s", Affinity: affinity + 1, Now: now})
+		is.NoErr(err)
+		is.True(lease.Target().DataCentre != "dc1")
+	}
+}
+
+func TestOneProbeAtATimeEndsTheSuspicion(t *testing.T) {
+	is := is.New(t)
+	h := newHealth()
+	h.fail(now)
+	is.True(!h.open(now))
+	later := now.Add(suspectMin)
+	is.True(h.open(later))
+	is.True(h.sent())
+	is.True(!h.open(later))
+	h.clear()
+	is.True(h.open(later))
+}
+
+func TestSuspicionGrowsWithFailures(t *testing.T) {
+	is := is.New(t)
+	h := newHealth()
+	h.fail(now)
+	first := h.until
+	h.fail(now)
+	is.True(h.until.After(first))
+	for range 20 {
+		h.fail(now)
+	}
+	is.Equal(h.until, now.Add(suspectMax))
+}
--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -44,6 +44,7 @@
 	mu       sync.Mutex
 	services map[string][]*state
 	byID     map[string]*state
+	sites    map[string]*site
 }
 
 // state is one target and what was learnt of it.
@@ -56,16 +57,17 @@
 	load      Load
 	toldAt    time.Time
 	sentSince int
-	// strikes counts failures in a row; suspectUntil is when the target may
-	// be tried again.
-	strikes      int
-	suspectUntil time.Time
+	// strikes counts failures in a row.
+	strikes int
+	health  health
+	// refusedUntil is the end of the pause after a refusal.
+	refusedUntil time.Time
 	gone         bool
 }
 
 // New returns a table without targets for a router in the data centre.
 func New(dataCentre string) *Table {
-	return &Table{dataCentre: dataCentre, services: make(map[string][]*state), byID: make(map[string]*state)}
+	return &Table{dataCentre: dataCentre, services: make(map[string][]*state), byID: make(map[string]*state), sites: make(map[string]*site)}
 }
 
 // Update installs the targets. One that runs on keeps what was learnt of it.
@@ -78,7 +80,7 @@
 	for _, target := range targets {
 		s := old[target.ID]
 		if s == nil || s.target.Born != target.Born || s.target.Address != target.Address {
-			s = &state{}
+			s = &state{health: newHealth()}
 		}
 		s.target = target
 		t.byID[target.ID] = s
--- a/router/exchange/pool.go
+++ b/router/exchange/pool.go
@@ -12,7 +12,7 @@
 
 const (
 	// dialTimeout bounds the making of a connection.
-	dialTimeout = 500 * time.Millisecond
+	dialTimeout = 300 * time.Millisecond
 	// unackedTimeout ends a connection whose peer acknowledges nothing.
 	unackedTimeout = 1500 * time.Millisecond
 	// keepAliveIdle and keepAliveInterval set the probes of silent connections.
--- a/router/relay/journey.go
+++ b/router/relay/journey.go
@@ -106,7 +106,7 @@
 // failed takes the failure of a send, and says what it means for the request.
 func (j *journey) failed(ctx context.Context, lease *placement.Lease, err error) *errkind.Error {
 	failure := errkind.As(err)
-	result := placement.Failed
+	result := resultOf(err)
 	switch failure.Kind {
 	case errkind.TargetUnreachable:
 		result = placement.Unreachable
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -78,9 +79,10 @@
 	}
 }
 
-// resultOf tells a target that fell silent from one that broke off.
+// resultOf tells a target that fell silent, or acknowledges nothing, from one
+// that broke off.
 func resultOf(err error) placement.Result {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT) {
 		return placement.Silent
 	}
 	return placement.Failed
