Read the rows while the store is away; split the keeper

Cause: a router whose budget had nothing left made no call after the store was lost, so it never noticed its return, and refused at once for good (test TestRegainedPlatformServesAgain, fails without).

--- a/router/allotments/book_test.go
+++ b/router/allotments/book_test.go
@@ -119,6 +119,27 @@
 	is.True(errkind.As(err).RetryAfter > 0)
 }
 
+func TestRegainedPlatformServesAgain(t *testing.T) {
+	is := is.New(t)
+	tables := &platformfake.Fake{}
+	other := newBook(tables, "b1")
+	all, err := other.Reserve(context.Background(), workspace(100), 100, 0, long)
+	is.NoErr(err)
+	b := newBook(tables, "a1")
+	_, err = b.Reserve(context.Background(), workspace(100), 60, 0, long)
+	is.True(err != nil) // nothing is left
+	tables.SetDown(true)
+	_, err = b.Reserve(context.Background(), workspace(100), 60, 0, 30*time.Millisecond)
+	is.True(err != nil)
+	tables.SetDown(false)
+	all.Settle(0)
+	is.NoErr(other.Close(context.Background()))
+	waitFor(t, func() bool {
+		_, err = b.Reserve(context.Background(), workspace(100), 60, 0, 10*time.Millisecond)
+		return err == nil
+	})
+}
+
 func TestNextRunOnTheMachineGivesBackTheRest(t *testing.T) {
 	is := is.New(t)
 	tables := &platformfake.Fake{}
--- a/router/allotments/noter.go
+++ b/router/allotments/noter.go
@@ -232,3 +232,31 @@
 		zap.String("holder", holder), zap.Int64("tokens", rest))
 	return true
 }
+
+// promise makes the account hold to a new promise.
+func (k *keeper) promise(now time.Time) allotment.Promise {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p := k.account.Offer(now)
+	k.account.Bind(p)
+	return p
+}
+
+// promiseTaken takes that the platform has the promise.
+func (k *keeper) promiseTaken(p allotment.Promise) {
+	k.mu.Lock()
+	k.account.TakenPromise(p)
+	k.serveWaiters()
+	waiting := len(k.waiters) > 0
+	k.mu.Unlock()
+	if waiting {
+		k.nudge()
+	}
+}
+
+// promiseDropped takes that the platform never took the newest promise.
+func (k *keeper) promiseDropped() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.account.DroppedPromise()
+}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -147,7 +147,10 @@
 	if a.Prompt == nil {
 		return &allotments.Hold{}, nil
 	}
-	patience := min(a.route.Goal/2, a.timeout()/4)
+	patience := a.timeout() / 4
+	if a.route.Goal > 0 {
+		patience = min(patience, a.route.Goal/2)
+	}
 	hold, err := r.Budgets.Reserve(ctx, a.workspace, a.Prompt.Bound(), a.route.Priority, patience)
 	if err != nil {
 		return nil, errkind.As(err)
