--- a/fleet/catalog/catalog.go
+++ b/fleet/catalog/catalog.go
@@ -45,7 +45,6 @@
 type Limits struct {
 	HeaderBytes int64
 	BodyBytes   int64
-	HeaderTime  time.Duration
 	IdleTime    time.Duration
 }
 
@@ -106,19 +105,12 @@
 // Service is a group of targets that serve the same requests.
 type Service struct {
 	Name string
-	// MaxConnections is what one target accepts from all callers together; 0
-	// means that it isn't known.
-	MaxConnections int
 	// Engine is nil for services that generate no tokens.
 	Engine *Engine
 }
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	// Slots is the size of a batch.
-	Slots int
-	// CacheTokens is the size of the prompt cache in tokens.
-	CacheTokens int64
 	// EventTokens is the most output tokens that one event holds.
 	EventTokens int64
 }
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -46,9 +46,10 @@
 	defaultBodyBytes = 1 << 20
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 64 << 10
-	// headerTime bounds the reading of a header.
+	// headerTime bounds the reading of a header. net/http can't change it while
+	// a door is open, so that the configuration's limit doesn't replace it.
 	headerTime = 10 * time.Second
-	// idleTime is how long an idle connection of a caller is kept.
+	// idleTime is how long an idle connection of a caller is kept at most.
 	idleTime = 75 * time.Second
 	// memoryPermille is the part of the process's memory that the runtime is
 	// told to keep within.
@@ -194,6 +195,7 @@
 		IdleTimeout:       idleTime,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          zap.NewStdLog(g.log),
+		ConnState:         newIdleLimiter(func() time.Duration { return g.Limits().IdleTime }).note,
 	}
 	g.readiness = &http.Server{Handler: g.readinessRoutes(), ReadHeaderTimeout: headerTime}
 	g.metrics = &http.Server{Handler: g.metricsRoutes(), ReadHeaderTimeout: headerTime}
