--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -26,15 +26,13 @@
 	Service    string
 	Address    string
 	DataCentre string
-	// Slots is the number of requests that it runs at once.
-	Slots int
 	// Leaving targets get no new work.
 	Leaving bool
 }
 
 // Load is what a target told of itself.
 type Load struct {
-	Running, Waiting, Slots int
+	Running, Waiting int
 }
 
 // Table picks targets. It is safe for concurrent use.
@@ -62,7 +60,6 @@
 	health  health
 	// refusedUntil is the end of the pause after a refusal.
 	refusedUntil time.Time
-	gone         bool
 }
 
 // New returns a table without targets for a router in the data centre.
@@ -86,11 +83,6 @@
 		t.byID[target.ID] = s
 		t.services[target.Service] = append(t.services[target.Service], s)
 	}
-	for id, s := range old {
-		if t.byID[id] != s {
-			s.gone = true
-		}
-	}
 }
 
 // Targets returns the number of targets known.
--- a/router/eventstream/reader.go
+++ b/router/eventstream/reader.go
@@ -23,8 +23,6 @@
 type Event struct {
 	// ID is the value of its last id line; empty without one.
 	ID string
-	// Data is the value of its data line, the first one where there are many.
-	Data []byte
 	// Raw is the event as it came, with the empty line that ends it.
 	Raw []byte
 }
@@ -84,13 +82,7 @@
 // field takes one line of the event.
 func (e *Event) field(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
-	value = bytes.TrimPrefix(value, []byte(" "))
-	switch string(name) {
-	case "id":
-		e.ID = string(value)
-	case "data":
-		if e.Data == nil {
-			e.Data = bytes.Clone(value)
-		}
+	if string(name) == "id" {
+		e.ID = string(bytes.TrimPrefix(value, []byte(" ")))
 	}
 }
--- a/router/exchange/exchange.go
+++ b/router/exchange/exchange.go
@@ -49,8 +49,6 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	// Length is the body's length in bytes, or -1.
-	Length int64
 	body   io.ReadCloser
 	x      *exchange
 	whole  bool
@@ -84,7 +82,7 @@
 		return nil, errors.Join(ErrBroken, err)
 	}
 	x.reusable = !resp.Close
-	return &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, body: resp.Body, x: x}, nil
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, body: resp.Body, x: x}, nil
 }
 
 // write sends the request, beside the caller where it is large.
--- a/router/relay/journey.go
+++ b/router/relay/journey.go
@@ -121,7 +121,7 @@
 		failure = j.ended(ctx, failure)
 		result = placement.Neutral
 		if failure.Kind == errkind.DeadlineInRun {
-			result = placement.Silent
+			result = placement.Failed
 		}
 	}
 	lease.Done(result, j.relay.Now())
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -102,8 +102,6 @@
 	// Status and Header are the target's, without fields of the connection.
 	Status() int
 	Header() http.Header
-	// Length is the body's length in bytes, or -1.
-	Length() int64
 	// Read reads the body; the error is io.EOF only where it is whole.
 	Read(p []byte) (int, error)
 	// SetReadDeadline bounds the next reads; zero sets no bound.
