Place prompts by the tokens that wait to be read

Cause: a bound on requests in flight took long prompts for short ones, so quick questions queued behind them, or prompts left their target for nothing. A target now counts the prompt tokens of our requests without a first event, and what it told; another than the prompt's own is taken where that outweighs six times the shared tokens.

--- a/fleet/placement/outcome.go
+++ b/fleet/placement/outcome.go
@@ -30,12 +30,26 @@
 	l.state.load, l.state.toldAt, l.state.sentSince = load, now, 0
 }
 
+// Started takes that the target began to answer: the prompt is read.
+func (l *Lease) Started() {
+	l.table.mu.Lock()
+	defer l.table.mu.Unlock()
+	l.read()
+}
+
+// read takes the prompt off the unread ones, once.
+func (l *Lease) read() {
+	l.state.unread -= l.unread
+	l.unread = 0
+}
+
 // Done gives the place back and learns from the result.
 func (l *Lease) Done(result Result, now time.Time) {
 	l.table.mu.Lock()
 	defer l.table.mu.Unlock()
 	s := l.state
 	s.own--
+	l.read()
 	l.endProbe()
 	switch result {
 	case OK:
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -10,11 +10,13 @@
 )
 
 const (
-	// loadBound bounds the load of a target that is picked by its rank, as a
-	// part of the mean load.
-	loadBound = 2.0
-	// loadSlack is added to that bound, in requests.
-	loadSlack = 12.0
+	// waitingTokens and runningTokens are what a waiting and a running request
+	// count as at a target, in prompt tokens to be read.
+	waitingTokens = 4000
+	runningTokens = 100
+	// sharedWeight is what a shared token that has to be read again counts as:
+	// reading it takes time and drives others out of the cache.
+	sharedWeight = 6
 	// loadMemory is how long a target's own word counts.
 	loadMemory = 2 * time.Second
 	// farPenalty is what a target of another data centre is held to be more
@@ -30,6 +32,9 @@
 	// Affinity is a hash of the prompt parts shared with other requests; 0
 	// means that any target does as well.
 	Affinity uint64
+	// SharedTokens is the size of those parts, and PromptTokens that of the
+	// whole prompt.
+	SharedTokens, PromptTokens int64
 	// Exclude names targets that this request tried already.
 	Exclude []string
 	Now     time.Time
@@ -41,6 +46,8 @@
 	state *state
 	// probesTarget and probesSite say that the request probes a suspect.
 	probesTarget, probesSite bool
+	// unread is the prompt tokens thought to be unread at the target.
+	unread int64
 }
 
 // Target returns the picked target.
@@ -57,11 +64,12 @@
 	if len(open) == 0 {
 		return nil, errkind.New(errkind.NoTarget, "no target of the service takes new work").After(busyRetry)
 	}
-	s := t.choose(open, r)
+	s, unread := t.choose(open, r)
 	s.own++
 	s.sentSince++
+	s.unread += unread
 	return &Lease{
-		table: t, state: s,
+		table: t, state: s, unread: unread,
 		probesTarget: s.health.sent(),
 		probesSite:   t.site(s.target.DataCentre).health.sent(),
 	}, nil
@@ -88,26 +96,46 @@
 	return s.health.open(now) && !now.Before(s.refusedUntil) && t.site(s.target.DataCentre).health.open(now)
 }
 
-// choose picks one of the open targets.
-func (t *Table) choose(open []*state, r *Request) *state {
+// choose picks one of the open targets, and returns the prompt tokens that it
+// will have to read.
+func (t *Table) choose(open []*state, r *Request) (*state, int64) {
 	if r.Affinity == 0 {
-		return t.leastLoaded(open, r.Now)
+		return t.leastLoaded(open, r.Now), r.PromptTokens
 	}
-	mean := 0.0
+	home := homeOf(open, r.Affinity)
+	best, bestCost := home, home.cost(r.Now)
 	for _, s := range open {
-		mean += s.estimate(r.Now)
+		cost := s.cost(r.Now) + sharedWeight*r.SharedTokens
+		if s != home && cost < bestCost {
+			best, bestCost = s, cost
+		}
 	}
-	mean /= float64(len(open))
-	bound := mean*loadBound + loadSlack
-	var best *state
-	var bestRank uint64
-	for _, s := range open {
-		rank := rankOf(r.Affinity, s.target.ID)
-		if s.estimate(r.Now) <= bound && (best == nil || rank > bestRank) {
-			best, bestRank = s, rank
+	if best == home {
+		return home, r.PromptTokens - r.SharedTokens
+	}
+	return best, r.PromptTokens
+}
+
+// homeOf returns the target that keeps the prompt parts: that of the highest
+// rank.
+func homeOf(open []*state, affinity uint64) *state {
+	home, homeRank := open[0], rankOf(affinity, open[0].target.ID)
+	for _, s := range open[1:] {
+		rank := rankOf(affinity, s.target.ID)
+		if rank > homeRank {
+			home, homeRank = s, rank
 		}
 	}
-	return best
+	return home
+}
+
+// cost returns the work before a new request at the target, in prompt tokens.
+func (s *state) cost(now time.Time) int64 {
+	cost := s.unread + int64(s.estimate(now)*runningTokens)
+	if s.recent(now) {
+		cost += int64(s.load.Waiting) * waitingTokens
+	}
+	return cost
 }
 
 // leastLoaded picks the target with the least load for its slots, near ones
@@ -143,8 +171,13 @@
 // estimate returns the requests thought to be at the target.
 func (s *state) estimate(now time.Time) float64 {
 	own := float64(s.own)
-	if s.toldAt.IsZero() || now.Sub(s.toldAt) > loadMemory {
+	if !s.recent(now) {
 		return own
 	}
 	return max(own, float64(s.load.Running+s.load.Waiting+s.sentSince))
 }
+
+// recent tells whether the target's own word still counts.
+func (s *state) recent(now time.Time) bool {
+	return !s.toldAt.IsZero() && now.Sub(s.toldAt) <= loadMemory
+}
--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -7,9 +7,8 @@
 // Requests that begin with the same prompt parts go to the same target of all
 // routers without any talk between them: targets are ranked by a hash of the
 // parts and the target's id (Thaler and Ravishankar, "Using Name-Based
-// Mappings to Increase Hit Rates", 1998), and the first one whose load is
-// within a bound of the mean is taken (Mirrokni, Thorup and Zadimoghaddam,
-// "Consistent Hashing with Bounded Loads", 2018).
+// Mappings to Increase Hit Rates", 1998). Another target is taken where the work
+// that waits at the first outweighs reading the shared parts again.
 package placement
 
 import (
@@ -50,6 +49,9 @@
 	target Target
 	// own counts this router's requests in flight.
 	own int
+	// unread counts the prompt tokens of this router's requests that have no
+	// first event yet.
+	unread int64
 	// load is the last word of the target, and toldAt its time; sentSince
 	// counts requests sent after it.
 	load      Load
--- a/router/relay/journey.go
+++ b/router/relay/journey.go
@@ -66,10 +66,12 @@
 func (j *journey) next(ctx context.Context, resumeAfter string) (*attempt, *errkind.Error) {
 	for {
 		lease, err := j.relay.Targets.Pick(&placement.Request{
-			Service:  j.service.Name,
-			Affinity: j.Prompt.affinity(),
-			Exclude:  j.tried,
-			Now:      j.relay.Now(),
+			Service:      j.service.Name,
+			Affinity:     j.Prompt.affinity(),
+			SharedTokens: j.Prompt.shared(),
+			PromptTokens: j.Prompt.input(),
+			Exclude:      j.tried,
+			Now:          j.relay.Now(),
 		})
 		if err != nil {
 			return nil, errkind.As(err)
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -55,6 +55,26 @@
 // Bound returns the most tokens that the prompt can consume.
 func (p *Prompt) Bound() int64 { return p.InputTokens + p.MaxOutputTokens }
 
+// input returns the length of the prompt; 0 where there is none.
+func (p *Prompt) input() int64 {
+	if p == nil {
+		return 0
+	}
+	return p.InputTokens
+}
+
+// shared returns the size of the parts that other requests may share.
+func (p *Prompt) shared() int64 {
+	if p == nil || len(p.Parts) < 2 {
+		return 0
+	}
+	var tokens int64
+	for _, part := range p.Parts[:len(p.Parts)-1] {
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
 // affinity hashes the parts that other requests may share: all but the last.
 func (p *Prompt) affinity() uint64 {
 	if p == nil || len(p.Parts) < 2 {
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -69,6 +69,7 @@
 			t.end(j, resultOf(err))
 			return j.broken(ctx, err)
 		}
+		t.lease.Started()
 		if event.ID != "" {
 			*last = event.ID
 		}
