--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -16,7 +16,7 @@
 	runningTokens = 100
 	// sharedWeight is what a shared token that has to be read again counts as:
 	// reading it takes time and drives others out of the cache.
-	sharedWeight = 6
+	sharedWeight = 12
 	// loadMemory is how long a target's own word counts.
 	loadMemory = 2 * time.Second
 	// farPenalty is what a target of another data centre is held to be more
