Give nothing back where the store's clock went back since the note

Found in reading: a clock that starts anew would make a dead run's bound too low. Test TestNothingIsGivenBackWhereTheClockWentBack fails without the check.

--- a/router/allotments/book_test.go
+++ b/router/allotments/book_test.go
@@ -22,17 +22,23 @@
 	workspaceName = "w"
 )
 
-// clock is a platform clock that shows the local time.
-type clock struct{}
+// clock is a platform clock that shows the local time, or an earlier one.
+type clock struct{ behind time.Duration }
 
-func (clock) Estimate(local time.Time) (int64, bool) { return local.UnixMilli(), true }
+func (c clock) Estimate(local time.Time) (int64, bool) {
+	return local.Add(-c.behind).UnixMilli(), true
+}
 
 func workspace(prepaid int64) *catalog.Workspace {
 	return &catalog.Workspace{Name: workspaceName, Prepaid: &prepaid}
 }
 
 func newBook(tables platform.Tables, holder string) *Book {
-	return NewBook(Options{Tables: tables, Clock: clock{}, Machine: "m." + holder[:1], Holder: holder, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now})
+	return newBookAt(tables, holder, clock{})
+}
+
+func newBookAt(tables platform.Tables, holder string, c clock) *Book {
+	return NewBook(Options{Tables: tables, Clock: c, Machine: "m." + holder[:1], Holder: holder, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now})
 }
 
 func totalTaken(t *testing.T, tables platform.Tables) int64 {
@@ -159,6 +165,26 @@
 	is.True(totalTaken(t, tables) >= 10)
 }
 
+func TestNothingIsGivenBackWhereTheClockWentBack(t *testing.T) {
+	is := is.New(t)
+	tables := &platformfake.Fake{}
+	first := newBook(tables, "a1")
+	hold, err := first.Reserve(context.Background(), workspace(100000), 10, 0, long)
+	is.NoErr(err)
+	hold.Settle(10)
+	held := totalTaken(t, tables)
+	waitFor(t, func() bool {
+		found, err := tables.Read(context.Background(), "routers/m.a/note")
+		return err == nil && len(found) == 1
+	})
+	next := newBookAt(tables, "a2", clock{behind: time.Hour})
+	hold, err = next.Reserve(context.Background(), workspace(100000), 10, 0, long)
+	is.NoErr(err)
+	hold.Settle(0)
+	is.NoErr(next.Close(context.Background()))
+	is.Equal(totalTaken(t, tables), held) // the first run's part stays taken
+}
+
 func waitFor(t *testing.T, done func() bool) {
 	t.Helper()
 	for end := time.Now().Add(long); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
--- a/router/allotments/noter.go
+++ b/router/allotments/noter.go
@@ -157,7 +157,12 @@
 	if !ok || last.Holder == "" {
 		return
 	}
-	storeMs, _ := n.book.opts.Clock.Estimate(n.book.opts.Now())
+	storeMs, known := n.book.opts.Clock.Estimate(n.book.opts.Now())
+	if !known || storeMs < last.StoreMs {
+		n.book.opts.Log.Warn("budget: the platform's clock went back since the last run's note; giving nothing back.",
+			zap.Int64("store_ms", storeMs), zap.Int64("note_ms", last.StoreMs))
+		return
+	}
 	elapsed := time.Duration(storeMs-last.StoreMs) * time.Millisecond
 	for _, bound := range last.Bounds {
 		promise := allotment.Promise{Limit: bound.Limit, Rate: bound.Rate, Surge: bound.Surge}
