Take nothing of a target from a caller that left

Cause: a stream whose caller left mid-way struck its target as one that broke off, and two in a row made a healthy target suspect (test TestCallersThatLeaveSayNothingOfATarget).

--- a/router/relay/journey.go
+++ b/router/relay/journey.go
@@ -108,7 +108,7 @@
 // failed takes the failure of a send, and says what it means for the request.
 func (j *journey) failed(ctx context.Context, lease *placement.Lease, err error) *errkind.Error {
 	failure := errkind.As(err)
-	result := resultOf(err)
+	result := resultOf(ctx, err)
 	switch failure.Kind {
 	case errkind.TargetUnreachable:
 		result = placement.Unreachable
@@ -121,10 +121,7 @@
 	}
 	if ctx.Err() != nil {
 		failure = j.ended(ctx, failure)
-		result = placement.Neutral
-		if failure.Kind == errkind.DeadlineInRun {
-			result = placement.Failed
-		}
+		result = resultOf(ctx, err)
 	}
 	lease.Done(result, j.relay.Now())
 	j.relay.Log.Info("relay: a send failed.", zap.String("request", j.ID),
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -203,3 +205,16 @@
 	err := advised(errkind.New(errkind.NoTarget, "none").After(time.Minute), req, now)
 	is.Equal(err.RetryAfter, 200*time.Millisecond)
 }
+
+func TestCallersThatLeaveSayNothingOfATarget(t *testing.T) {
+	is := is.New(t)
+	left, leave := context.WithCancel(context.Background())
+	leave()
+	is.Equal(resultOf(left, io.ErrUnexpectedEOF), placement.Neutral)
+	late, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
+	defer cancel()
+	is.Equal(resultOf(late, io.ErrUnexpectedEOF), placement.Failed)
+	is.Equal(resultOf(context.Background(), os.ErrDeadlineExceeded), placement.Silent)
+	is.Equal(resultOf(context.Background(), syscall.ETIMEDOUT), placement.Silent)
+	is.Equal(resultOf(context.Background(), io.ErrUnexpectedEOF), placement.Failed)
+}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -66,7 +66,7 @@
 			return j.endStream(t)
 		}
 		if err != nil {
-			t.end(j, resultOf(err))
+			t.end(j, resultOf(ctx, err))
 			return j.broken(ctx, err)
 		}
 		t.lease.Started()
@@ -80,13 +80,20 @@
 	}
 }
 
-// resultOf tells a target that fell silent, or acknowledges nothing, from one
-// that broke off.
-func resultOf(err error) placement.Result {
-	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT) {
+// resultOf tells a caller that left, which says nothing of the target, from a
+// target that fell silent or acknowledges nothing, and from one that broke off
+// or took all the time there was.
+func resultOf(ctx context.Context, err error) placement.Result {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return placement.Neutral
+	case ctx.Err() != nil:
+		return placement.Failed
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, syscall.ETIMEDOUT):
 		return placement.Silent
+	default:
+		return placement.Failed
 	}
-	return placement.Failed
 }
 
 // boundSilence bounds the wait for the next event where another target can go
@@ -145,7 +152,7 @@
 	body, err := readWhole(t.reply)
 	status := t.reply.Status()
 	if err != nil {
-		t.end(j, placement.Failed)
+		t.end(j, resultOf(ctx, err))
 		return j.broken(ctx, err)
 	}
 	header := t.reply.Header()
--- a/router/relay/whole.go
+++ b/router/relay/whole.go
@@ -39,7 +39,7 @@
 	}
 	body, err := readWhole(t.reply)
 	if err != nil {
-		t.end(j, placement.Failed)
+		t.end(j, resultOf(ctx, err))
 		return j.broken(ctx, err)
 	}
 	status, header := t.reply.Status(), t.reply.Header()
