--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -27,6 +27,7 @@
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/catalog"
+	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/retry"
 	"cuminrock.example/router/allotments"
@@ -243,6 +244,9 @@
 	g.relay.Serve(ctx, req, out)
 }
 
+// Refused notes a request that was refused before it was served.
+func (g *Gateway) Refused(id string, err *errkind.Error) { g.relay.Refused(id, err) }
+
 // Limits returns what callers may send.
 func (g *Gateway) Limits() catalog.Limits {
 	var limits catalog.Limits
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -6,6 +6,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
+// noRoute is the route of requests that none takes.
+const noRoute = "none"
+
 // Metrics counts what became of requests.
 type Metrics struct {
 	// Requests counts finished requests by route and outcome.
@@ -41,7 +44,7 @@
 
 // done counts a finished request.
 func (m *Metrics) done(j *journey, took time.Duration) {
-	route := "none"
+	route := noRoute
 	if j.admitted != nil {
 		route = j.route.Name
 	}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -84,6 +84,12 @@
 	j.log(req, err)
 }
 
+// Refused logs and counts a request that a front end refused.
+func (r *Relay) Refused(id string, err *errkind.Error) {
+	r.Metrics.Requests.WithLabelValues(noRoute, err.Kind.String()).Inc()
+	r.Log.Info("relay: request refused by the front end.", zap.String("request", id), zap.Error(err))
+}
+
 func (r *Relay) serve(ctx context.Context, req *Request, j *journey) *errkind.Error {
 	a, err := r.admit(req)
 	if err != nil {
