Let a router hold as much as is left

Cause: a workspace whose callers sit at one router could use a third of what was left while cut off.

--- a/fleet/allotment/demand.go
+++ b/fleet/allotment/demand.go
@@ -11,7 +11,7 @@
 	holdHorizon = 30 * time.Second
 	// holdDivisor bounds what one router holds by a part of what is left. With
 	// n routers that all want more, each comes to hold a part in n+holdDivisor.
-	holdDivisor = 2
+	holdDivisor = 1
 	// aheadDivisor bounds what one transaction takes beyond what waits by a
 	// part of what is left, so that the first to ask doesn't take most.
 	aheadDivisor = 5
