--- a/fleet/allotment/account.go
+++ b/fleet/allotment/account.go
@@ -16,7 +16,10 @@
 // commits late, can't count twice.
 package allotment
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Rows is what the platform stores for a workspace and this router.
 type Rows struct {
@@ -80,7 +83,7 @@
 // changes nothing, when too few are held or promised, or when what would be
 // left is kept for more urgent requests.
 func (a *Account) Reserve(tokens int64, rank int, now time.Time) bool {
-	if tokens > a.Free()-a.kept(rank, now) || tokens > a.Promised(now) {
+	if tokens > a.Free()-a.kept(tokens, rank, now) || tokens > a.Promised(now) {
 		return false
 	}
 	a.reserved += tokens
@@ -103,24 +106,34 @@
 	}
 }
 
-// kept returns the tokens that are kept for requests more urgent than the
-// rank, where tokens are scarce: the platform can't be reached, or has too few.
-func (a *Account) kept(rank int, now time.Time) int64 {
-	rate := 0.0
-	for i := range clampRank(rank) {
-		rate += a.byRank[i].rate(now)
-	}
+// kept returns the tokens that are kept for more urgent requests, where tokens
+// are scarce. While the platform can't be reached they are kept for all of
+// them; near a budget's end only for those that usually take no more than this
+// request does.
+func (a *Account) kept(tokens int64, rank int, now time.Time) int64 {
 	if !a.cutSince.IsZero() {
 		horizon := max(keepWhileCut-now.Sub(a.cutSince), keepAtEnd)
-		return int64(rate * horizon.Seconds())
+		return int64(a.urgentRate(rank, math.MaxInt64, now) * horizon.Seconds())
 	}
-	kept := int64(rate * keepAtEnd.Seconds())
+	kept := int64(a.urgentRate(rank, tokens, now) * keepAtEnd.Seconds())
 	if a.Left()/holdDivisor < kept {
 		return kept
 	}
 	return 0
 }
 
+// urgentRate returns the tokens a second that requests more urgent than the
+// rank ask for, of the ranks whose requests usually take no more than most.
+func (a *Account) urgentRate(rank int, most int64, now time.Time) float64 {
+	rate := 0.0
+	for i := range clampRank(rank) {
+		if a.byRank[i].size() <= float64(most) {
+			rate += a.byRank[i].rate(now)
+		}
+	}
+	return rate
+}
+
 func clampRank(rank int) int { return min(max(rank, 0), ranks-1) }
 
 // Settle ends a reservation of which used tokens were consumed.
--- a/fleet/allotment/account_test.go
+++ b/fleet/allotment/account_test.go
@@ -73,6 +73,14 @@
 	is.True(a.Reserve(free, 0, start))
 }
 
+func TestNearItsEndABudgetIsKeptForSmallRequestsOnly(t *testing.T) {
+	is := is.New(t)
+	a := taken(t, 450, 400) // little is left
+	free := a.Free()
+	is.True(a.Reserve(free/2, 5, start)) // what is more urgent takes 400 each
+	is.True(!a.Reserve(400, 5, start))
+}
+
 func TestPromiseBindsUntilTheNext(t *testing.T) {
 	is := is.New(t)
 	a := taken(t, 100000, 10)
