Give back what is held of a budget that was lowered

Found in reading: with the total above a lowered budget nothing could be reserved, and nothing went back, so that what remained was lost to the workspace (test TestLoweredBudgetServesOnWithWhatRemains fails without).

--- a/fleet/allotment/account.go
+++ b/fleet/allotment/account.go
@@ -11,6 +11,8 @@
 //   - Tokens to give back stop being held before the transaction is sent, and
 //     are never held again: a transaction without an answer may still commit.
 //   - What is reserved is held, and stays spent as far as it was used.
+//   - What is reserved and spent stays within every promise that the platform
+//     may have; see Promise.
 //
 // A transaction states absolute amounts, so that one that is sent again, or
 // commits late, can't count twice.
@@ -63,12 +65,19 @@
 // Prepaid returns the most tokens that all routers may take together.
 func (a *Account) Prepaid() int64 { return a.prepaid }
 
-// Free returns the tokens that can be reserved now. It is negative where the
-// prepaid amount was lowered below what was taken.
+// Free returns the tokens that can be reserved now: none while all routers
+// together hold more than a prepaid amount that was lowered.
 func (a *Account) Free() int64 {
-	free := a.rows.Taken - a.returned - a.spent - a.reserved
-	excess := max(0, a.rows.Total-a.prepaid)
-	return free - min(excess, max(free, 0))
+	if a.rows.Total > a.prepaid {
+		return 0
+	}
+	return a.held()
+}
+
+// held returns the tokens taken that are neither given back, spent nor
+// reserved.
+func (a *Account) held() int64 {
+	return a.rows.Taken - a.returned - a.spent - a.reserved
 }
 
 // Left returns the tokens that no router has taken, as last seen.
@@ -195,7 +204,7 @@
 
 // ReturnAll gives back all that isn't reserved. Used at a planned stop.
 func (a *Account) ReturnAll() {
-	a.returned += max(0, a.rows.Taken-a.returned-a.spent-a.reserved)
+	a.returned += max(0, a.held())
 	a.demand = demand{}
 }
 
@@ -205,8 +214,13 @@
 	return min(byDemand, a.Left()/holdDivisor)
 }
 
-// giveBack marks what is held far beyond the goal as given back.
+// giveBack marks what is held far beyond the goal as given back, and all of it
+// where the prepaid amount was lowered below what routers hold.
 func (a *Account) giveBack(free, goal int64, now time.Time) {
+	if a.rows.Total > a.prepaid {
+		a.returned += max(0, a.held())
+		return
+	}
 	surplus := free - goal - a.wanted
 	if a.wanted > 0 || surplus <= goal/2 || now.Sub(a.returnedAt) < returnInterval {
 		return
--- a/fleet/allotment/account_test.go
+++ b/fleet/allotment/account_test.go
@@ -64,6 +64,24 @@
 	is.True(!a.Reserve(1000, 0, start))
 }
 
+func TestLoweredBudgetServesOnWithWhatRemains(t *testing.T) {
+	is := is.New(t)
+	a := taken(t, 10000, 1000)
+	is.True(a.Reserve(100, 0, start))
+	a.Settle(100, 100)
+	a.SetPrepaid(500)
+	step, ok := a.Next(start)
+	is.True(ok)
+	is.Equal(step.After.Total, int64(100)) // only what is spent stays taken
+	a.Sync(step.After, start)
+	is.Equal(a.Left(), int64(400))
+	a.Want(200)
+	step, ok = a.Next(start)
+	is.True(ok)
+	a.Sync(step.After, start)
+	is.True(a.Reserve(200, 0, start))
+}
+
 func TestScarceTokensAreKeptForUrgentRequests(t *testing.T) {
 	is := is.New(t)
 	a := taken(t, 4000, 400)
