Reuse one wait, one waker, one number mix and one check; keep wire names in platform/

Read once more: gateway and allotments had waits of their own beside router/wait, two copies of a wake channel, a third and fourth copy of splitmix64's finalizer, the log level's check twice, a stream's head passed on in two places, and a test's wait for a note twice. Behaviour is as before, but that a stream without events logs its first byte too.

--- a/fleet/member/roster.go
+++ b/fleet/member/roster.go
@@ -6,6 +6,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cuminrock.example/fleet/mix"
+
 	pb "cuminrock.example/api/gen/cuminrockpb"
 )
 
@@ -70,7 +72,7 @@
 	var home *pb.Member
 	var highest uint64
 	for _, c := range r.candidates {
-		weight := mix(c.hash ^ keyHash)
+		weight := mix.Mix64(c.hash ^ keyHash)
 		if home == nil || weight > highest || weight == highest && c.member.Name < home.Name {
 			home = c.member
 			highest = weight
@@ -93,20 +95,12 @@
 // highest weights for a key.
 func (r *Roster) among(key string, count int) bool {
 	keyHash := xxhash.Sum64String(key)
-	own := mix(xxhash.Sum64String(r.self.Name) ^ keyHash)
+	own := mix.Mix64(xxhash.Sum64String(r.self.Name) ^ keyHash)
 	above := 0
 	for _, c := range r.candidates {
-		if mix(c.hash^keyHash) > own {
+		if mix.Mix64(c.hash^keyHash) > own {
 			above++
 		}
 	}
 	return above < count
 }
-
-// mix is the finalizer of SplitMix64 (Steele, Lea and Flood 2014): each input
-// bit changes each output bit with even odds.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/mix"
 )
 
 const (
@@ -157,15 +158,7 @@
 
 // rankOf ranks a target for the requests of an affinity.
 func rankOf(affinity uint64, id string) uint64 {
-	return mix(affinity ^ xxhash.Sum64String(id))
-}
-
-// mix is the finalizer of splitmix64 (Steele, Lea and Flood, "Fast Splittable
-// Pseudorandom Number Generators", 2014).
-func mix(x uint64) uint64 {
-	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
-	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
-	return x ^ (x >> 31)
+	return mix.Mix64(affinity ^ xxhash.Sum64String(id))
 }
 
 // estimate returns the requests thought to be at the target.
--- a/fleet/route/pick.go
+++ b/fleet/route/pick.go
@@ -7,6 +7,7 @@
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/mix"
 )
 
 // permille is the sum of a service's shares.
@@ -264,11 +265,5 @@
 // random returns the next number of a splitmix64 sequence (Steele, Lea and
 // Flood, "Fast Splittable Pseudorandom Number Generators", 2014).
 func (t *Table) random() uint64 {
-	return mix(t.opts.Seed + t.turns.Add(1)*0x9e3779b97f4a7c15)
-}
-
-func mix(x uint64) uint64 {
-	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
-	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
-	return x ^ (x >> 31)
+	return mix.Mix64(t.opts.Seed + t.turns.Add(1)*0x9e3779b97f4a7c15)
 }
--- a/fleet/route/ring.go
+++ b/fleet/route/ring.go
@@ -6,6 +6,8 @@
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cuminrock.example/fleet/mix"
 )
 
 // The prefix ring.
@@ -34,7 +36,7 @@
 	for _, e := range p.entries {
 		h := xxhash.Sum64String(e.target.Name)
 		for range ringPoints {
-			h = mix(h + 0x9e3779b97f4a7c15)
+			h = mix.Mix64(h + 0x9e3779b97f4a7c15)
 			p.ring = append(p.ring, ringPoint{hash: h, e: e})
 		}
 	}
@@ -48,7 +50,7 @@
 		return nil
 	}
 	bound := pairLoad*affinePermille/(2*permille) + affineSlack*reportUnit
-	hash := mix(r.PrefixHash)
+	hash := mix.Mix64(r.PrefixHash)
 	start := sort.Search(len(p.ring), func(i int) bool { return p.ring[i].hash >= hash })
 	for i := range ringSteps {
 		e := p.ring[(start+i)%len(p.ring)].e
--- a/router/allotments/book.go
+++ b/router/allotments/book.go
@@ -52,8 +52,10 @@
 	mu      sync.Mutex
 	keepers map[string]*keeper
 	closed  bool
-	stop    chan struct{}
-	work    conc.WaitGroup
+	// life ends with Close.
+	life context.Context
+	end  context.CancelFunc
+	work conc.WaitGroup
 
 	noter *noter
 }
@@ -61,7 +63,8 @@
 // NewBook returns a book that holds nothing, and begins to give back what the
 // run before it on this machine left.
 func NewBook(opts Options) *Book {
-	b := &Book{opts: opts, keepers: make(map[string]*keeper), stop: make(chan struct{})}
+	b := &Book{opts: opts, keepers: make(map[string]*keeper)}
+	b.life, b.end = context.WithCancel(context.Background())
 	b.noter = newNoter(b)
 	b.work.Go(b.noter.run)
 	return b
@@ -131,11 +134,9 @@
 // it, or with the error of ctx.
 func (b *Book) Close(ctx context.Context) error {
 	b.mu.Lock()
-	if !b.closed {
-		b.closed = true
-		close(b.stop)
-	}
+	b.closed = true
 	b.mu.Unlock()
+	b.end()
 	keepers := b.all()
 	b.work.Wait()
 	var group conc.WaitGroup
--- a/router/allotments/book_test.go
+++ b/router/allotments/book_test.go
@@ -155,10 +155,7 @@
 	hold.Settle(10)
 	held := totalTaken(t, tables)
 	is.True(held > 10)
-	waitFor(t, func() bool { // the note is there
-		found, err := tables.Read(context.Background(), "routers/m.a/note")
-		return err == nil && len(found) == 1
-	})
+	waitForNote(t, tables)
 	// The first run is left as it is, as by a kill.
 	_ = newBook(tables, "a2")
 	waitFor(t, func() bool { return totalTaken(t, tables) < held })
@@ -173,10 +170,7 @@
 	is.NoErr(err)
 	hold.Settle(10)
 	held := totalTaken(t, tables)
-	waitFor(t, func() bool {
-		found, err := tables.Read(context.Background(), "routers/m.a/note")
-		return err == nil && len(found) == 1
-	})
+	waitForNote(t, tables)
 	next := newBookAt(tables, "a2", clock{behind: time.Hour})
 	hold, err = next.Reserve(context.Background(), workspace(100000), 10, 0, long)
 	is.NoErr(err)
@@ -185,6 +179,15 @@
 	is.Equal(totalTaken(t, tables), held) // the first run's part stays taken
 }
 
+// waitForNote waits for the note of machine a.
+func waitForNote(t *testing.T, tables platform.Tables) {
+	t.Helper()
+	waitFor(t, func() bool {
+		found, err := tables.Read(context.Background(), "routers/m.a/note")
+		return err == nil && len(found) == 1
+	})
+}
+
 func waitFor(t *testing.T, done func() bool) {
 	t.Helper()
 	for end := time.Now().Add(long); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
--- a/router/allotments/keeper.go
+++ b/router/allotments/keeper.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cuminrock.example/fleet/allotment"
+	"cuminrock.example/router/wait"
 )
 
 const (
@@ -22,7 +23,7 @@
 type keeper struct {
 	book      *Book
 	workspace string
-	wake      chan struct{}
+	waker     waker
 
 	mu      sync.Mutex
 	account allotment.Account
@@ -43,7 +44,7 @@
 }
 
 func newKeeper(b *Book, workspace string) *keeper {
-	return &keeper{book: b, workspace: workspace, wake: make(chan struct{}, 1)}
+	return &keeper{book: b, workspace: workspace, waker: newWaker()}
 }
 
 func (k *keeper) setPrepaid(tokens int64) {
@@ -59,23 +60,15 @@
 	k.mu.Unlock()
 }
 
-// nudge makes the keeper look at its account soon.
-func (k *keeper) nudge() {
-	select {
-	case k.wake <- struct{}{}:
-	default:
-	}
-}
-
 // run keeps the account until the book closes.
 func (k *keeper) run() {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-k.book.stop:
+		case <-k.book.life.Done():
 			return
-		case <-k.wake:
+		case <-k.waker:
 		case <-ticker.C:
 		}
 		k.keep()
@@ -98,16 +91,14 @@
 
 // pause waits after a failure, so that the platform isn't pressed.
 func (k *keeper) pause() {
-	wait := retryMin + rand.N(retryMax-retryMin)
-	select {
-	case <-k.book.stop:
-	case <-time.After(wait):
-		k.mu.Lock()
-		waiting := len(k.waiters) > 0
-		k.mu.Unlock()
-		if waiting {
-			k.nudge()
-		}
+	if !wait.For(k.book.life, retryMin+rand.N(retryMax-retryMin)) {
+		return
+	}
+	k.mu.Lock()
+	waiting := len(k.waiters) > 0
+	k.mu.Unlock()
+	if waiting {
+		k.waker.wake()
 	}
 }
 
@@ -122,7 +113,7 @@
 	case actRefuse:
 		return true, nil
 	case actNote:
-		k.book.noter.nudge()
+		k.book.noter.waker.wake()
 		return false, nil
 	default:
 		return false, nil
@@ -186,14 +177,7 @@
 			return
 		}
 		if k.noted(k.commit(ctx, step)) != nil {
-			k.sleep(ctx)
+			wait.For(ctx, retryMin)
 		}
 	}
 }
-
-func (k *keeper) sleep(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(retryMin):
-	}
-}
--- a/router/allotments/noter.go
+++ b/router/allotments/noter.go
@@ -11,6 +11,7 @@
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/allotment"
+	"cuminrock.example/router/wait"
 )
 
 const (
@@ -23,8 +24,8 @@
 // noter keeps the machine's note: what this run may have consumed at most. It
 // begins by giving back what the note of the machine's last run leaves.
 type noter struct {
-	book *Book
-	wake chan struct{}
+	book  *Book
+	waker waker
 	// version is the row's version as last seen.
 	version uint64
 	// pending is a note whose outcome isn't known; nil without one. It is sent
@@ -38,40 +39,22 @@
 	promises map[*keeper]allotment.Promise
 }
 
-func newNoter(b *Book) *noter { return &noter{book: b, wake: make(chan struct{}, 1)} }
-
-// nudge asks for a note soon.
-func (n *noter) nudge() {
-	select {
-	case n.wake <- struct{}{}:
-	default:
-	}
-}
+func newNoter(b *Book) *noter { return &noter{book: b, waker: newWaker()} }
 
 func (n *noter) run() {
 	n.recover()
-	for n.pause(noteGap) {
+	for wait.For(n.book.life, noteGap) {
 		n.write()
 		timer := time.NewTimer(noteInterval - noteGap)
 		select {
-		case <-n.book.stop:
-		case <-n.wake:
+		case <-n.book.life.Done():
+		case <-n.waker:
 		case <-timer.C:
 		}
 		timer.Stop()
 	}
 }
 
-// pause waits, and reports false when the book closes.
-func (n *noter) pause(d time.Duration) bool {
-	select {
-	case <-n.book.stop:
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 func (n *noter) key() string { return "routers/" + n.book.opts.Machine + "/note" }
 
 // write sends a note of all accounts.
@@ -168,7 +151,7 @@
 		promise := allotment.Promise{Limit: bound.Limit, Rate: bound.Rate, Surge: bound.Surge}
 		most := promise.Most(elapsed)
 		for !n.giveBack(last.Holder, bound.Workspace, most) {
-			if !n.pause(retryMax) {
+			if !wait.For(n.book.life, retryMax) {
 				return
 			}
 		}
@@ -184,7 +167,7 @@
 			return message, true
 		}
 		n.book.opts.Log.Warn("budget: can't read the note of the last run.", zap.Error(err))
-		if !n.pause(retryMax) {
+		if !wait.For(n.book.life, retryMax) {
 			return nil, false
 		}
 	}
@@ -255,7 +238,7 @@
 	waiting := len(k.waiters) > 0
 	k.mu.Unlock()
 	if waiting {
-		k.nudge()
+		k.waker.wake()
 	}
 }
 
--- a/router/allotments/waiters.go
+++ b/router/allotments/waiters.go
@@ -35,12 +35,12 @@
 	k.account.Asked(tokens, rank, now)
 	if k.account.Reserve(tokens, rank, now) {
 		k.mu.Unlock()
-		k.nudge()
+		k.waker.wake()
 		return nil
 	}
 	if k.overdue() {
 		k.mu.Unlock()
-		k.nudge()
+		k.waker.wake()
 		return unreachable()
 	}
 	w := &waiter{tokens: tokens, rank: rank, done: make(chan error, 1)}
@@ -48,7 +48,7 @@
 	k.account.Want(tokens)
 	k.fresh = false
 	k.mu.Unlock()
-	k.nudge()
+	k.waker.wake()
 	return k.await(ctx, w, patience)
 }
 
--- a/router/eventstream/reader_test.go
+++ b/router/eventstream/reader_test.go
@@ -38,7 +38,7 @@
 
 func TestIDOfAnEvent(t *testing.T) {
 	is := is.New(t)
-	e, err := NewReader(strings.NewReader("x-weight-versions: 4\nid: 12\ndata: one\ndata: two\n\n")).Next()
+	e, err := NewReader(strings.NewReader("other: 4\nid: 12\ndata: one\ndata: two\n\n")).Next()
 	is.NoErr(err)
 	is.Equal(e.ID, "12")
 }
--- a/router/exchange/exchange_test.go
+++ b/router/exchange/exchange_test.go
@@ -14,7 +14,7 @@
 	"github.com/matryer/is"
 )
 
-const echoHeader = "X-Attempt-Id"
+const echoHeader = "Request-Id"
 
 // target is a listener whose connections a test serves by hand.
 type target struct {
@@ -56,7 +56,7 @@
 }
 
 func answer(id, body string) string {
-	return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+	return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
 }
 
 func readAll(t *testing.T, a *Answer) string {
@@ -152,7 +152,7 @@
 	g := newTarget(t)
 	g.serve(func(c net.Conn, r *bufio.Reader) {
 		_, _ = readRequest(r)
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nContent-Length: 9\r\n\r\nhalf")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 9\r\n\r\nhalf")
 	})
 	a, err := NewPool(time.Now).Do(context.Background(), g.request("1", ""))
 	is.NoErr(err)
--- a/router/gateway/follow.go
+++ b/router/gateway/follow.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"cuminrock.example/router/platform"
+	"cuminrock.example/router/wait"
 )
 
 const (
@@ -54,7 +55,7 @@
 			lost = true
 			g.log.Warn("gateway: lost a table of the store; going on with what is known.", zap.String("table", table), zap.Error(err))
 		}
-		pause(ctx, relistMin+rand.N(relistMax-relistMin))
+		wait.For(ctx, relistMin+rand.N(relistMax-relistMin))
 	}
 }
 
@@ -76,7 +77,7 @@
 		}
 		if len(rows) > 0 {
 			v.change(rows)
-			pause(ctx, pace)
+			wait.For(ctx, pace)
 		}
 		v.idle()
 	}
@@ -84,16 +85,7 @@
 
 // sweep closes idle connections to targets past their time.
 func (g *Gateway) sweep(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause(ctx, sweepInterval)
+	for wait.For(ctx, sweepInterval) {
 		g.platform.Sweep()
 	}
 }
-
-// pause waits, or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/router/gateway/stop.go
+++ b/router/gateway/stop.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"cuminrock.example/router/wait"
 )
 
 const (
@@ -29,7 +31,7 @@
 	g.log.Info("gateway: stopping.", zap.Int64("in_progress", g.relay.Active()))
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
-	pause(ctx, balancerNotice)
+	wait.For(ctx, balancerNotice)
 	err := g.closeCallers(limit.Add(-returnTime))
 	err = errors.Join(err, g.budgets.Close(ctx))
 	g.stopWork()
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -57,7 +57,7 @@
 	return n, err
 }
 func (r *reply) Status() int                     { return r.outcome.status }
-func (r *reply) Header() http.Header             { return http.Header{"X-Response-Signature": {"s"}} }
+func (r *reply) Header() http.Header             { return http.Header{"Own-Field": {"s"}} }
 func (r *reply) SetReadDeadline(time.Time) error { return nil }
 func (r *reply) Load() *placement.Load           { return nil }
 func (r *reply) Close()                          {}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -113,12 +113,8 @@
 // passEvent gives an event to the caller. It reports false when the caller
 // left.
 func (j *journey) passEvent(t *attempt, event *eventstream.Event) bool {
-	if j.status == 0 {
-		j.status = t.reply.Status()
-		j.firstByte = j.relay.Now().Sub(j.Arrived)
-		if j.out.Head(j.status, t.reply.Header(), -1) != nil {
-			return j.callerLeft()
-		}
+	if !j.begin(t) {
+		return false
 	}
 	j.events++
 	if j.out.Piece(event.Raw) != nil {
@@ -127,6 +123,19 @@
 	return true
 }
 
+// begin passes the head on, once. It reports false when the caller left.
+func (j *journey) begin(t *attempt) bool {
+	if j.status != 0 {
+		return true
+	}
+	j.status = t.reply.Status()
+	j.firstByte = j.relay.Now().Sub(j.Arrived)
+	if j.out.Head(j.status, t.reply.Header(), -1) != nil {
+		return j.callerLeft()
+	}
+	return true
+}
+
 func (j *journey) callerLeft() bool {
 	j.outcome = outcomeLeft
 	j.out.Break()
@@ -135,12 +144,8 @@
 
 // endStream ends a whole stream; one without any event is passed on as it is.
 func (j *journey) endStream(t *attempt) *errkind.Error {
-	if j.status == 0 {
-		j.status = t.reply.Status()
-		if j.out.Head(j.status, t.reply.Header(), -1) != nil {
-			j.callerLeft()
-			return nil
-		}
+	if !j.begin(t) {
+		return nil
 	}
 	j.outcome = outcomeAnswered
 	j.out.End()
--- a/router/settings/check.go
+++ b/router/settings/check.go
@@ -49,13 +49,17 @@
 	c.budget(s.Budget)
 	c.callerLimits(s.CallerLimits)
 	c.routing(s.Routing)
-	if !slices.Contains(logLevels, s.Log.Level) {
-		c.fault("log.level", "%q must be one of %s", s.Log.Level, strings.Join(logLevels, ", "))
-	}
+	c.logLevel(s.Log)
 	c.duration("stop_limit", s.StopLimit)
 	return c.faults
 }
 
+func (c *checker) logLevel(s *pb.LogSettings) {
+	if !slices.Contains(logLevels, s.Level) {
+		c.fault("log.level", "%q must be one of %s", s.Level, strings.Join(logLevels, ", "))
+	}
+}
+
 func (c *checker) name(path, name string) {
 	if reason := config.CheckName(name); reason != "" {
 		c.fault(path, "%s", reason)
--- a/router/settings/gateway.go
+++ b/router/settings/gateway.go
@@ -2,8 +2,6 @@
 
 import (
 	"os"
-	"slices"
-	"strings"
 
 	"google.golang.org/protobuf/encoding/protojson"
 
@@ -50,9 +48,7 @@
 	}
 	c.positive("times.stop_s", s.Times.StopS)
 	c.positive("memory_mib", float64(s.MemoryMib))
-	if !slices.Contains(logLevels, s.Log.Level) {
-		c.fault("log.level", "%q must be one of %s", s.Log.Level, strings.Join(logLevels, ", "))
-	}
+	c.logLevel(s.Log)
 	return c.faults
 }
 
