--- a/fleet/member/roster.go
+++ b/fleet/member/roster.go
@@ -6,9 +6,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"cuminrock.example/fleet/mix"
-
 	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/mix"
 )
 
 // Roster is an immutable list of the members that one router counts as live.
--- a/fleet/member/table.go
+++ b/fleet/member/table.go
@@ -22,6 +22,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/mix"
 )
 
 const (
@@ -327,7 +328,7 @@
 }
 
 // order ranks the members of another data centre.
-func (p *peer) order() uint64 { return mix(xxhash.Sum64String(p.address)) }
+func (p *peer) order() uint64 { return mix.Mix64(xxhash.Sum64String(p.address)) }
 
 func (p *peer) down() bool { return p.failures >= failuresToDown }
 
