Budgets: renew late notes at once, hold by share of the demand, retry stale rows at once

Routers tell in the total's row what was asked of them, and hold by their share; the usual size is that of all routers' requests, since one router's sizes vary by more than half. Tests in fleet/allotment. - A dead run is taken to have ended when the next run opened its doors, on the store's clock bounded by when the first call was sent, not when the note was read.

--- a/fleet/allotment/account.go
+++ b/fleet/allotment/account.go
@@ -27,6 +27,10 @@
 type Rows struct {
 	// Total is what all routers have taken and not given back, in tokens.
 	Total int64
+	// Requests is how many requests at all routers asked for tokens, and Asked
+	// for how many, as far as it was told. They decide how much a router holds,
+	// never what it may spend.
+	Requests, Asked int64
 	// Taken and Returned are the holder's own sums, in tokens.
 	Taken, Returned int64
 	// TotalVersion and HolderVersion are the versions read; 0 means no row.
@@ -51,6 +55,12 @@
 	// wanted is the sum of the reservations that wait.
 	wanted int64
 	demand demand
+	// others is the demand at other routers, and first when this account was
+	// first synced.
+	others demand
+	first  time.Time
+	// told is the part of the demand that the platform's rows have.
+	told asked
 	// byRank is the demand of each rank of requests; 0 is the most urgent.
 	byRank [ranks]demand
 	// cutSince is when the platform stopped answering; zero while it answers.
@@ -92,7 +102,7 @@
 // changes nothing, when too few are held or promised, or when what would be
 // left is kept for more urgent requests.
 func (a *Account) Reserve(tokens int64, rank int, now time.Time) bool {
-	if tokens > a.Free()-a.kept(tokens, rank, now) || tokens > a.Promised(now) {
+	if tokens > a.Free()-a.Kept(tokens, rank, now) || tokens > a.Promised(now) {
 		return false
 	}
 	a.reserved += tokens
@@ -115,17 +125,17 @@
 	}
 }
 
-// kept returns the tokens that are kept for more urgent requests, where tokens
+// Kept returns the tokens that are kept for more urgent requests, where tokens
 // are scarce. While the platform can't be reached they are kept for all of
 // them; near a budget's end only for those that usually take no more than this
 // request does.
-func (a *Account) kept(tokens int64, rank int, now time.Time) int64 {
+func (a *Account) Kept(tokens int64, rank int, now time.Time) int64 {
 	if !a.cutSince.IsZero() {
 		horizon := max(keepWhileCut-now.Sub(a.cutSince), keepAtEnd)
 		return int64(a.urgentRate(rank, math.MaxInt64, now) * horizon.Seconds())
 	}
 	kept := int64(a.urgentRate(rank, tokens, now) * keepAtEnd.Seconds())
-	if a.Left()/holdDivisor < kept {
+	if a.Left() < kept {
 		return kept
 	}
 	return 0
@@ -136,8 +146,8 @@
 func (a *Account) urgentRate(rank int, most int64, now time.Time) float64 {
 	rate := 0.0
 	for i := range clampRank(rank) {
-		if a.byRank[i].size() <= float64(most) {
-			rate += a.byRank[i].rate(now)
+		if a.byRank[i].all.size() <= float64(most) {
+			rate += a.byRank[i].tokenRate(now)
 		}
 	}
 	return rate
@@ -154,8 +164,22 @@
 // Want changes the sum of the reservations that wait.
 func (a *Account) Want(tokens int64) { a.wanted += tokens }
 
-// Sync takes the rows as read or written.
+// Sync takes the rows as read.
 func (a *Account) Sync(rows Rows, now time.Time) {
+	if a.Synced() && rows.Requests > a.rows.Requests {
+		a.others.count(rows.Requests-a.rows.Requests, now)
+	}
+	if !a.Synced() {
+		a.first = now
+	}
+	a.rows = rows
+	a.syncedAt = now
+}
+
+// Done takes the rows as a step of ours left them.
+func (a *Account) Done(rows Rows, step Step, now time.Time) {
+	a.told.requests += step.After.Requests - step.Before.Requests
+	a.told.tokens += step.After.Asked - step.Before.Asked
 	a.rows = rows
 	a.syncedAt = now
 }
@@ -199,6 +223,8 @@
 	if after == a.rows {
 		return Step{}, false
 	}
+	after.Requests += a.demand.all.requests - a.told.requests
+	after.Asked += a.demand.all.tokens - a.told.tokens
 	return Step{Before: a.rows, After: after}, true
 }
 
@@ -208,10 +234,40 @@
 	a.demand = demand{}
 }
 
-// goal returns the tokens to hold beside what waits.
+// goal returns the tokens to hold beside what waits: what a time without the
+// platform needs, and where tokens are scarce a part by this router's share of
+// the demand.
 func (a *Account) goal(now time.Time) int64 {
-	byDemand := int64(a.demand.rate(now) * holdHorizon.Seconds())
-	return min(byDemand, a.Left()/holdDivisor)
+	horizon := min(holdHorizon, firstHorizon+now.Sub(a.first))
+	return min(a.need(horizon, now), int64(float64(a.Left())*holdFactor*a.share(now)))
+}
+
+// need returns the tokens that suffice this router for a time, but in few cases.
+func (a *Account) need(t time.Duration, now time.Time) int64 {
+	variance := a.demand.rate(now) * a.demand.all.meanSquare()
+	return int64(a.rate(now)*demandFactor*t.Seconds() + deviations*math.Sqrt(variance*t.Seconds()))
+}
+
+// rate returns the tokens a second that requests at this router ask for. Sizes
+// vary much, so the usual size is that of the requests at all routers.
+func (a *Account) rate(now time.Time) float64 { return a.demand.rate(now) * a.size() }
+
+// size returns the usual tokens of a request at any router.
+func (a *Account) size() float64 {
+	all := asked{requests: a.rows.Requests - a.told.requests, tokens: a.rows.Asked - a.told.tokens}
+	all.requests += a.demand.all.requests
+	all.tokens += a.demand.all.tokens
+	return all.size()
+}
+
+// share returns this router's part of the demand at all routers, of which
+// nothing is heard while the platform can't be reached.
+func (a *Account) share(now time.Time) float64 {
+	own := a.demand.rate(now)
+	if own == 0 {
+		return 0
+	}
+	return own / (own + a.others.rate(a.syncedAt))
 }
 
 // giveBack marks what is held far beyond the goal as given back, and all of it
--- a/fleet/allotment/account_test.go
+++ b/fleet/allotment/account_test.go
@@ -113,8 +113,57 @@
 
 func TestBoundOfADeadRunCoversItsPromise(t *testing.T) {
 	is := is.New(t)
-	p := Promise{Limit: 100, Rate: 10, Surge: 2, Since: start}
+	p := Promise{Limit: 100, Rate: 10, Surge: 2, SurgeAfter: time.Second, Since: start}
 	for _, elapsed := range []time.Duration{0, time.Second, 7 * time.Second} {
 		is.True(p.Most(elapsed) >= p.At(start.Add(elapsed)))
 	}
 }
+
+// shares lets accounts take requests of 1,000 tokens for 20 s, as many each half
+// second as asks says, and returns the accounts and what is left of the budget.
+func shares(t *testing.T, prepaid int64, asks []int) ([]*Account, int64) {
+	t.Helper()
+	w := &world{prepaid: prepaid, holders: make(map[int]row), runs: make(map[int]*run), now: start}
+	for range asks {
+		w.start()
+	}
+	for range 40 {
+		w.now = w.now.Add(500 * time.Millisecond)
+		for id, n := range asks {
+			a := &w.runs[id].account
+			a.Sync(w.rowsOf(id), w.now)
+			for range n {
+				a.Asked(1000, 0, w.now)
+				if a.Reserve(1000, 0, w.now) {
+					a.Settle(1000, 1000)
+					prepaid -= 1000
+				}
+			}
+			for range 3 {
+				step, ok := a.Next(w.now)
+				if !ok || !w.commit(id, step) {
+					break
+				}
+				a.Done(w.rowsOf(id), step, w.now)
+			}
+		}
+	}
+	accounts := make([]*Account, 0, len(asks))
+	for id := range asks {
+		accounts = append(accounts, &w.runs[id].account)
+	}
+	return accounts, prepaid
+}
+
+func TestTheOnlyRouterThatIsAskedHoldsMostOfWhatIsLeft(t *testing.T) {
+	is := is.New(t)
+	accounts, left := shares(t, 300000, []int{5})
+	is.True(accounts[0].Free() > left*8/10)
+}
+
+func TestScarceTokensAreHeldByShareOfTheDemand(t *testing.T) {
+	is := is.New(t)
+	accounts, left := shares(t, 420000, []int{6, 2})
+	is.True(accounts[0].Free() > 2*accounts[1].Free())
+	is.True(accounts[1].Free() > left/10)
+}
--- a/fleet/allotment/demand.go
+++ b/fleet/allotment/demand.go
@@ -6,12 +6,19 @@
 )
 
 const (
-	// holdHorizon is how long the held tokens should last at the usual rate
-	// while the platform doesn't answer.
-	holdHorizon = 30 * time.Second
-	// holdDivisor bounds what one router holds by a part of what is left. With
-	// n routers that all want more, each comes to hold a part in n+holdDivisor.
-	holdDivisor = 1
+	// holdHorizon is how long the held tokens should last while the platform
+	// doesn't answer.
+	holdHorizon = 20 * time.Second
+	// demandFactor is what need assumes as a multiple of the usual rate, and
+	// deviations how many standard deviations it adds.
+	demandFactor = 1.25
+	deviations   = 2.0
+	// firstHorizon is that time for a router that has just started: its
+	// demand is known little, and it is likely to hold too much.
+	firstHorizon = 2 * time.Second
+	// holdFactor is what routers that want more come to hold together, as a
+	// multiple of what they leave.
+	holdFactor = 9
 	// aheadDivisor bounds what one transaction takes beyond what waits by a
 	// part of what is left, so that the first to ask doesn't take most.
 	aheadDivisor = 5
@@ -21,7 +28,7 @@
 	// refillPart is the part of the goal below which more is taken.
 	refillPart = 0.75
 	// demandMemory is how long past demand counts.
-	demandMemory = 10 * time.Second
+	demandMemory = 20 * time.Second
 	// ranks is the number of ranks of urgency.
 	ranks = 10
 	// keepWhileCut is how long an outage of the platform is expected to last:
@@ -40,27 +47,58 @@
 	lowDivisor    = 5
 )
 
-// demand estimates the tokens reserved a second, by an exponentially weighted
-// sum.
+// demand estimates how many requests come a second, by an exponentially
+// weighted count, and what each of them asks for.
 type demand struct {
-	sum float64
-	// count is the number of reservations, weighted likewise.
-	count float64
-	first time.Time
-	last  time.Time
+	// recent is the weighted count.
+	recent float64
+	first  time.Time
+	last   time.Time
+	// all is what they asked for over all time.
+	all asked
 }
 
+// asked counts requests, and sums what they ask for.
+type asked struct {
+	requests, tokens int64
+	// squares is the sum of the tokens' squares.
+	squares float64
+}
+
+// size returns the usual tokens of a request.
+func (a asked) size() float64 {
+	if a.requests == 0 {
+		return 0
+	}
+	return float64(a.tokens) / float64(a.requests)
+}
+
+// meanSquare returns the mean of the tokens' squares.
+func (a asked) meanSquare() float64 {
+	if a.requests == 0 {
+		return 0
+	}
+	return a.squares / float64(a.requests)
+}
+
+// add takes a request.
 func (d *demand) add(tokens int64, now time.Time) {
-	decay := d.decay(now)
-	d.sum = d.sum*decay + float64(tokens)
-	d.count = d.count*decay + 1
+	d.all.requests++
+	d.all.tokens += tokens
+	d.all.squares += float64(tokens) * float64(tokens)
+	d.count(1, now)
+}
+
+// count takes a number of requests of unknown size.
+func (d *demand) count(requests int64, now time.Time) {
+	d.recent = d.recent*d.decay(now) + float64(requests)
 	d.last = now
 	if d.first.IsZero() {
 		d.first = now
 	}
 }
 
-// rate returns tokens a second. The weights of a short past sum to less than
+// rate returns requests a second. The weights of a short past sum to less than
 // the memory.
 func (d *demand) rate(now time.Time) float64 {
 	if d.first.IsZero() {
@@ -68,16 +106,11 @@
 	}
 	past := max(now.Sub(d.first), shortestPast).Seconds()
 	memory := demandMemory.Seconds()
-	return d.sum * d.decay(now) / (memory * (1 - math.Exp(-past/memory)))
+	return d.recent * d.decay(now) / (memory * (1 - math.Exp(-past/memory)))
 }
 
-// size returns the usual tokens of a reservation.
-func (d *demand) size() float64 {
-	if d.count == 0 {
-		return 0
-	}
-	return d.sum / d.count
-}
+// tokenRate returns the tokens a second that they ask for.
+func (d *demand) tokenRate(now time.Time) float64 { return d.rate(now) * d.all.size() }
 
 func (d *demand) decay(now time.Time) float64 {
 	if d.last.IsZero() {
--- a/fleet/allotment/model_test.go
+++ b/fleet/allotment/model_test.go
@@ -13,6 +13,7 @@
 	now     time.Time
 	prepaid int64
 	total   row
+	asked   asked
 	holders map[int]row
 	runs    map[int]*run
 	nextRun int
@@ -43,7 +44,7 @@
 
 func (w *world) rowsOf(id int) Rows {
 	h := w.holders[id]
-	return Rows{Total: w.total.taken, TotalVersion: w.total.version, Taken: h.taken, Returned: h.returned, HolderVersion: h.version}
+	return Rows{Requests: w.asked.requests, Asked: w.asked.tokens, Total: w.total.taken, TotalVersion: w.total.version, Taken: h.taken, Returned: h.returned, HolderVersion: h.version}
 }
 
 // commit makes a transaction if its versions are the current ones.
@@ -53,6 +54,7 @@
 		return false
 	}
 	w.total = row{taken: s.After.Total, version: w.total.version + 1}
+	w.asked = asked{requests: s.After.Requests, tokens: s.After.Asked}
 	w.holders[holder] = row{taken: s.After.Taken, returned: s.After.Returned, version: w.total.version}
 	return true
 }
@@ -78,7 +80,10 @@
 	case 1: // done, and the answer lost
 		w.commit(r.id, step)
 	default:
-		w.commit(r.id, step)
+		if w.commit(r.id, step) {
+			r.account.Done(w.rowsOf(r.id), step, w.now)
+			return
+		}
 		r.account.Sync(w.rowsOf(r.id), w.now)
 	}
 }
--- a/fleet/allotment/promise.go
+++ b/fleet/allotment/promise.go
@@ -6,32 +6,39 @@
 )
 
 // Promise bounds what a router may consume of a workspace, over its life, until
-// it makes another. The bound grows with the time since: little in the first
-// seconds, in which a run that died is followed by the next, and so much later
-// that a router cut off from the platform can use all it holds. The platform
-// keeps it, so that the next run on the same machine knows what a run
-// that died can have consumed at most.
+// it makes another. The bound grows with the time since as the demand is likely
+// to, so that a router that is cut off from the platform can serve on, and one
+// that died leaves little in doubt; after a long time it grows so much that the
+// router can use all it holds. The platform keeps it, so that the next run on
+// the same machine knows what a run that died can have consumed at most.
 //
 // From the sending of a promise on it holds beside those before it, since it
 // may have been taken. Once it is known to be taken, it replaces them.
 type Promise struct {
 	Limit int64
-	// Rate and Surge make the bound grow: by rate x t + surge x t^3 tokens in
-	// t seconds.
-	Rate, Surge float64
-	Since       time.Time
+	// Rate, in tokens a second, makes the bound grow as demand does.
+	Rate float64
+	// Surge x t^3 tokens come on top in t seconds after SurgeAfter.
+	Surge      float64
+	SurgeAfter time.Duration
+	Since      time.Time
 }
 
 const (
-	// aheadTime is how long the tokens of a fresh promise last at the usual
-	// rate, beside some reservations of the usual size.
+	// aheadTime is how long the tokens of a fresh promise last, so that few
+	// requests have to wait for another.
 	aheadTime         = 500 * time.Millisecond
-	aheadReservations = 0.5
-	// rateFactor is the rate of a promise as a multiple of the usual rate.
-	rateFactor = 1.0
+	aheadReservations = 1.0
 	// surgeFactor is the surge of a promise as a part of a usual reservation
 	// and a second's usual tokens together.
-	surgeFactor = 0.1
+	surgeFactor = 0.5
+	// surgeAfter is the longest time without the platform that a promise covers
+	// by the usual demand.
+	surgeAfter = 1500 * time.Millisecond
+	// clockMargin covers steady clocks of different machines.
+	clockMargin = 1.02
+	// longestGrowth keeps the bound within what its type holds.
+	longestGrowth = time.Hour
 )
 
 // At returns the most tokens that may have been consumed at a time.
@@ -39,35 +46,28 @@
 	return p.Limit + p.growth(now.Sub(p.Since).Seconds())
 }
 
-// growth returns the tokens that the bound has grown by after t seconds.
-func (p Promise) growth(t float64) int64 {
-	t = min(max(t, 0), longestGrowth.Seconds())
-	return int64(math.Ceil(p.Rate*t + p.Surge*t*t*t))
-}
-
 // Most returns the most tokens that a holder of the promise can have consumed
 // when elapsed has passed on the platform's clock since the promise's time.
 func (p Promise) Most(elapsed time.Duration) int64 {
 	return p.Limit + p.growth(elapsed.Seconds()*clockMargin)
 }
 
-const (
-	// clockMargin covers steady clocks of different machines.
-	clockMargin = 1.02
-	// longestGrowth keeps the bound within what its type holds.
-	longestGrowth = time.Hour
-)
+// growth returns the tokens that the bound has grown by after t seconds.
+func (p Promise) growth(t float64) int64 {
+	t = min(max(t, 0), longestGrowth.Seconds())
+	surging := max(t-p.SurgeAfter.Seconds(), 0)
+	return int64(math.Ceil(p.Rate*t + p.Surge*surging*surging*surging))
+}
 
 // Offer returns a promise to send. It covers what is reserved and waits.
 func (a *Account) Offer(now time.Time) Promise {
-	rate := a.demand.rate(now)
-	size := a.demand.size()
-	ahead := rate*aheadTime.Seconds() + size*aheadReservations
+	rate := a.rate(now)
 	return Promise{
-		Limit: a.spent + a.reserved + a.wanted + int64(ahead),
-		Rate:  rate * rateFactor,
-		Surge: (rate + size) * surgeFactor,
-		Since: now,
+		Limit:      a.spent + a.reserved + a.wanted + a.ahead(now),
+		Rate:       rate * demandFactor,
+		Surge:      (rate + a.size()) * surgeFactor,
+		SurgeAfter: surgeAfter,
+		Since:      now,
 	}
 }
 
@@ -93,6 +93,17 @@
 	return left
 }
 
+// PromiseLow tells whether the promises leave less than half of what a fresh
+// one would.
+func (a *Account) PromiseLow(now time.Time) bool {
+	return a.Promised(now) < a.ahead(now)/2
+}
+
+// ahead returns the tokens of a fresh promise beyond what is reserved.
+func (a *Account) ahead(now time.Time) int64 {
+	return int64(a.rate(now)*aheadTime.Seconds() + a.size()*aheadReservations)
+}
+
 // PromiseBound tells whether tokens are held, but a promise forbids to reserve
 // them.
 func (a *Account) PromiseBound(tokens int64, now time.Time) bool {
--- a/router/allotments/book.go
+++ b/router/allotments/book.go
@@ -39,10 +39,12 @@
 	// runs before it have ended.
 	Machine string
 	// Holder names this run of the router; no other run ever has the name.
-	Holder  string
-	Metrics *Metrics
-	Log     *zap.Logger
-	Now     func() time.Time
+	Holder string
+	// OpenedAt is a time at which the runs before it had ended.
+	OpenedAt time.Time
+	Metrics  *Metrics
+	Log      *zap.Logger
+	Now      func() time.Time
 }
 
 // Book is the tokens held by this router. It is safe for concurrent use.
--- a/router/allotments/book_test.go
+++ b/router/allotments/book_test.go
@@ -29,6 +29,8 @@
 	return local.Add(-c.behind).UnixMilli(), true
 }
 
+func (c clock) Latest(local time.Time) (int64, bool) { return c.Estimate(local) }
+
 func workspace(prepaid int64) *catalog.Workspace {
 	return &catalog.Workspace{Name: workspaceName, Prepaid: &prepaid}
 }
@@ -38,7 +40,7 @@
 }
 
 func newBookAt(tables platform.Tables, holder string, c clock) *Book {
-	return NewBook(Options{Tables: tables, Clock: c, Machine: "m." + holder[:1], Holder: holder, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now})
+	return NewBook(Options{Tables: tables, Clock: c, Machine: "m." + holder[:1], Holder: holder, OpenedAt: time.Now(), Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now})
 }
 
 func totalTaken(t *testing.T, tables platform.Tables) int64 {
--- a/router/allotments/calls.go
+++ b/router/allotments/calls.go
@@ -17,10 +17,14 @@
 	callTimeout = 1500 * time.Millisecond
 	// conflictPause bounds the random wait after a conflict.
 	conflictPause = 10 * time.Millisecond
+	// contended is the number of conflicts in a row that tells of others who
+	// write the same rows now.
+	contended = 3
 	// backoffMin and backoffMax bound how long transactions for which no
-	// request waits are put off after a conflict.
-	backoffMin = 250 * time.Millisecond
-	backoffMax = 4 * time.Second
+	// request waits are then put off; it doubles maxDoublings times at most.
+	backoffMin   = 100 * time.Millisecond
+	backoffMax   = 4 * time.Second
+	maxDoublings = 10
 )
 
 // read reads the rows. Once it is known, only this run writes the holder's row:
@@ -68,21 +72,30 @@
 	if err != nil {
 		return err
 	}
-	rows := step.After
-	rows.TotalVersion, rows.HolderVersion = resp.Version, resp.Version
-	if !resp.Committed {
-		rows, err = mergeRows(step.Before, resp.Conflicts, total, holder)
+	defer k.yield(resp.Committed)
+	if resp.Committed {
+		k.done(step, resp.Version)
+		return nil
 	}
+	rows, err := mergeRows(step.Before, resp.Conflicts, total, holder)
 	if err != nil {
 		return err
 	}
-	defer k.yield(resp.Committed)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.account.Sync(rows, k.book.opts.Now())
 	return nil
 }
 
+// done takes a step that the platform made.
+func (k *keeper) done(step allotment.Step, version uint64) {
+	rows := step.After
+	rows.TotalVersion, rows.HolderVersion = version, version
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.account.Done(rows, step, k.book.opts.Now())
+}
+
 // timed makes a call, and notes when it began and how it ended.
 func (k *keeper) timed(call func() error) error {
 	k.began(k.book.opts.Now())
@@ -97,21 +110,23 @@
 	k.callBegan = t
 }
 
-// yield makes routers that write the same rows come apart: after a conflict,
-// transactions for which no request waits are put off, for longer with each
-// conflict, and others wait a little.
+// yield makes routers that write the same rows come apart. A first conflict is
+// mostly due to rows that others wrote some time ago, and says nothing of who
+// writes now. After several in a row, transactions for which no request waits are
+// put off, for longer with each further one, and others wait a little.
 func (k *keeper) yield(committed bool) {
-	k.mu.Lock()
 	if committed {
-		k.backoff /= 2
-	} else {
-		k.backoff = min(max(2*k.backoff, backoffMin), backoffMax)
+		k.conflicts = 0
+		return
 	}
-	k.aheadAfter = k.book.opts.Now().Add(k.backoff/2 + rand.N(k.backoff/2+1))
-	k.mu.Unlock()
-	if !committed {
-		time.Sleep(rand.N(conflictPause))
+	k.conflicts++
+	if k.conflicts >= contended {
+		backoff := min(backoffMin<<min(k.conflicts-contended, maxDoublings), backoffMax)
+		k.mu.Lock()
+		k.aheadAfter = k.book.opts.Now().Add(backoff/2 + rand.N(backoff/2))
+		k.mu.Unlock()
 	}
+	time.Sleep(rand.N(conflictPause))
 }
 
 // noted logs when the platform is lost and regained.
--- a/router/allotments/keeper.go
+++ b/router/allotments/keeper.go
@@ -32,9 +32,9 @@
 	fresh bool
 	// down says that the platform didn't answer the last call.
 	down bool
-	// backoff is the present wait after a conflict, and aheadAfter the end of
-	// the last one.
-	backoff    time.Duration
+	// conflicts counts the conflicts in a row; only the keeper's goroutine uses
+	// it. aheadAfter is until when transactions ahead of requests are put off.
+	conflicts  int
 	aheadAfter time.Time
 	// callBegan is when the call in progress began; zero without one.
 	callBegan time.Time
--- a/router/allotments/noter.go
+++ b/router/allotments/noter.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
+	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
@@ -15,10 +17,15 @@
 )
 
 const (
-	// noteInterval is the time between two notes at most.
+	// noteInterval is the time between two notes at most, while the platform
+	// answers.
 	noteInterval = time.Second
+	// noteTimeout bounds the writing of a note.
+	noteTimeout = time.Second
 	// noteGap is the time between two notes at least.
 	noteGap = 50 * time.Millisecond
+	// closingCalls bounds the calls made at once for the last run's accounts.
+	closingCalls = 4
 )
 
 // noter keeps the machine's note: what this run may have consumed at most. It
@@ -31,6 +38,8 @@
 	// pending is a note whose outcome isn't known; nil without one. It is sent
 	// again as it is, so that one set of promises covers either outcome.
 	pending *note
+	// down says that the platform didn't answer the last write.
+	down bool
 }
 
 // note is the promises of one note by their keepers.
@@ -44,34 +53,44 @@
 func (n *noter) run() {
 	n.recover()
 	for wait.For(n.book.life, noteGap) {
-		n.write()
-		timer := time.NewTimer(noteInterval - noteGap)
-		select {
-		case <-n.book.life.Done():
-		case <-n.waker:
-		case <-timer.C:
+		if n.write() {
+			n.rest(noteInterval - noteGap)
 		}
-		timer.Stop()
+	}
+}
+
+// rest waits for a wake, or until the time is over.
+func (n *noter) rest(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-n.book.life.Done():
+	case <-n.waker:
+	case <-timer.C:
 	}
 }
 
 func (n *noter) key() string { return "routers/" + n.book.opts.Machine + "/note" }
 
-// write sends a note of all accounts.
-func (n *noter) write() {
-	if n.pending == nil {
+// write sends a note of all accounts, or the one whose outcome isn't known. It
+// reports false where the next is to follow at once: a note that was sent again
+// is old when it is taken.
+func (n *noter) write() bool {
+	again := n.pending != nil
+	if !again {
 		n.pending = n.compose()
 	}
 	if n.pending == nil {
-		return
+		return true
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), noteTimeout)
 	defer cancel()
 	resp, err := n.book.opts.Tables.Commit(ctx, &pb.CommitRequest{
 		Conditions: []*pb.Condition{{Key: n.key(), Version: n.version}},
 		Writes:     []*pb.Write{{Key: n.key(), Value: n.pending.value}},
 	})
 	n.book.opts.Metrics.called(callNote, resp.GetCommitted(), err)
+	n.noted(err)
 	switch {
 	case err != nil && isUnknown(err):
 	case err != nil:
@@ -82,6 +101,23 @@
 	default:
 		n.conflict(resp.Conflicts)
 	}
+	if err != nil {
+		wait.For(n.book.life, retryMin+rand.N(retryMax-retryMin))
+	}
+	return err == nil && !again && n.pending == nil
+}
+
+// noted logs when the platform is lost and regained.
+func (n *noter) noted(err error) {
+	changed := n.down != (err != nil)
+	n.down = err != nil
+	switch {
+	case changed && n.down:
+		n.book.opts.Log.Warn("budget: lost the platform for notes.", zap.Uint64("row_version", n.version),
+			zap.Bool("outcome_unknown", isUnknown(err)), zap.Error(err))
+	case changed:
+		n.book.opts.Log.Info("budget: regained the platform for notes.", zap.Uint64("row_version", n.version))
+	}
 }
 
 // compose makes a note, and binds this run to its promises. It is nil where
@@ -97,7 +133,7 @@
 	for _, k := range n.book.all() {
 		p := k.promise(now)
 		promises[k] = p
-		message.Bounds = append(message.Bounds, &pb.AllotmentBound{Workspace: k.workspace, Limit: p.Limit, Rate: p.Rate, Surge: p.Surge})
+		message.Bounds = append(message.Bounds, &pb.AllotmentBound{Workspace: k.workspace, Limit: p.Limit, Rate: p.Rate, Surge: p.Surge, SurgeAfterMs: p.SurgeAfter.Milliseconds()})
 	}
 	if len(promises) == 0 {
 		return nil
@@ -140,20 +176,29 @@
 	if !ok || last.Holder == "" {
 		return
 	}
-	storeMs, known := n.book.opts.Clock.Estimate(n.book.opts.Now())
-	if !known || storeMs < last.StoreMs {
+	endedMs, known := n.book.opts.Clock.Latest(n.book.opts.OpenedAt)
+	if !known || endedMs < last.StoreMs {
 		n.book.opts.Log.Warn("budget: the platform's clock went back since the last run's note; giving nothing back.",
-			zap.Int64("store_ms", storeMs), zap.Int64("note_ms", last.StoreMs))
+			zap.Int64("ended_ms", endedMs), zap.Int64("note_ms", last.StoreMs))
 		return
 	}
-	elapsed := time.Duration(storeMs-last.StoreMs) * time.Millisecond
+	elapsed := time.Duration(endedMs-last.StoreMs) * time.Millisecond
+	closing := pool.New().WithMaxGoroutines(closingCalls)
 	for _, bound := range last.Bounds {
-		promise := allotment.Promise{Limit: bound.Limit, Rate: bound.Rate, Surge: bound.Surge}
-		most := promise.Most(elapsed)
-		for !n.giveBack(last.Holder, bound.Workspace, most) {
-			if !wait.For(n.book.life, retryMax) {
-				return
-			}
+		closing.Go(func() { n.closeAccount(last.Holder, bound, elapsed) })
+	}
+	closing.Wait()
+}
+
+// closeAccount gives back what the last run held of a workspace and can't have
+// consumed, until the outcome is known or the book closes.
+func (n *noter) closeAccount(holder string, bound *pb.AllotmentBound, elapsed time.Duration) {
+	promise := allotment.Promise{Limit: bound.Limit, Rate: bound.Rate, Surge: bound.Surge,
+		SurgeAfter: time.Duration(bound.SurgeAfterMs) * time.Millisecond}
+	most := promise.Most(elapsed)
+	for !n.giveBack(holder, bound.Workspace, most) {
+		if !wait.For(n.book.life, retryMin+rand.N(retryMax-retryMin)) {
+			return
 		}
 	}
 }
--- a/router/allotments/rows.go
+++ b/router/allotments/rows.go
@@ -25,6 +25,7 @@
 				return rows, trace.Wrap(err, "reading the total of a budget")
 			}
 			rows.Total, rows.TotalVersion = value.Taken, row.Version
+			rows.Requests, rows.Asked = value.Requests, value.Asked
 		case holder:
 			var value pb.AllotmentHolder
 			if err := proto.Unmarshal(row.Value, &value); err != nil {
@@ -44,7 +45,7 @@
 			{Key: holder, Version: step.Before.HolderVersion},
 		},
 		Writes: []*pb.Write{
-			{Key: total, Value: encode(&pb.AllotmentTotal{Taken: step.After.Total})},
+			{Key: total, Value: encode(&pb.AllotmentTotal{Taken: step.After.Total, Requests: step.After.Requests, Asked: step.After.Asked})},
 			{Key: holder, Value: encode(&pb.AllotmentHolder{Taken: step.After.Taken, Returned: step.After.Returned})},
 		},
 	}
--- a/router/allotments/waiters.go
+++ b/router/allotments/waiters.go
@@ -34,16 +34,21 @@
 	k.account.SetCut(k.overdue(), now)
 	k.account.Asked(tokens, rank, now)
 	if k.account.Reserve(tokens, rank, now) {
+		low := k.account.PromiseLow(now)
 		k.mu.Unlock()
 		k.waker.wake()
+		if low {
+			k.book.noter.waker.wake()
+		}
 		return nil
 	}
+	w := &waiter{tokens: tokens, rank: rank, done: make(chan error, 1)}
 	if k.overdue() {
+		k.logRefusal("budget: refused a reservation; the platform is out of reach.", refusedUnreachable, w)
 		k.mu.Unlock()
 		k.waker.wake()
 		return unreachable()
 	}
-	w := &waiter{tokens: tokens, rank: rank, done: make(chan error, 1)}
 	k.waiters = append(k.waiters, w)
 	k.account.Want(tokens)
 	k.fresh = false
@@ -131,8 +136,8 @@
 	k.book.opts.Metrics.refused.WithLabelValues(reason).Inc()
 	now := k.book.opts.Now()
 	k.book.opts.Log.Info(message,
-		zap.String("workspace", k.workspace), zap.Int64("tokens", w.tokens),
+		zap.String("workspace", k.workspace), zap.Int64("tokens", w.tokens), zap.Int("rank", w.rank),
 		zap.Int64("prepaid", k.account.Prepaid()), zap.Int64("left", k.account.Left()), zap.Int64("free", k.account.Free()),
-		zap.Int64("promised", k.account.Promised(now)),
+		zap.Int64("promised", k.account.Promised(now)), zap.Int64("kept", k.account.Kept(w.tokens, w.rank, now)),
 		zap.Uint64("row_version", k.account.Rows().TotalVersion), zap.Duration("rows_age", k.account.Age(now)))
 }
