Copy the shared parts of a prompt from the target that keeps them

Cause: shared tokens counted twelve times against unread ones, so that a prompt waited behind 60,000 unread tokens (a second) at its own target rather than be read anew elsewhere, and a target that was new or took a leaving one's place read all again. Engines can copy what another keeps in milliseconds: a send now names that target where the picked one isn't it, and a shared token counts twice.

--- a/fleet/allotment/promise.go
+++ b/fleet/allotment/promise.go
@@ -27,8 +27,8 @@
 const (
 	// aheadTime is how long the tokens of a fresh promise last, so that few
 	// requests have to wait for another.
-	aheadTime         = 500 * time.Millisecond
-	aheadReservations = 1.0
+	aheadTime         = 300 * time.Millisecond
+	aheadReservations = 0.25
 	// surgeFactor is the surge of a promise as a part of a usual reservation
 	// and a second's usual tokens together.
 	surgeFactor = 0.5
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -15,9 +15,14 @@
 	// count as at a target, in prompt tokens to be read.
 	waitingTokens = 4000
 	runningTokens = 100
-	// sharedWeight is what a shared token that has to be read again counts as:
-	// reading it takes time and drives others out of the cache.
-	sharedWeight = 12
+	// sharedWeight is what a shared token counts as where it has to be copied
+	// from the target that keeps it.
+	sharedWeight = 2
+	// leastCopied is the least shared tokens worth a copy; reading fewer anew
+	// takes no longer.
+	leastCopied = 500
+	// filledAfter is how long after its start a target is taken to keep little.
+	filledAfter = 15 * time.Second
 	// loadMemory is how long a target's own word counts.
 	loadMemory = 2 * time.Second
 	// farPenalty is what a target of another data centre is held to be more
@@ -49,11 +54,18 @@
 	probesTarget, probesSite bool
 	// unread is the prompt tokens thought to be unread at the target.
 	unread int64
+	// source is the target that keeps the shared parts; nil where it is the
+	// picked one, or there is nothing to copy.
+	source *Target
 }
 
 // Target returns the picked target.
 func (l *Lease) Target() Target { return l.state.target }
 
+// Source returns the target from which the picked one can copy the shared parts
+// of the prompt; nil for none.
+func (l *Lease) Source() *Target { return l.source }
+
 // Pick returns a place at a target. The error's kind is NoTarget.
 func (t *Table) Pick(r *Request) (*Lease, error) {
 	t.mu.Lock()
@@ -65,12 +77,16 @@
 	if len(open) == 0 {
 		return nil, errkind.New(errkind.NoTarget, "no target of the service takes new work").After(busyRetry)
 	}
-	s, unread := t.choose(open, r)
+	s, home := t.choose(open, r)
+	unread := r.PromptTokens
+	if home != nil {
+		unread -= r.SharedTokens
+	}
 	s.own++
 	s.sentSince++
 	s.unread += unread
 	return &Lease{
-		table: t, state: s, unread: unread,
+		table: t, state: s, unread: unread, source: t.source(s, r),
 		probesTarget: s.health.sent(),
 		probesSite:   t.site(s.target.DataCentre).health.sent(),
 	}, nil
@@ -97,13 +113,13 @@
 	return s.health.open(now) && !now.Before(s.refusedUntil) && t.site(s.target.DataCentre).health.open(now)
 }
 
-// choose picks one of the open targets, and returns the prompt tokens that it
-// will have to read.
-func (t *Table) choose(open []*state, r *Request) (*state, int64) {
+// choose picks one of the open targets, and returns the one that keeps the
+// prompt's shared parts; nil where there are none.
+func (t *Table) choose(open []*state, r *Request) (best, home *state) {
 	if r.Affinity == 0 {
-		return t.leastLoaded(open, r.Now), r.PromptTokens
+		return t.leastLoaded(open, r.Now), nil
 	}
-	home := homeOf(open, r.Affinity)
+	home = homeOf(open, r.Affinity)
 	best, bestCost := home, home.cost(r.Now)
 	for _, s := range open {
 		cost := s.cost(r.Now) + sharedWeight*r.SharedTokens
@@ -111,10 +127,30 @@
 			best, bestCost = s, cost
 		}
 	}
-	if best == home {
-		return home, r.PromptTokens - r.SharedTokens
+	return best, home
+}
+
+// source returns where the picked target can copy the shared parts from: the
+// target that has been their home for a while, even if it is leaving.
+func (t *Table) source(picked *state, r *Request) *Target {
+	if r.Affinity == 0 || r.SharedTokens < leastCopied {
+		return nil
+	}
+	var keepers []*state
+	for _, s := range t.services[r.Service] {
+		if t.takes(s, r.Now) && r.Now.Sub(s.since) > filledAfter {
+			keepers = append(keepers, s)
+		}
+	}
+	if len(keepers) == 0 {
+		return nil
+	}
+	keeper := homeOf(keepers, r.Affinity)
+	if keeper == picked {
+		return nil
 	}
-	return best, r.PromptTokens
+	from := keeper.target
+	return &from
 }
 
 // homeOf returns the target that keeps the prompt parts: that of the highest
--- a/fleet/placement/placement_test.go
+++ b/fleet/placement/placement_test.go
@@ -20,7 +20,7 @@
 
 func table(dataCentre string, n int) *Table {
 	t := New(dataCentre)
-	t.Update(targets(n))
+	t.Update(targets(n), now)
 	return t
 }
 
@@ -79,7 +79,7 @@
 	list := targets(3)
 	list[0].Leaving = true
 	tb := New("dc0")
-	tb.Update(list)
+	tb.Update(list, now)
 	for range 10 {
 		lease, err := tb.Pick(&Request{Service: "s", Exclude: []string{"t1"}, Now: now})
 		is.NoErr(err)
@@ -126,7 +126,7 @@
 	for i := range list {
 		list[i].Born = 5
 	}
-	tb.Update(list)
+	tb.Update(list, now)
 	again := false
 	for range 2 {
 		next, err := tb.Pick(&Request{Service: "s", Now: now})
@@ -191,3 +191,53 @@
 	}
 	is.Equal(h.until, now.Add(suspectMax))
 }
+
+func TestSharedPartsAreCopiedFromTheTargetThatKeepsThem(t *testing.T) {
+	is := is.New(t)
+	tb := table("dc0", 4)
+	r := &Request{Service: "s", Affinity: 7, SharedTokens: 5000, PromptTokens: 12000, Now: now}
+	home, err := tb.Pick(r)
+	is.NoErr(err)
+	is.True(home.Source() == nil) // they are there
+	for range 10 {
+		next, err := tb.Pick(r)
+		is.NoErr(err)
+		if next.Target().ID == home.Target().ID {
+			is.True(next.Source() == nil)
+			continue
+		}
+		is.Equal(next.Source().ID, home.Target().ID)
+	}
+	plain, err := tb.Pick(&Request{Service: "s", PromptTokens: 12000, Now: now})
+	is.NoErr(err)
+	is.True(plain.Source() == nil)
+}
+
+func TestANewHomeCopiesFromTheOneBefore(t *testing.T) {
+	is := is.New(t)
+	tb := table("dc0", 4)
+	r := &Request{Service: "s", Affinity: 7, SharedTokens: 5000, PromptTokens: 12000, Now: now}
+	before, err := tb.Pick(r)
+	is.NoErr(err)
+	before.Done(OK, now)
+	list := targets(4)
+	for i := range list {
+		list[i].Leaving = list[i].ID == before.Target().ID
+	}
+	tb.Update(list, now)
+	after, err := tb.Pick(r)
+	is.NoErr(err)
+	is.Equal(after.Source().ID, before.Target().ID) // still there, and leaving
+	after.Done(OK, now)
+	tb.Update(append(targets(4), Target{ID: "new", Service: "s"}), now)
+	r.Now = now.Add(time.Second)
+	for affinity := range uint64(50) {
+		r.Affinity = affinity + 1
+		lease, err := tb.Pick(r)
+		is.NoErr(err)
+		if lease.Target().ID == "new" {
+			is.True(lease.Source() != nil)
+		}
+		lease.Done(OK, r.Now)
+	}
+}
--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -47,6 +47,8 @@
 // state is one target and what was learnt of it.
 type state struct {
 	target Target
+	// since is when it registered; zero for those that the first list had.
+	since time.Time
 	// own counts this router's requests in flight.
 	own int
 	// unread counts the prompt tokens of this router's requests that have no
@@ -70,16 +72,20 @@
 }
 
 // Update installs the targets. One that runs on keeps what was learnt of it.
-func (t *Table) Update(targets []Target) {
+func (t *Table) Update(targets []Target, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.byID
+	since := now
+	if len(old) == 0 {
+		since = time.Time{}
+	}
 	t.byID = make(map[string]*state, len(targets))
 	t.services = make(map[string][]*state)
 	for _, target := range targets {
 		s := old[target.ID]
 		if s == nil || s.target.Born != target.Born || s.target.Address != target.Address {
-			s = &state{health: newHealth()}
+			s = &state{since: since, health: newHealth()}
 		}
 		s.target = target
 		t.byID[target.ID] = s
--- a/router/gateway/view.go
+++ b/router/gateway/view.go
@@ -101,7 +101,7 @@
 func (v *targetView) install() {
 	targets := slices.Collect(maps.Values(v.known))
 	targets = slices.AppendSeq(targets, maps.Values(v.lapsed))
-	v.gateway.targets.Update(targets)
+	v.gateway.targets.Update(targets, time.Now())
 	v.gateway.hasTarget.Store(len(targets) > 0)
 }
 
--- a/router/relay/journey.go
+++ b/router/relay/journey.go
@@ -81,6 +81,7 @@
 		reply, err := j.relay.Upstream.Send(ctx, &Send{
 			Request:     j.Request,
 			Target:      target,
+			Source:      lease.Source(),
 			Workspace:   j.workspaceName(),
 			Deadline:    j.deadline,
 			Priority:    j.priority(),
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -85,7 +85,7 @@
 	route.Timeout, route.Goal = time.Minute, time.Second
 	c := catalog.New(catalog.Parts{Version: 1, Routes: []*catalog.Route{route}, Services: []*catalog.Service{{Name: "s"}}})
 	targets := placement.New("dc")
-	targets.Update([]placement.Target{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}, {ID: "c", Service: "s"}, {ID: "d", Service: "s"}})
+	targets.Update([]placement.Target{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}, {ID: "c", Service: "s"}, {ID: "d", Service: "s"}}, time.Now())
 	retries := retry.NewBudgets(1000, 10)
 	for range 5 {
 		retries.Service("s").Deposit()
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -106,8 +106,11 @@
 
 // Send is one request to one target.
 type Send struct {
-	Request   *Request
-	Target    placement.Target
+	Request *Request
+	Target  placement.Target
+	// Source is the target that keeps the prompt's shared parts, for Target to
+	// copy them from; nil for none.
+	Source    *placement.Target
 	Workspace string
 	// Deadline is when the answer must be there.
 	Deadline time.Time
