Send nothing new to a data centre that falls silent; notice cut connections sooner

Cause: when a zone is cut off, requests went on to its targets for 1.5 s, until connections without acknowledgement ended and two targets counted as silent. Streams tell sooner: with three requests in progress there and nothing heard for 0.3 s, new work goes elsewhere. Connections without acknowledgement end after 0.8 s.

--- a/fleet/placement/outcome.go
+++ b/fleet/placement/outcome.go
@@ -30,11 +30,12 @@
 	l.state.load, l.state.toldAt, l.state.sentSince = load, now, 0
 }
 
-// Started takes that the target began to answer: the prompt is read.
-func (l *Lease) Started() {
+// Heard takes that a part of the answer came: the prompt is read.
+func (l *Lease) Heard(now time.Time) {
 	l.table.mu.Lock()
 	defer l.table.mu.Unlock()
 	l.read()
+	l.site().heard(now)
 }
 
 // read takes the prompt off the unread ones, once.
@@ -49,16 +50,17 @@
 	defer l.table.mu.Unlock()
 	s := l.state
 	s.own--
+	l.site().ended()
 	l.read()
 	l.endProbe()
 	switch result {
 	case OK:
 		s.strikes = 0
 		s.health.clear()
-		l.table.site(s.target.DataCentre).answered()
+		l.site().answered(now)
 	case Refused:
 		s.refusedUntil = now.Add(refusedPause)
-		l.table.site(s.target.DataCentre).answered()
+		l.site().answered(now)
 	case Failed:
 		s.strike(now, strikesToSuspect)
 	case Silent:
@@ -70,13 +72,16 @@
 	}
 }
 
+// site returns what was learnt of the target's data centre. The lock is held.
+func (l *Lease) site() *site { return l.table.site(l.dataCentre) }
+
 // endProbe lets the next request probe a suspect.
 func (l *Lease) endProbe() {
 	if l.probesTarget {
 		l.state.health.probing = false
 	}
 	if l.probesSite {
-		l.table.site(l.state.target.DataCentre).health.probing = false
+		l.site().health.probing = false
 	}
 }
 
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -50,6 +50,8 @@
 type Lease struct {
 	table *Table
 	state *state
+	// dataCentre is the target's when it was picked.
+	dataCentre string
 	// probesTarget and probesSite say that the request probes a suspect.
 	probesTarget, probesSite bool
 	// unread is the prompt tokens thought to be unread at the target.
@@ -85,10 +87,12 @@
 	s.own++
 	s.sentSince++
 	s.unread += unread
+	there := t.site(s.target.DataCentre)
+	there.sent(r.Now)
 	return &Lease{
-		table: t, state: s, unread: unread, source: t.source(s, r),
+		table: t, state: s, dataCentre: s.target.DataCentre, unread: unread, source: t.source(s, r),
 		probesTarget: s.health.sent(),
-		probesSite:   t.site(s.target.DataCentre).health.sent(),
+		probesSite:   there.health.sent(),
 	}, nil
 }
 
@@ -110,7 +114,8 @@
 
 // takes tells whether neither the target nor its data centre is suspect.
 func (t *Table) takes(s *state, now time.Time) bool {
-	return s.health.open(now) && !now.Before(s.refusedUntil) && t.site(s.target.DataCentre).health.open(now)
+	there := t.site(s.target.DataCentre)
+	return s.health.open(now) && !now.Before(s.refusedUntil) && there.health.open(now) && !there.quiet(now)
 }
 
 // choose picks one of the open targets, and returns the one that keeps the
--- a/fleet/placement/placement_test.go
+++ b/fleet/placement/placement_test.go
@@ -64,12 +64,12 @@
 	r := &Request{Service: "s", Affinity: 7, SharedTokens: 5000, PromptTokens: 12000, Now: now}
 	first, err := tb.Pick(r)
 	is.NoErr(err)
-	first.Started()
+	first.Heard(now)
 	for range 5 {
 		next, err := tb.Pick(r)
 		is.NoErr(err)
 		is.Equal(next.Target().ID, first.Target().ID)
-		next.Started()
+		next.Heard(now)
 		next.Done(OK, now)
 	}
 }
@@ -241,3 +241,35 @@
 		lease.Done(OK, r.Now)
 	}
 }
+
+func TestADataCentreThatFallsSilentGetsNothingNew(t *testing.T) {
+	is := is.New(t)
+	tb := table("dc0", 9)
+	var far []*Lease
+	for affinity := uint64(1); len(far) < quietRequests; affinity++ {
+		lease, err := tb.Pick(&Request{Service: "s", Affinity: affinity, SharedTokens: 5000, PromptTokens: 6000, Now: now})
+		is.NoErr(err)
+		if lease.Target().DataCentre == "dc1" {
+			lease.Heard(now)
+			far = append(far, lease)
+			continue
+		}
+		lease.Done(OK, now)
+	}
+	picks := func(at time.Time) (there int) {
+		for affinity := range uint64(30) {
+			lease, err := tb.Pick(&Request{Service: "s", Affinity: affinity + 1, SharedTokens: 5000, PromptTokens: 6000, Now: at})
+			is.NoErr(err)
+			if lease.Target().DataCentre == "dc1" {
+				there++
+			}
+			lease.Done(Neutral, at)
+		}
+		return there
+	}
+	later := now.Add(quietAfter + time.Millisecond)
+	is.True(picks(now) > 0)
+	is.Equal(picks(later), 0)
+	far[0].Heard(later)
+	is.True(picks(later) > 0)
+}
--- a/router/exchange/pool.go
+++ b/router/exchange/pool.go
@@ -14,7 +14,7 @@
 	// dialTimeout bounds the making of a connection.
 	dialTimeout = 300 * time.Millisecond
 	// unackedTimeout ends a connection whose peer acknowledges nothing.
-	unackedTimeout = 1500 * time.Millisecond
+	unackedTimeout = 800 * time.Millisecond
 	// keepAliveIdle and keepAliveInterval set the probes of silent connections.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
