Promises grow little for two seconds and steeply then; tell when one allows a request

Notes are now written twice a second, the bound grows by the usual rate for 2 s and four times as steeply after. A request that only the promise forbids is told when it will be allowed (test TestARefusalForThePromiseSaysWhenItAllowsTheRequest).

--- a/fleet/allotment/promise.go
+++ b/fleet/allotment/promise.go
@@ -31,10 +31,12 @@
 	aheadReservations = 0.25
 	// surgeFactor is the surge of a promise as a part of a usual reservation
 	// and a second's usual tokens together.
-	surgeFactor = 0.5
+	surgeFactor = 2.0
 	// surgeAfter is the longest time without the platform that a promise covers
 	// by the usual demand.
-	surgeAfter = 1500 * time.Millisecond
+	surgeAfter = 2 * time.Second
+	// promiseStep is how exactly PromisedIn tells a time.
+	promiseStep = 100 * time.Millisecond
 	// clockMargin covers steady clocks of different machines.
 	clockMargin = 1.02
 	// longestGrowth keeps the bound within what its type holds.
@@ -109,3 +111,14 @@
 func (a *Account) PromiseBound(tokens int64, now time.Time) bool {
 	return tokens <= a.Free() && tokens > a.Promised(now)
 }
+
+// PromisedIn returns the time until the promises allow to reserve tokens, if no
+// other request comes; it looks ahead no further than most.
+func (a *Account) PromisedIn(tokens int64, now time.Time, most time.Duration) time.Duration {
+	for wait := time.Duration(0); wait < most; wait += promiseStep {
+		if tokens <= a.Promised(now.Add(wait)) {
+			return wait
+		}
+	}
+	return most
+}
--- a/router/allotments/cut_test.go
+++ b/router/allotments/cut_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/router/platform"
 	"cuminrock.example/router/platform/platformfake"
 )
@@ -82,3 +83,33 @@
 		is.NoErr(b.Close(context.Background()))
 	})
 }
+
+// Tokens that are held, and that only the promise forbids to use yet, are worth
+// waiting for; without them another router may serve the request at once.
+func TestARefusalForThePromiseSaysWhenItAllowsTheRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tables := &cutTables{Fake: &platformfake.Fake{}}
+		b := newBook(tables, "a1")
+		for range 200 {
+			hold, err := b.Reserve(context.Background(), workspace(10_000_000), 100, 0, long)
+			is.NoErr(err)
+			hold.Settle(100)
+			time.Sleep(50 * time.Millisecond)
+		}
+		tables.cut.Store(true)
+		time.Sleep(noteInterval + overdueAfter + tick)
+		_, err := b.Reserve(context.Background(), workspace(10_000_000), 8000, 0, tick)
+		after := errkind.As(err).RetryAfter
+		is.Equal(errkind.Of(err), errkind.BudgetUnreachable)
+		is.True(after > outageRetry)
+		time.Sleep(after)
+		hold, err := b.Reserve(context.Background(), workspace(10_000_000), 8000, 0, tick)
+		is.NoErr(err)
+		hold.Settle(8000)
+		_, err = b.Reserve(context.Background(), workspace(10_000_000), 1_000_000, 0, tick)
+		is.Equal(errkind.As(err).RetryAfter, outageRetry)
+		tables.cut.Store(false)
+		is.NoErr(b.Close(context.Background()))
+	})
+}
--- a/router/allotments/noter.go
+++ b/router/allotments/noter.go
@@ -19,7 +19,7 @@
 const (
 	// noteInterval is the time between two notes at most, while the platform
 	// answers.
-	noteInterval = time.Second
+	noteInterval = 500 * time.Millisecond
 	// noteTimeout bounds the writing of a note.
 	noteTimeout = time.Second
 	// noteGap is the time between two notes at least.
--- a/router/allotments/waiters.go
+++ b/router/allotments/waiters.go
@@ -16,6 +16,8 @@
 	// outageRetry is advised while the platform doesn't answer: the next try
 	// comes to another router, which may hold what this one lacks.
 	outageRetry = 100 * time.Millisecond
+	// longestRetry bounds the time that is advised.
+	longestRetry = 5 * time.Second
 )
 
 // waiter is a reservation that waits for tokens.
@@ -45,9 +47,10 @@
 	w := &waiter{tokens: tokens, rank: rank, done: make(chan error, 1)}
 	if k.overdue() {
 		k.logRefusal("budget: refused a reservation; the platform is out of reach.", refusedUnreachable, w)
+		refusal := k.unreachable(w)
 		k.mu.Unlock()
 		k.waker.wake()
-		return unreachable()
+		return refusal
 	}
 	k.waiters = append(k.waiters, w)
 	k.account.Want(tokens)
@@ -67,8 +70,9 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	if k.leave(w) {
-		return unreachable()
+	refusal := k.leave(w)
+	if refusal != nil {
+		return refusal
 	}
 	return <-w.done
 }
@@ -79,13 +83,21 @@
 	return k.down || !k.callBegan.IsZero() && k.book.opts.Now().Sub(k.callBegan) > overdueAfter
 }
 
-// unreachable is the refusal while tokens can't be had from the platform.
-func unreachable() error {
-	return errkind.New(errkind.BudgetUnreachable, "the prepaid balance can't be drawn on now").After(outageRetry)
+// unreachable is the refusal while tokens can't be had from the platform. Where
+// this router holds them, and only its promise forbids to use them yet, it says
+// when they can be used. The lock is held.
+func (k *keeper) unreachable(w *waiter) error {
+	now := k.book.opts.Now()
+	after := outageRetry
+	if k.account.PromiseBound(w.tokens, now) {
+		after = max(after, k.account.PromisedIn(w.tokens, now, longestRetry))
+	}
+	return errkind.New(errkind.BudgetUnreachable, "the prepaid balance can't be drawn on now").After(after)
 }
 
-// leave removes a waiter. It reports false when its outcome is there already.
-func (k *keeper) leave(w *waiter) bool {
+// leave removes a waiter, and returns its refusal; nil when its outcome is there
+// already.
+func (k *keeper) leave(w *waiter) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for i, other := range k.waiters {
@@ -93,10 +105,10 @@
 			k.waiters = append(k.waiters[:i], k.waiters[i+1:]...)
 			k.account.Want(-w.tokens)
 			k.logRefusal("budget: refused a reservation; the platform didn't answer in time.", refusedUnreachable, w)
-			return true
+			return k.unreachable(w)
 		}
 	}
-	return false
+	return nil
 }
 
 // serveWaiters reserves for the waiters in their order. One that doesn't fit
