Keep requests that share few tokens in their data centre

Cause: the target of a prompt was picked among all data centres, also where hardly anything is shared: 2 of 3 short questions crossed zones, paid for their bytes, and were cut with the zone. Below 1,000 shared tokens each data centre has its own home.

--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -21,6 +21,10 @@
 	// leastCopied is the least shared tokens worth a copy; reading fewer anew
 	// takes no longer.
 	leastCopied = 500
+	// nearShared is how many shared tokens are too few to go to another data
+	// centre for, and farTokens what going there then counts as, in prompt tokens.
+	nearShared = 1000
+	farTokens  = 2000
 	// filledAfter is how long after its start a target is taken to keep little.
 	filledAfter = 15 * time.Second
 	// loadMemory is how long a target's own word counts.
@@ -124,10 +128,10 @@
 	if r.Affinity == 0 {
 		return t.leastLoaded(open, r.Now), nil
 	}
-	home = homeOf(open, r.Affinity)
-	best, bestCost := home, home.cost(r.Now)
+	home = t.home(open, r)
+	best, bestCost := home, t.costOf(home, r)
 	for _, s := range open {
-		cost := s.cost(r.Now) + sharedWeight*r.SharedTokens
+		cost := t.costOf(s, r) + sharedWeight*r.SharedTokens
 		if s != home && cost < bestCost {
 			best, bestCost = s, cost
 		}
@@ -135,6 +139,33 @@
 	return best, home
 }
 
+// home returns the target that keeps the shared parts of the prompt. Where these
+// are few, each data centre has its own.
+func (t *Table) home(open []*state, r *Request) *state {
+	if r.SharedTokens >= nearShared {
+		return homeOf(open, r.Affinity)
+	}
+	var near []*state
+	for _, s := range open {
+		if s.target.DataCentre == t.dataCentre {
+			near = append(near, s)
+		}
+	}
+	if len(near) == 0 {
+		near = open
+	}
+	return homeOf(near, r.Affinity)
+}
+
+// costOf returns what a target costs the request, in prompt tokens.
+func (t *Table) costOf(s *state, r *Request) int64 {
+	cost := s.cost(r.Now)
+	if r.SharedTokens < nearShared && s.target.DataCentre != t.dataCentre {
+		cost += farTokens
+	}
+	return cost
+}
+
 // source returns where the picked target can copy the shared parts from: the
 // target that has been their home for a while, even if it is leaving.
 func (t *Table) source(picked *state, r *Request) *Target {
