Keep every prompt in its data centre; copy shared parts from where they were sent last

Cause: long prompts went to one home among all data centres, so that two of three crossed zones, were cut with them, and came late. A router now remembers for 15 s where it sent the parts of a prompt and names that target as the source of a copy; it asks another data centre's home only where it knows nothing.

Tests of the choice follow the new rule: routers of one data centre agree.

--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -18,15 +18,8 @@
 	// sharedWeight is what a shared token counts as where it has to be copied
 	// from the target that keeps it.
 	sharedWeight = 2
-	// leastCopied is the least shared tokens worth a copy; reading fewer anew
-	// takes no longer.
-	leastCopied = 500
-	// nearShared is how many shared tokens are too few to go to another data
-	// centre for, and farTokens what going there then counts as, in prompt tokens.
-	nearShared = 1000
-	farTokens  = 2000
-	// filledAfter is how long after its start a target is taken to keep little.
-	filledAfter = 15 * time.Second
+	// farTokens is what going to another data centre counts as, in prompt tokens.
+	farTokens = 2000
 	// loadMemory is how long a target's own word counts.
 	loadMemory = 2 * time.Second
 	// farPenalty is what a target of another data centre is held to be more
@@ -60,8 +53,7 @@
 	probesTarget, probesSite bool
 	// unread is the prompt tokens thought to be unread at the target.
 	unread int64
-	// source is the target that keeps the shared parts; nil where it is the
-	// picked one, or there is nothing to copy.
+	// source is where the shared parts can be copied from; nil for nowhere.
 	source *Target
 }
 
@@ -122,8 +114,8 @@
 	return s.health.open(now) && !now.Before(s.refusedUntil) && there.health.open(now) && !there.quiet(now)
 }
 
-// choose picks one of the open targets, and returns the one that keeps the
-// prompt's shared parts; nil where there are none.
+// choose picks one of the open targets, and returns the home of the prompt's
+// shared parts; nil where there are none.
 func (t *Table) choose(open []*state, r *Request) (best, home *state) {
 	if r.Affinity == 0 {
 		return t.leastLoaded(open, r.Now), nil
@@ -139,56 +131,37 @@
 	return best, home
 }
 
-// home returns the target that keeps the shared parts of the prompt. Where these
-// are few, each data centre has its own.
+// home returns the target that keeps the shared parts of the prompt for this
+// data centre.
 func (t *Table) home(open []*state, r *Request) *state {
-	if r.SharedTokens >= nearShared {
-		return homeOf(open, r.Affinity)
-	}
-	var near []*state
-	for _, s := range open {
-		if s.target.DataCentre == t.dataCentre {
-			near = append(near, s)
-		}
-	}
+	near := t.inSite(open, true)
 	if len(near) == 0 {
 		near = open
 	}
 	return homeOf(near, r.Affinity)
 }
 
+// inSite returns the targets that are in this router's data centre, or those
+// that aren't.
+func (t *Table) inSite(list []*state, here bool) []*state {
+	var found []*state
+	for _, s := range list {
+		if (s.target.DataCentre == t.dataCentre) == here {
+			found = append(found, s)
+		}
+	}
+	return found
+}
+
 // costOf returns what a target costs the request, in prompt tokens.
 func (t *Table) costOf(s *state, r *Request) int64 {
 	cost := s.cost(r.Now)
-	if r.SharedTokens < nearShared && s.target.DataCentre != t.dataCentre {
+	if s.target.DataCentre != t.dataCentre {
 		cost += farTokens
 	}
 	return cost
 }
 
-// source returns where the picked target can copy the shared parts from: the
-// target that has been their home for a while, even if it is leaving.
-func (t *Table) source(picked *state, r *Request) *Target {
-	if r.Affinity == 0 || r.SharedTokens < leastCopied {
-		return nil
-	}
-	var keepers []*state
-	for _, s := range t.services[r.Service] {
-		if t.takes(s, r.Now) && r.Now.Sub(s.since) > filledAfter {
-			keepers = append(keepers, s)
-		}
-	}
-	if len(keepers) == 0 {
-		return nil
-	}
-	keeper := homeOf(keepers, r.Affinity)
-	if keeper == picked {
-		return nil
-	}
-	from := keeper.target
-	return &from
-}
-
 // homeOf returns the target that keeps the prompt parts: that of the highest
 // rank.
 func homeOf(open []*state, affinity uint64) *state {
--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -5,10 +5,11 @@
 // failures. It reads no clock: every input carries its time.
 //
 // Requests that begin with the same prompt parts go to the same target of all
-// routers without any talk between them: targets are ranked by a hash of the
-// parts and the target's id (Thaler and Ravishankar, "Using Name-Based
-// Mappings to Increase Hit Rates", 1998). Another target is taken where the work
-// that waits at the first outweighs reading the shared parts again.
+// routers of a data centre without any talk between them: targets are ranked by
+// a hash of the parts and the target's id (Thaler and Ravishankar, "Using
+// Name-Based Mappings to Increase Hit Rates", 1998). Another target is taken
+// where less work waits; engines copy shared parts from one another, and a Lease
+// says from where.
 package placement
 
 import (
@@ -42,6 +43,8 @@
 	services map[string][]*state
 	byID     map[string]*state
 	sites    map[string]*site
+	// placed is by the affinity of prompts.
+	placed map[uint64]placed
 }
 
 // state is one target and what was learnt of it.
@@ -68,7 +71,7 @@
 
 // New returns a table without targets for a router in the data centre.
 func New(dataCentre string) *Table {
-	return &Table{dataCentre: dataCentre, services: make(map[string][]*state), byID: make(map[string]*state), sites: make(map[string]*site)}
+	return &Table{dataCentre: dataCentre, services: make(map[string][]*state), byID: make(map[string]*state), sites: make(map[string]*site), placed: make(map[uint64]placed)}
 }
 
 // Update installs the targets. One that runs on keeps what was learnt of it.
