A planned stop takes back nothing that was told of the demand

Found in reading: giving all back at a stop reset the counts of requests that the total's row has from this router, so that they fell, and usual sizes could turn negative at all routers. Test TestAPlannedStopTakesBackNothingThatWasTold fails without.

--- a/fleet/allotment/account.go
+++ b/fleet/allotment/account.go
@@ -14,6 +14,10 @@
 //   - What is reserved and spent stays within every promise that the platform
 //     may have; see Promise.
 //
+// How much a router holds is no matter of safety. While tokens are plenty it
+// holds what a time without the platform needs, and where they are scarce its
+// share of the demand, which routers tell each other in the total's row.
+//
 // A transaction states absolute amounts, so that one that is sent again, or
 // commits late, can't count twice.
 package allotment
@@ -54,13 +58,12 @@
 
 	// wanted is the sum of the reservations that wait.
 	wanted int64
-	demand demand
-	// others is the demand at other routers, and first when this account was
-	// first synced.
-	others demand
-	first  time.Time
+	// demand is that at this router, others that at other routers.
+	demand, others demand
 	// told is the part of the demand that the platform's rows have.
 	told asked
+	// firstSynced is when the rows were first known.
+	firstSynced time.Time
 	// byRank is the demand of each rank of requests; 0 is the most urgent.
 	byRank [ranks]demand
 	// cutSince is when the platform stopped answering; zero while it answers.
@@ -170,7 +173,7 @@
 		a.others.count(rows.Requests-a.rows.Requests, now)
 	}
 	if !a.Synced() {
-		a.first = now
+		a.firstSynced = now
 	}
 	a.rows = rows
 	a.syncedAt = now
@@ -231,14 +234,14 @@
 // ReturnAll gives back all that isn't reserved. Used at a planned stop.
 func (a *Account) ReturnAll() {
 	a.returned += max(0, a.held())
-	a.demand = demand{}
+	a.demand.recent = 0
 }
 
 // goal returns the tokens to hold beside what waits: what a time without the
 // platform needs, and where tokens are scarce a part by this router's share of
 // the demand.
 func (a *Account) goal(now time.Time) int64 {
-	horizon := min(holdHorizon, firstHorizon+now.Sub(a.first))
+	horizon := min(holdHorizon, firstHorizon+now.Sub(a.firstSynced))
 	return min(a.need(horizon, now), int64(float64(a.Left())*holdFactor*a.share(now)))
 }
 
@@ -254,9 +257,9 @@
 
 // size returns the usual tokens of a request at any router.
 func (a *Account) size() float64 {
-	all := asked{requests: a.rows.Requests - a.told.requests, tokens: a.rows.Asked - a.told.tokens}
-	all.requests += a.demand.all.requests
-	all.tokens += a.demand.all.tokens
+	all := a.demand.all
+	all.requests += max(a.rows.Requests-a.told.requests, 0)
+	all.tokens += max(a.rows.Asked-a.told.tokens, 0)
 	return all.size()
 }
 
--- a/fleet/allotment/account_test.go
+++ b/fleet/allotment/account_test.go
@@ -21,7 +21,7 @@
 	is.New(t).True(ok)
 	after := step.After
 	after.TotalVersion, after.HolderVersion = 1, 1
-	a.Sync(after, start)
+	a.Done(after, step, start)
 	a.Want(-wanted)
 	return a
 }
@@ -167,3 +167,15 @@
 	is.True(accounts[0].Free() > 2*accounts[1].Free())
 	is.True(accounts[1].Free() > left/10)
 }
+
+func TestAPlannedStopTakesBackNothingThatWasTold(t *testing.T) {
+	is := is.New(t)
+	a := taken(t, 100000, 1000)
+	told := a.Rows()
+	is.True(told.Requests > 0)
+	a.ReturnAll()
+	step, ok := a.Next(start.Add(time.Second))
+	is.True(ok)
+	is.True(step.After.Requests >= told.Requests)
+	is.True(step.After.Asked >= told.Asked)
+}
--- a/fleet/allotment/demand.go
+++ b/fleet/allotment/demand.go
@@ -9,13 +9,13 @@
 	// holdHorizon is how long the held tokens should last while the platform
 	// doesn't answer.
 	holdHorizon = 20 * time.Second
-	// demandFactor is what need assumes as a multiple of the usual rate, and
-	// deviations how many standard deviations it adds.
+	// firstHorizon is that time for a router that has just started: little is
+	// known of its demand.
+	firstHorizon = 2 * time.Second
+	// demandFactor is what is expected as a multiple of the usual rate, and
+	// deviations how many standard deviations a need adds.
 	demandFactor = 1.25
 	deviations   = 2.0
-	// firstHorizon is that time for a router that has just started: its
-	// demand is known little, and it is likely to hold too much.
-	firstHorizon = 2 * time.Second
 	// holdFactor is what routers that want more come to hold together, as a
 	// multiple of what they leave.
 	holdFactor = 9
--- a/fleet/allotment/promise.go
+++ b/fleet/allotment/promise.go
@@ -6,11 +6,11 @@
 )
 
 // Promise bounds what a router may consume of a workspace, over its life, until
-// it makes another. The bound grows with the time since as the demand is likely
-// to, so that a router that is cut off from the platform can serve on, and one
-// that died leaves little in doubt; after a long time it grows so much that the
-// router can use all it holds. The platform keeps it, so that the next run on
-// the same machine knows what a run that died can have consumed at most.
+// it makes another. The bound grows with the time since: by the usual demand in
+// the first seconds, in which a run that died is followed by the next and little
+// is to be left in doubt, and so much later that a router that is cut off from
+// the platform can use all it holds. The platform keeps it, so that the next run
+// on the same machine knows what a run that died can have consumed at most.
 //
 // From the sending of a promise on it holds beside those before it, since it
 // may have been taken. Once it is known to be taken, it replaces them.
@@ -25,15 +25,16 @@
 }
 
 const (
-	// aheadTime is how long the tokens of a fresh promise last, so that few
-	// requests have to wait for another.
+	// aheadTime is how long the tokens of a fresh promise last at the usual
+	// rate, beside a part of a usual reservation, so that few requests have to
+	// wait for another.
 	aheadTime         = 300 * time.Millisecond
 	aheadReservations = 0.25
 	// surgeFactor is the surge of a promise as a part of a usual reservation
 	// and a second's usual tokens together.
 	surgeFactor = 2.0
-	// surgeAfter is the longest time without the platform that a promise covers
-	// by the usual demand.
+	// surgeAfter is the time in which a run that died is mostly followed by the
+	// next.
 	surgeAfter = 2 * time.Second
 	// promiseStep is how exactly PromisedIn tells a time.
 	promiseStep = 100 * time.Millisecond
