--- a/router/allotments/book.go
+++ b/router/allotments/book.go
@@ -79,9 +79,9 @@
 }
 
 // Reserve sets tokens aside for a request at its most, and waits up to patience
-// for them. Rank says how urgent the request is, 0 the most: scarce tokens are
+// for them. The id is the request's, for logs. Rank says how urgent the request is, 0 the most: scarce tokens are
 // kept for urgent ones. The error's kind is BudgetUnreachable or BudgetExhausted.
-func (b *Book) Reserve(ctx context.Context, w *catalog.Workspace, tokens int64, rank int, patience time.Duration) (*Hold, error) {
+func (b *Book) Reserve(ctx context.Context, id string, w *catalog.Workspace, tokens int64, rank int, patience time.Duration) (*Hold, error) {
 	if w == nil || w.Prepaid == nil {
 		return &Hold{}, nil
 	}
@@ -89,7 +89,7 @@
 	if k == nil {
 		return nil, errkind.New(errkind.Draining, "this router is stopping")
 	}
-	err := k.reserve(ctx, tokens, rank, *w.Prepaid, patience)
+	err := k.reserve(ctx, &waiter{request: id, tokens: tokens, rank: rank, done: make(chan error, 1)}, *w.Prepaid, patience)
 	if err != nil {
 		return nil, err
 	}
--- a/router/allotments/book_test.go
+++ b/router/allotments/book_test.go
@@ -58,12 +58,12 @@
 	is := is.New(t)
 	tables := &platformfake.Fake{}
 	b := newBook(tables, "a1")
-	hold, err := b.Reserve(context.Background(), workspace(100), 70, 0, long)
+	hold, err := b.Reserve(context.Background(), "r", workspace(100), 70, 0, long)
 	is.NoErr(err)
-	_, err = b.Reserve(context.Background(), workspace(100), 40, 0, long)
+	_, err = b.Reserve(context.Background(), "r", workspace(100), 40, 0, long)
 	is.Equal(errkind.Of(err), errkind.BudgetUnreachable)
 	hold.Settle(30)
-	hold, err = b.Reserve(context.Background(), workspace(100), 40, 0, long)
+	hold, err = b.Reserve(context.Background(), "r", workspace(100), 40, 0, long)
 	is.NoErr(err)
 	hold.Settle(40)
 	is.NoErr(b.Close(context.Background()))
@@ -73,15 +73,15 @@
 func TestLargeRequestDoesNotHoldUpSmallOnes(t *testing.T) {
 	is := is.New(t)
 	b := newBook(&platformfake.Fake{}, "a1")
-	hold, err := b.Reserve(context.Background(), workspace(100), 50, 0, long)
+	hold, err := b.Reserve(context.Background(), "r", workspace(100), 50, 0, long)
 	is.NoErr(err)
 	large := make(chan error)
 	go func() {
-		_, err := b.Reserve(context.Background(), workspace(100), 90, 0, long)
+		_, err := b.Reserve(context.Background(), "r", workspace(100), 90, 0, long)
 		large <- err
 	}()
 	is.Equal(errkind.Of(<-large), errkind.BudgetUnreachable)
-	_, err = b.Reserve(context.Background(), workspace(100), 50, 0, long)
+	_, err = b.Reserve(context.Background(), "r", workspace(100), 50, 0, long)
 	is.NoErr(err)
 	hold.Settle(0)
 }
@@ -93,7 +93,7 @@
 	var spent int64
 	for i := range 40 {
 		book := []*Book{a, b}[i%2]
-		hold, err := book.Reserve(context.Background(), workspace(1000), 30, 0, long)
+		hold, err := book.Reserve(context.Background(), "r", workspace(1000), 30, 0, long)
 		if err != nil {
 			continue
 		}
@@ -112,7 +112,7 @@
 	tables := &platformfake.Fake{}
 	tables.SetFates(platformfake.AnswerLost, platformfake.AnswerLost)
 	b := newBook(tables, "a1")
-	hold, err := b.Reserve(context.Background(), workspace(100), 60, 0, long)
+	hold, err := b.Reserve(context.Background(), "r", workspace(100), 60, 0, long)
 	is.NoErr(err) // the refused repeat brings the row as it is
 	hold.Settle(60)
 }
@@ -122,7 +122,7 @@
 	tables := &platformfake.Fake{}
 	tables.SetDown(true)
 	b := newBook(tables, "a1")
-	_, err := b.Reserve(context.Background(), workspace(100), 60, 0, 30*time.Millisecond)
+	_, err := b.Reserve(context.Background(), "r", workspace(100), 60, 0, 30*time.Millisecond)
 	is.Equal(errkind.Of(err), errkind.BudgetUnreachable)
 	is.True(errkind.As(err).RetryAfter > 0)
 }
@@ -131,19 +131,19 @@
 	is := is.New(t)
 	tables := &platformfake.Fake{}
 	other := newBook(tables, "b1")
-	all, err := other.Reserve(context.Background(), workspace(100), 100, 0, long)
+	all, err := other.Reserve(context.Background(), "r", workspace(100), 100, 0, long)
 	is.NoErr(err)
 	b := newBook(tables, "a1")
-	_, err = b.Reserve(context.Background(), workspace(100), 60, 0, long)
+	_, err = b.Reserve(context.Background(), "r", workspace(100), 60, 0, long)
 	is.True(err != nil) // nothing is left
 	tables.SetDown(true)
-	_, err = b.Reserve(context.Background(), workspace(100), 60, 0, 30*time.Millisecond)
+	_, err = b.Reserve(context.Background(), "r", workspace(100), 60, 0, 30*time.Millisecond)
 	is.True(err != nil)
 	tables.SetDown(false)
 	all.Settle(0)
 	is.NoErr(other.Close(context.Background()))
 	waitFor(t, func() bool {
-		_, err = b.Reserve(context.Background(), workspace(100), 60, 0, 10*time.Millisecond)
+		_, err = b.Reserve(context.Background(), "r", workspace(100), 60, 0, 10*time.Millisecond)
 		return err == nil
 	})
 }
@@ -152,7 +152,7 @@
 	is := is.New(t)
 	tables := &platformfake.Fake{}
 	first := newBook(tables, "a1")
-	hold, err := first.Reserve(context.Background(), workspace(100000), 10, 0, long)
+	hold, err := first.Reserve(context.Background(), "r", workspace(100000), 10, 0, long)
 	is.NoErr(err)
 	hold.Settle(10)
 	held := totalTaken(t, tables)
@@ -168,13 +168,13 @@
 	is := is.New(t)
 	tables := &platformfake.Fake{}
 	first := newBook(tables, "a1")
-	hold, err := first.Reserve(context.Background(), workspace(100000), 10, 0, long)
+	hold, err := first.Reserve(context.Background(), "r", workspace(100000), 10, 0, long)
 	is.NoErr(err)
 	hold.Settle(10)
 	held := totalTaken(t, tables)
 	waitForNote(t, tables)
 	next := newBookAt(tables, "a2", clock{behind: time.Hour})
-	hold, err = next.Reserve(context.Background(), workspace(100000), 10, 0, long)
+	hold, err = next.Reserve(context.Background(), "r", workspace(100000), 10, 0, long)
 	is.NoErr(err)
 	hold.Settle(0)
 	is.NoErr(next.Close(context.Background()))
@@ -205,7 +205,7 @@
 	tables := &platformfake.Fake{}
 	tables.SetDown(true)
 	b := newBook(tables, "a1")
-	hold, err := b.Reserve(context.Background(), &catalog.Workspace{Name: "free"}, 1<<40, 0, 0)
+	hold, err := b.Reserve(context.Background(), "r", &catalog.Workspace{Name: "free"}, 1<<40, 0, 0)
 	is.NoErr(err)
 	hold.Settle(1 << 40)
 }
--- a/router/allotments/cut_test.go
+++ b/router/allotments/cut_test.go
@@ -50,7 +50,7 @@
 		is := is.New(t)
 		tables := &cutTables{Fake: &platformfake.Fake{}}
 		b := newBook(tables, "a1")
-		hold, err := b.Reserve(context.Background(), workspace(100000), 10, 0, long)
+		hold, err := b.Reserve(context.Background(), "r", workspace(100000), 10, 0, long)
 		is.NoErr(err)
 		time.Sleep(2 * time.Second)
 		tables.cut.Store(true)
@@ -92,22 +92,22 @@
 		tables := &cutTables{Fake: &platformfake.Fake{}}
 		b := newBook(tables, "a1")
 		for range 200 {
-			hold, err := b.Reserve(context.Background(), workspace(10_000_000), 100, 0, long)
+			hold, err := b.Reserve(context.Background(), "r", workspace(10_000_000), 100, 0, long)
 			is.NoErr(err)
 			hold.Settle(100)
 			time.Sleep(50 * time.Millisecond)
 		}
 		tables.cut.Store(true)
 		time.Sleep(noteInterval + overdueAfter + tick)
-		_, err := b.Reserve(context.Background(), workspace(10_000_000), 8000, 0, tick)
+		_, err := b.Reserve(context.Background(), "r", workspace(10_000_000), 8000, 0, tick)
 		after := errkind.As(err).RetryAfter
 		is.Equal(errkind.Of(err), errkind.BudgetUnreachable)
 		is.True(after > outageRetry)
 		time.Sleep(after)
-		hold, err := b.Reserve(context.Background(), workspace(10_000_000), 8000, 0, tick)
+		hold, err := b.Reserve(context.Background(), "r", workspace(10_000_000), 8000, 0, tick)
 		is.NoErr(err)
 		hold.Settle(8000)
-		_, err = b.Reserve(context.Background(), workspace(10_000_000), 1_000_000, 0, tick)
+		_, err = b.Reserve(context.Background(), "r", workspace(10_000_000), 1_000_000, 0, tick)
 		is.Equal(errkind.As(err).RetryAfter, outageRetry)
 		tables.cut.Store(false)
 		is.NoErr(b.Close(context.Background()))
--- a/router/allotments/waiters.go
+++ b/router/allotments/waiters.go
@@ -22,20 +22,22 @@
 
 // waiter is a reservation that waits for tokens.
 type waiter struct {
-	tokens int64
-	rank   int
+	// request is the request's id.
+	request string
+	tokens  int64
+	rank    int
 	// done carries nil when the tokens are reserved.
 	done chan error
 }
 
 // reserve takes tokens that are held, or waits for the platform's.
-func (k *keeper) reserve(ctx context.Context, tokens int64, rank int, prepaid int64, patience time.Duration) error {
+func (k *keeper) reserve(ctx context.Context, w *waiter, prepaid int64, patience time.Duration) error {
 	k.mu.Lock()
 	k.account.SetPrepaid(prepaid)
 	now := k.book.opts.Now()
 	k.account.SetCut(k.overdue(), now)
-	k.account.Asked(tokens, rank, now)
-	if k.account.Reserve(tokens, rank, now) {
+	k.account.Asked(w.tokens, w.rank, now)
+	if k.account.Reserve(w.tokens, w.rank, now) {
 		low := k.account.PromiseLow(now)
 		k.mu.Unlock()
 		k.waker.wake()
@@ -44,7 +46,6 @@
 		}
 		return nil
 	}
-	w := &waiter{tokens: tokens, rank: rank, done: make(chan error, 1)}
 	if k.overdue() {
 		k.logRefusal("budget: refused a reservation; the platform is out of reach.", refusedUnreachable, w)
 		refusal := k.unreachable(w)
@@ -53,7 +54,7 @@
 		return refusal
 	}
 	k.waiters = append(k.waiters, w)
-	k.account.Want(tokens)
+	k.account.Want(w.tokens)
 	k.fresh = false
 	k.mu.Unlock()
 	k.waker.wake()
@@ -148,7 +149,7 @@
 	k.book.opts.Metrics.refused.WithLabelValues(reason).Inc()
 	now := k.book.opts.Now()
 	k.book.opts.Log.Info(message,
-		zap.String("workspace", k.workspace), zap.Int64("tokens", w.tokens), zap.Int("rank", w.rank),
+		zap.String("request", w.request), zap.String("workspace", k.workspace), zap.Int64("tokens", w.tokens), zap.Int("rank", w.rank),
 		zap.Int64("prepaid", k.account.Prepaid()), zap.Int64("left", k.account.Left()), zap.Int64("free", k.account.Free()),
 		zap.Int64("promised", k.account.Promised(now)), zap.Int64("kept", k.account.Kept(w.tokens, w.rank, now)),
 		zap.Uint64("row_version", k.account.Rows().TotalVersion), zap.Duration("rows_age", k.account.Age(now)))
--- a/router/relay/journey.go
+++ b/router/relay/journey.go
@@ -29,9 +29,11 @@
 
 	// tried names the targets that were picked, sends counts the requests
 	// written, and unreached the targets that couldn't be reached.
-	tried     []string
-	sends     int
-	unreached int
+	tried []string
+	// copiedFrom names the targets that were to be copied from.
+	copiedFrom []string
+	sends      int
+	unreached  int
 	// mayHaveRun says that some send may have run.
 	mayHaveRun bool
 	// events counts the events passed on.
@@ -42,6 +44,8 @@
 	firstByte time.Duration
 	outcome   string
 	status    int
+	// retryAfter is what a refusal advised.
+	retryAfter time.Duration
 }
 
 // attempt is one send that was answered.
@@ -78,6 +82,9 @@
 		}
 		target := lease.Target()
 		j.tried = append(j.tried, target.ID)
+		if source := lease.Source(); source != nil {
+			j.copiedFrom = append(j.copiedFrom, source.ID)
+		}
 		reply, err := j.relay.Upstream.Send(ctx, &Send{
 			Request:     j.Request,
 			Target:      target,
@@ -198,6 +205,7 @@
 	fields := []zap.Field{
 		zap.String("request", req.ID), zap.String("outcome", j.outcome), zap.Int("status", j.status),
 		zap.Duration("took", took), zap.Strings("targets", j.tried), zap.Int("sends", j.sends),
+		zap.Strings("copied_from", j.copiedFrom), zap.Duration("retry_after", j.retryAfter),
 		zap.Bool("may_have_run", j.mayHaveRun),
 	}
 	if j.admitted != nil {
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -76,6 +76,7 @@
 	if err != nil {
 		refusal := advised(err, req, r.Now())
 		out.Refuse(refusal)
+		j.retryAfter = refusal.RetryAfter
 		j.outcome = refusal.Kind.String()
 	}
 	if ctx.Err() != nil && j.outcome != outcomeAnswered {
@@ -157,7 +158,7 @@
 	if a.route.Goal > 0 {
 		patience = min(patience, a.route.Goal/2)
 	}
-	hold, err := r.Budgets.Reserve(ctx, a.workspace, a.Prompt.Bound(), a.route.Priority, patience)
+	hold, err := r.Budgets.Reserve(ctx, a.ID, a.workspace, a.Prompt.Bound(), a.route.Priority, patience)
 	if err != nil {
 		return nil, errkind.As(err)
 	}
