A lease keeps its own copy of its target and source

Found in reading: both were read without the table's lock while an update could write them. TestLeasesAreReadWhileTheTableIsUpdated fails under the race detector without.

--- a/fleet/placement/copies.go
+++ b/fleet/placement/copies.go
@@ -34,13 +34,19 @@
 		if last == picked {
 			return nil
 		}
-		return &last.target
+		return last.copied()
 	}
 	keepers := t.keepers(picked, r)
 	if len(keepers) == 0 {
 		return nil
 	}
-	return &homeOf(keepers, r.Affinity).target
+	return homeOf(keepers, r.Affinity).copied()
+}
+
+// copied returns a copy of the target, which outlives the table's lock.
+func (s *state) copied() *Target {
+	target := s.target
+	return &target
 }
 
 // lastOf returns the target that was sent the parts last, if it may still keep
--- a/fleet/placement/outcome.go
+++ b/fleet/placement/outcome.go
@@ -73,7 +73,7 @@
 }
 
 // site returns what was learnt of the target's data centre. The lock is held.
-func (l *Lease) site() *site { return l.table.site(l.dataCentre) }
+func (l *Lease) site() *site { return l.table.site(l.target.DataCentre) }
 
 // endProbe lets the next request probe a suspect.
 func (l *Lease) endProbe() {
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -47,8 +47,8 @@
 type Lease struct {
 	table *Table
 	state *state
-	// dataCentre is the target's when it was picked.
-	dataCentre string
+	// target is as it was when it was picked.
+	target Target
 	// probesTarget and probesSite say that the request probes a suspect.
 	probesTarget, probesSite bool
 	// unread is the prompt tokens thought to be unread at the target.
@@ -58,7 +58,7 @@
 }
 
 // Target returns the picked target.
-func (l *Lease) Target() Target { return l.state.target }
+func (l *Lease) Target() Target { return l.target }
 
 // Source returns the target from which the picked one can copy the shared parts
 // of the prompt; nil for none.
@@ -86,7 +86,7 @@
 	there := t.site(s.target.DataCentre)
 	there.sent(r.Now)
 	return &Lease{
-		table: t, state: s, dataCentre: s.target.DataCentre, unread: unread, source: t.source(s, r),
+		table: t, state: s, target: s.target, unread: unread, source: t.source(s, r),
 		probesTarget: s.health.sent(),
 		probesSite:   there.health.sent(),
 	}, nil
@@ -135,19 +135,18 @@
 // home returns the target that keeps the shared parts of the prompt for this
 // data centre.
 func (t *Table) home(open []*state, r *Request) *state {
-	near := t.inSite(open, true)
+	near := t.near(open)
 	if len(near) == 0 {
 		near = open
 	}
 	return homeOf(near, r.Affinity)
 }
 
-// inSite returns the targets that are in this router's data centre, or those
-// that aren't.
-func (t *Table) inSite(list []*state, here bool) []*state {
+// near returns the targets that are in this router's data centre.
+func (t *Table) near(list []*state) []*state {
 	var found []*state
 	for _, s := range list {
-		if (s.target.DataCentre == t.dataCentre) == here {
+		if s.target.DataCentre == t.dataCentre {
 			found = append(found, s)
 		}
 	}
--- a/fleet/placement/placement_test.go
+++ b/fleet/placement/placement_test.go
@@ -285,3 +285,25 @@
 	open[0].Heard(later)
 	is.True(picks(later) > 0)
 }
+
+// What a lease names stays as it was while the table is updated; the race
+// detector tells.
+func TestLeasesAreReadWhileTheTableIsUpdated(t *testing.T) {
+	is := is.New(t)
+	tb := table("dc0", 12)
+	r := &Request{Service: "s", Affinity: 7, SharedTokens: 5000, PromptTokens: 12000, Now: now}
+	lease, err := tb.Pick(r)
+	is.NoErr(err)
+	updated := make(chan bool)
+	go func() {
+		defer close(updated)
+		for range 100 {
+			tb.Update(targets(12), now)
+		}
+	}()
+	for range 100 {
+		is.True(lease.Target().ID != lease.Source().ID)
+	}
+	<-updated
+	lease.Done(OK, now)
+}
