--- /dev/null
+++ b/bench/replay.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Plays the days that ever broke a rule again, and says which break one now.
+#
+# usage: FLEETBENCH=PROGRAM SITES=FOLDER bench/replay.sh
+set -euo pipefail
+cd "$(dirname "$0")/.."
+rc=0
+while read -r site day seed _; do
+  report=$(mktemp)
+  "$FLEETBENCH" run "$SITES/$site.toml" "$day" --seed "$seed" --report "$report" --why "a day that broke a rule once" >/dev/null
+  if grep -Eq '"breaks": *\{\}' "$report"; then
+    echo "kept: $site $day $seed"
+  else
+    echo "BROKEN: $site $day $seed"
+    rc=1
+  fi
+  rm -f "$report"
+done < <(grep -v '^#' bench/failed-days.txt)
+exit $rc
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -108,7 +108,8 @@
 	return open
 }
 
-// takes tells whether neither the target nor its data centre is suspect.
+// takes tells whether neither the target nor its data centre is suspect, and the
+// data centre is heard from.
 func (t *Table) takes(s *state, now time.Time) bool {
 	there := t.site(s.target.DataCentre)
 	return s.health.open(now) && !now.Before(s.refusedUntil) && there.health.open(now) && !there.quiet(now)
--- a/router/allotments/noter.go
+++ b/router/allotments/noter.go
@@ -5,15 +5,10 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/sourcegraph/conc/pool"
-	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
-
-	"github.com/gravitational/trace"
-
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/allotment"
 	"cuminrock.example/router/wait"
+	"go.uber.org/zap"
 )
 
 const (
@@ -24,8 +19,6 @@
 	noteTimeout = time.Second
 	// noteGap is the time between two notes at least.
 	noteGap = 50 * time.Millisecond
-	// closingCalls bounds the calls made at once for the last run's accounts.
-	closingCalls = 4
 )
 
 // noter keeps the machine's note: what this run may have consumed at most. It
@@ -170,102 +163,6 @@
 	n.book.opts.Log.Warn("budget: the machine's note isn't this run's; sending it again.", zap.Uint64("row_version", n.version))
 }
 
-// recover gives back what the machine's last run held and can't have consumed.
-func (n *noter) recover() {
-	last, ok := n.last()
-	if !ok || last.Holder == "" {
-		return
-	}
-	endedMs, known := n.book.opts.Clock.Latest(n.book.opts.OpenedAt)
-	if !known || endedMs < last.StoreMs {
-		n.book.opts.Log.Warn("budget: the platform's clock went back since the last run's note; giving nothing back.",
-			zap.Int64("ended_ms", endedMs), zap.Int64("note_ms", last.StoreMs))
-		return
-	}
-	elapsed := time.Duration(endedMs-last.StoreMs) * time.Millisecond
-	closing := pool.New().WithMaxGoroutines(closingCalls)
-	for _, bound := range last.Bounds {
-		closing.Go(func() { n.closeAccount(last.Holder, bound, elapsed) })
-	}
-	closing.Wait()
-}
-
-// closeAccount gives back what the last run held of a workspace and can't have
-// consumed, until the outcome is known or the book closes.
-func (n *noter) closeAccount(holder string, bound *pb.AllotmentBound, elapsed time.Duration) {
-	promise := allotment.Promise{Limit: bound.Limit, Rate: bound.Rate, Surge: bound.Surge,
-		SurgeAfter: time.Duration(bound.SurgeAfterMs) * time.Millisecond}
-	most := promise.Most(elapsed)
-	for !n.giveBack(holder, bound.Workspace, most) {
-		if !wait.For(n.book.life, retryMin+rand.N(retryMax-retryMin)) {
-			return
-		}
-	}
-}
-
-// last reads the note of the machine's last run, until the platform answers;
-// false when the book closes.
-func (n *noter) last() (*pb.AllotmentNote, bool) {
-	for {
-		message, err := n.read()
-		if err == nil {
-			return message, true
-		}
-		n.book.opts.Log.Warn("budget: can't read the note of the last run.", zap.Error(err))
-		if !wait.For(n.book.life, retryMax) {
-			return nil, false
-		}
-	}
-}
-
-func (n *noter) read() (*pb.AllotmentNote, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	rows, err := n.book.opts.Tables.Read(ctx, n.key())
-	if err != nil {
-		return nil, err
-	}
-	message := &pb.AllotmentNote{}
-	for _, row := range rows {
-		n.version = row.Version
-		err = proto.Unmarshal(row.Value, message)
-	}
-	return message, trace.Wrap(err, "reading a note")
-}
-
-// giveBack returns a dead holder's tokens beyond what it consumed at most. It
-// reports false when the outcome isn't known.
-func (n *noter) giveBack(holder, workspace string, most int64) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	totalKey, holderKey := rowKeys(workspace, holder)
-	found, err := n.book.opts.Tables.Read(ctx, totalKey, holderKey)
-	if err != nil {
-		return false
-	}
-	rows, err := decodeRows(found, totalKey, holderKey)
-	if err != nil {
-		n.book.opts.Log.Error("budget: a dead holder's rows can't be read.", zap.String("workspace", workspace), zap.Error(err))
-		return true
-	}
-	rest := rows.Taken - rows.Returned - most
-	n.book.opts.Log.Info("budget: closing the last run's account.", zap.String("workspace", workspace), zap.String("holder", holder),
-		zap.Int64("taken", rows.Taken), zap.Int64("returned", rows.Returned), zap.Int64("consumed_at_most", most))
-	if rest <= 0 {
-		return true
-	}
-	after := rows
-	after.Total -= rest
-	after.Returned += rest
-	resp, err := n.book.opts.Tables.Commit(ctx, encodeStep(allotment.Step{Before: rows, After: after}, totalKey, holderKey))
-	if err != nil || !resp.Committed {
-		return false
-	}
-	n.book.opts.Log.Info("budget: gave back what the last run held.", zap.String("workspace", workspace),
-		zap.String("holder", holder), zap.Int64("tokens", rest))
-	return true
-}
-
 // promise makes the account hold to a new promise.
 func (k *keeper) promise(now time.Time) allotment.Promise {
 	k.mu.Lock()
