--- a/ctl/processtest/caller.go
+++ b/ctl/processtest/caller.go
@@ -5,10 +5,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"cuminrock.example/router/callerapi"
@@ -89,7 +92,25 @@
 	if q.Deadline > 0 {
 		req.Header.Set(callerapi.HeaderDeadline, strconv.FormatInt(q.Deadline.Milliseconds(), 10))
 	}
-	return callerClient.Do(req)
+	resp, err := callerClient.Do(req)
+	if err != nil && isConnectionClosed(err) {
+		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
+	}
+	return resp, err
+}
+
+// ErrNoResponse means that the connection was closed before any byte of a
+// response arrived.
+var ErrNoResponse = errors.New("connection closed without a response")
+
+// isConnectionClosed reports whether a call failed because its established
+// connection was closed or reset.
+func isConnectionClosed(err error) bool {
+	var opErr *net.OpError
+	if errors.As(err, &opErr) && opErr.Op == "dial" {
+		return false
+	}
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 func setHeader(req *http.Request, name, value string) {
--- a/ctl/processtest/fleet.go
+++ b/ctl/processtest/fleet.go
@@ -14,6 +14,7 @@
 	"cuminrock.example/router/configlog"
 	"cuminrock.example/router/ledger"
 	"cuminrock.example/router/platformclient"
+	"cuminrock.example/standin/target"
 )
 
 // Options configures a fleet.
@@ -190,6 +191,14 @@
 	}
 }
 
+// SetEngineFaults replaces the faults injected at every engine.
+func (f *Fleet) SetEngineFaults(faults target.Faults) {
+	f.t.Helper()
+	for _, g := range f.Engines {
+		g.SetFaults(faults)
+	}
+}
+
 // SetVMState changes the state of one VM in the VM list.
 func (f *Fleet) SetVMState(name string, state pb.VmState) {
 	f.t.Helper()
--- a/ctl/processtest/kill_test.go
+++ b/ctl/processtest/kill_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"cuminrock.example/standin/target"
 )
 
 // A router is killed during a stream, near its start, in the middle and near its
@@ -28,6 +30,9 @@
 		q := reference
 		q.IdempotencyKey = []string{"first", "middle", "last"}[i]
 		var stream StreamedResponse
+		// The engines hold the stream at this token, so that none has left the
+		// router beyond it when the router is killed.
+		f.SetEngineFaults(target.Faults{HoldAtToken: at})
 		err := killed.ReadStream(context.Background(), q, &stream, func(stream *StreamedResponse) bool {
 			if stream.Tokens == at {
 				killed.Kill()
@@ -35,6 +40,8 @@
 			return false
 		})
 		is.True(errors.Is(err, ErrStreamInterrupted)) // the kill closes the connection
+		is.Equal(stream.Tokens, at)                   // it came after exactly this token
+		f.SetEngineFaults(target.Faults{})
 		other.MustReadStream(q, &stream)
 		is.Equal(stream.Text.String(), want.Text.String()) // byte-identical
 		bills := f.WaitBills(i + 2)
--- a/ctl/processtest/load.go
+++ b/ctl/processtest/load.go
@@ -71,6 +71,34 @@
 	return sum
 }
 
+// brokenResponses returns the interruptions after at least one byte of a
+// response. In the others the router closed the connection as the request was on
+// its way, or read the request and left it unanswered; only the router's own
+// count of the requests that it received tells these two apart.
+func (r *CallResults) brokenResponses() []error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var broken []error
+	for _, err := range r.Interrupted {
+		if !errors.Is(err, ErrNoResponse) {
+			broken = append(broken, err)
+		}
+	}
+	return broken
+}
+
+// answeredCount returns the number of calls that got a complete response or a
+// refusal.
+func (r *CallResults) answeredCount() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	answered := len(r.UsageByRequest)
+	for _, refusals := range r.RefusalsByKind {
+		answered += refusals
+	}
+	return int64(answered)
+}
+
 // refusalCount returns the number of refusals of an error kind.
 func (r *CallResults) refusalCount(kind string) int {
 	r.mu.Lock()
--- a/ctl/processtest/process.go
+++ b/ctl/processtest/process.go
@@ -78,10 +78,17 @@
 }
 
 func (p *Process) logTail() []byte {
-	log, _ := os.ReadFile(p.logPath)
+	log := p.log()
 	return log[max(0, len(log)-maxLogTail):]
 }
 
+// log returns what the process has logged so far. A log that can't be read
+// counts as empty.
+func (p *Process) log() []byte {
+	log, _ := os.ReadFile(p.logPath)
+	return log
+}
+
 func (p *Process) signal(s syscall.Signal) {
 	err := p.cmd.Process.Signal(s)
 	if err != nil && !errors.Is(err, os.ErrProcessDone) {
--- a/ctl/processtest/router.go
+++ b/ctl/processtest/router.go
@@ -1,6 +1,7 @@
 package processtest
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"os"
@@ -136,6 +137,25 @@
 	return json.NewDecoder(resp.Body).Decode(dst) == nil
 }
 
+// ReceivedCount returns the number of requests that the router's caller API had
+// received when it stopped gracefully, from its log. It waits until the process
+// has exited.
+func (r *Router) ReceivedCount() int64 {
+	r.t.Helper()
+	r.ExitCode()
+	for line := range bytes.Lines(r.log()) {
+		var entry struct {
+			Message  string `json:"msg"`
+			Received *int64 `json:"received"`
+		}
+		if json.Unmarshal(line, &entry) == nil && entry.Message == "node: stopped." && entry.Received != nil {
+			return *entry.Received
+		}
+	}
+	r.t.Fatalf("%s: its log doesn't say that it stopped, with the number of requests received", r.Name)
+	return 0
+}
+
 // WaitReady waits until the router's health check reports ready.
 func (r *Router) WaitReady() {
 	r.t.Helper()
--- a/router/callerapi/server.go
+++ b/router/callerapi/server.go
@@ -64,6 +64,9 @@
 	Recorder      *timeline.Recorder
 	Log           *zap.Logger
 	Now           func() time.Time
+	// Draining reports whether callers are asked to close their connections
+	// after the response.
+	Draining func() bool
 }
 
 // Server is the HTTP API for callers.
@@ -108,7 +111,8 @@
 // Refused returns how many requests were refused with an error of the kind.
 func (s *Server) Refused(k errkind.Kind) int64 { return s.refused[k].Load() }
 
-// Received returns the number of calls received.
+// Received returns the number of calls whose header was read. Each of them gets
+// a response, unless its caller leaves or the process is killed.
 func (s *Server) Received() int64 { return s.received.Load() }
 
 func (s *Server) errorHandler(e *errkind.Error) http.HandlerFunc {
@@ -123,6 +127,9 @@
 // serveCall serves one call of a service.
 func (s *Server) serveCall(w http.ResponseWriter, hr *http.Request, p httprouter.Params) {
 	s.received.Add(1)
+	if s.Draining() {
+		w.Header().Set("Connection", "close")
+	}
 	req, err := s.readRequest(w, hr, p)
 	if err != nil {
 		s.writeError(w, err)
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -260,6 +260,7 @@
 		Recorder:      n.recorder,
 		Log:           n.log,
 		Now:           time.Now,
+		Draining:      n.draining.Load,
 	})
 	n.callerHTTP = n.callers.HTTPServer()
 	operators := operatorapi.New(n, n.recorder, n.settings.Doors.OperatorToken, n.vars)
--- a/router/node/stop.go
+++ b/router/node/stop.go
@@ -51,7 +51,7 @@
 		n.log.Warn("node: stopped before all requests and bills were completed.", zap.Int64("streams", n.server.ActiveStreams()), zap.Error(err))
 		return err
 	}
-	n.log.Info("node: stopped.")
+	n.log.Info("node: stopped.", zap.Int64("received", n.callers.Received()))
 	return nil
 }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -203,7 +203,8 @@
 // generateDue generates the tokens of the streams that are due. During a stall
 // it postpones them by one interval.
 func (e *Engine) generateDue(due []*stream, now time.Duration) {
-	interval := e.Faults().ScaleDuration(e.opts.interval())
+	faults := e.Faults()
+	interval := faults.ScaleDuration(e.opts.interval())
 	stalled := e.server.Stalled()
 	for _, s := range due {
 		if stalled {
@@ -211,7 +212,7 @@
 			e.wheel.add(s, s.nextAt)
 			continue
 		}
-		added, stillRunning := s.generate(now, interval)
+		added, stillRunning := s.generate(now, interval, faults.HoldAtToken)
 		e.counts.tokens.Add(uint64(added))
 		if stillRunning {
 			e.wheel.add(s, s.nextAt)
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"bufio"
 	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
@@ -197,3 +198,24 @@
 	}
 	is.Equal(seen, map[string]int64{"now": 1, "later": 5, "far": wheelSlots - 1})
 }
+
+// A held stream generates exactly the tokens up to the hold, and goes on from
+// there once the fault is cleared.
+func TestHeldStreamStopsAtToken(t *testing.T) {
+	is := is.New(t)
+	e := start(t, fast)
+	is.NoErr(e.SetFaults(target.Faults{HoldAtToken: 7}))
+	resp := post(t, e, "held")
+	events := bufio.NewReader(resp.Body)
+	var received strings.Builder
+	for strings.Count(received.String(), "id: ") < 7 {
+		line, err := events.ReadString('\n')
+		is.NoErr(err)
+		received.WriteString(line)
+	}
+	is.Equal(e.Counts().Tokens, uint64(7)) // none beyond the hold
+	is.NoErr(e.SetFaults(target.Faults{}))
+	rest, err := io.ReadAll(events)
+	is.NoErr(err)
+	checkEndEvent(t, append([]byte(received.String()), rest...), 40)
+}
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -70,18 +70,22 @@
 	return true
 }
 
-// generate generates the tokens that are due by now. It returns their number
-// and whether the stream is still running.
-func (s *stream) generate(now, interval time.Duration) (added int, stillRunning bool) {
+// generate generates the tokens that are due by now, up to the limit in all; 0
+// means no limit. It returns their number and whether the stream is still
+// running.
+func (s *stream) generate(now, interval time.Duration, limit int) (added int, stillRunning bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state != running {
 		return 0, false
 	}
 	for s.nextAt <= now && s.generated < s.completion.totalTokens {
+		s.nextAt += interval
+		if limit > 0 && s.generated >= limit {
+			continue
+		}
 		s.generated++
 		added++
-		s.nextAt += interval
 	}
 	if s.generated == s.completion.totalTokens {
 		s.state = finished
