--- a/fleet/placement/datacentre.go
+++ b/fleet/placement/datacentre.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"cuminrock.example/fleet/breaker"
+)
 
 const (
 	// unreachableToSuspect is the number of targets of another data centre after
@@ -16,7 +20,7 @@
 
 // dataCentreState is what the table knows about a data centre as a whole.
 type dataCentreState struct {
-	health health
+	health breaker.Breaker
 	// unreachableCount counts the targets that couldn't be reached or didn't
 	// answer in time since the last response from the data centre;
 	// lastUnreachable is the id of the newest one.
@@ -53,7 +57,7 @@
 func (s *dataCentreState) recordResponse(now time.Time) {
 	s.unreachableCount = 0
 	s.lastUnreachable = ""
-	s.health.reset()
+	s.health.Reset()
 	s.recordProgress(now)
 }
 
@@ -61,12 +65,12 @@
 // in time. Until the data centre is suspect, successive failures of one target
 // count once.
 func (s *dataCentreState) recordUnreachable(id string, now time.Time) {
-	if id == s.lastUnreachable && s.health.extraFailures < 0 {
+	if id == s.lastUnreachable && s.health.Closed() {
 		return
 	}
 	s.lastUnreachable = id
 	s.unreachableCount++
 	if s.unreachableCount >= unreachableToSuspect {
-		s.health.recordFailure(now)
+		s.health.RecordFailure(now)
 	}
 }
--- a/fleet/placement/outcome.go
+++ b/fleet/placement/outcome.go
@@ -62,7 +62,7 @@
 	switch result {
 	case OK:
 		s.consecutiveFailures = 0
-		s.health.reset()
+		s.health.Reset()
 		l.dataCentreState().recordResponse(now)
 	case Refused:
 		s.refusedUntil = now.Add(refusalPause)
@@ -88,10 +88,10 @@
 // can probe the suspect.
 func (l *Lease) endProbes() {
 	if l.probesTarget {
-		l.state.health.probing = false
+		l.state.health.EndProbe()
 	}
 	if l.probesDataCentre {
-		l.dataCentreState().health.probing = false
+		l.dataCentreState().health.EndProbe()
 	}
 }
 
@@ -100,7 +100,7 @@
 func (s *targetState) recordFailure(now time.Time, threshold int) {
 	s.consecutiveFailures++
 	if s.consecutiveFailures >= threshold {
-		s.health.recordFailure(now)
+		s.health.RecordFailure(now)
 	}
 }
 
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/mix"
 )
@@ -91,8 +89,8 @@
 	dc.recordSend(r.Now)
 	return &Lease{
 		table: t, state: s, target: s.target, pendingPromptTokens: pendingPromptTokens, source: t.copySource(s, r),
-		probesTarget:     s.health.recordSend(),
-		probesDataCentre: dc.health.recordSend(),
+		probesTarget:     s.health.Begin(),
+		probesDataCentre: dc.health.Begin(),
 	}, nil
 }
 
@@ -116,7 +114,7 @@
 // the target has not just refused a request, and the data centre isn't silent.
 func (t *Table) available(s *targetState, now time.Time) bool {
 	dc := t.dataCentreState(s.target.DataCentre)
-	return s.health.accepts(now) && !now.Before(s.refusedUntil) && dc.health.accepts(now) && !dc.silent(now)
+	return s.health.Accepts(now) && !now.Before(s.refusedUntil) && dc.health.Accepts(now) && !dc.silent(now)
 }
 
 // choose picks one of the candidates. It also returns the preferred target for
@@ -170,9 +168,9 @@
 // rendezvousTarget returns the candidate with the highest rendezvous weight,
 // which is the one that keeps the prompt parts.
 func rendezvousTarget(candidates []*targetState, affinity uint64) *targetState {
-	best, bestWeight := candidates[0], rendezvousWeight(affinity, candidates[0].target.ID)
+	best, bestWeight := candidates[0], mix.RendezvousWeight(affinity, candidates[0].target.ID)
 	for _, s := range candidates[1:] {
-		weight := rendezvousWeight(affinity, s.target.ID)
+		weight := mix.RendezvousWeight(affinity, s.target.ID)
 		if weight > bestWeight {
 			best, bestWeight = s, weight
 		}
@@ -207,12 +205,6 @@
 	return best
 }
 
-// rendezvousWeight returns the weight of a target for the requests of an
-// affinity.
-func rendezvousWeight(affinity uint64, id string) uint64 {
-	return mix.Mix64(affinity ^ xxhash.Sum64String(id))
-}
-
 // estimatedRequests returns the estimated number of requests at the target.
 func (s *targetState) estimatedRequests(now time.Time) float64 {
 	own := float64(s.inFlight)
--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -15,6 +15,8 @@
 import (
 	"sync"
 	"time"
+
+	"cuminrock.example/fleet/breaker"
 )
 
 // Target is one process that serves requests.
@@ -67,7 +69,7 @@
 	sentSinceReport int
 	// consecutiveFailures counts failures since the last answered request.
 	consecutiveFailures int
-	health              health
+	health              breaker.Breaker
 	// refusedUntil is the end of the pause after a refusal.
 	refusedUntil time.Time
 }
