--- a/router/peer/peer.go
+++ b/router/peer/peer.go
@@ -8,19 +8,17 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/router/peerconn"
 )
 
 const (
@@ -34,13 +32,6 @@
 	keepaliveInterval = 10 * time.Second
 	// keepaliveTimeout bounds the wait for the response to a probe.
 	keepaliveTimeout = 2 * time.Second
-	// minReconnectDelay and maxReconnectDelay bound the delay between two
-	// attempts to connect, so that the end of a partition is noticed within a
-	// second.
-	minReconnectDelay = 100 * time.Millisecond
-	maxReconnectDelay = time.Second
-	// reconnectFactor is the factor by which that delay grows.
-	reconnectFactor = 1.6
 	// maxMessageBytes bounds one message; a configuration snapshot must fit.
 	maxMessageBytes = 256 << 20
 )
@@ -130,27 +121,21 @@
 	return s.requests.HandleTakeover(ctx, req)
 }
 
-// Pool keeps one connection for each peer address. It is safe for concurrent
-// use.
+// Pool calls peers by their addresses. It is safe for concurrent use.
 type Pool struct {
-	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
+	conns *peerconn.Pool
 }
 
-// NewPool returns an empty pool.
+// NewPool returns a pool without connections.
 func NewPool() *Pool {
-	return &Pool{conns: make(map[string]*grpc.ClientConn)}
+	return &Pool{conns: peerconn.NewPool(
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout, PermitWithoutStream: true}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
+	)}
 }
 
 // Close closes all connections.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.conns {
-		_ = c.Close()
-	}
-	clear(p.conns)
-}
+func (p *Pool) Close() { p.conns.Close() }
 
 // Retain closes the connections to addresses that belong to none of the
 // members.
@@ -159,43 +144,7 @@
 	for _, m := range members {
 		live[m.PeerAddress] = struct{}{}
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, c := range p.conns {
-		if _, ok := live[address]; ok {
-			continue
-		}
-		_ = c.Close()
-		delete(p.conns, address)
-	}
-}
-
-func (p *Pool) client(address string) (pb.PeerServiceClient, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if c, ok := p.conns[address]; ok {
-		return pb.NewPeerServiceClient(c), nil
-	}
-	c, err := grpc.NewClient(address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout, PermitWithoutStream: true}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
-		grpc.WithConnectParams(reconnectParams()),
-	)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	p.conns[address] = c
-	return pb.NewPeerServiceClient(c), nil
-}
-
-// reconnectParams returns the backoff for dialling a lost connection again.
-func reconnectParams() grpc.ConnectParams {
-	delays := backoff.DefaultConfig
-	delays.BaseDelay = minReconnectDelay
-	delays.Multiplier = reconnectFactor
-	delays.MaxDelay = maxReconnectDelay
-	return grpc.ConnectParams{Backoff: delays, MinConnectTimeout: maxReconnectDelay}
+	p.conns.Retain(live)
 }
 
 // Heartbeat calls a peer by its address. If the peer doesn't respond in time,
@@ -203,25 +152,11 @@
 func (p *Pool) Heartbeat(ctx context.Context, address string, req *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
 	resp, err := call(ctx, p, address, req, pb.PeerServiceClient.Heartbeat)
 	if status.Code(trace.Unwrap(err)) == codes.DeadlineExceeded {
-		p.replaceConnection(address)
+		p.conns.Replace(address)
 	}
 	return resp, err
 }
 
-// replaceConnection drops the connection to an address, so that the next call
-// dials a new one. The old connection stays open for callTimeout, so that calls
-// in progress can end.
-func (p *Pool) replaceConnection(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	old, ok := p.conns[address]
-	if !ok {
-		return
-	}
-	delete(p.conns, address)
-	time.AfterFunc(callTimeout, func() { _ = old.Close() })
-}
-
 // Borrow requests a loan of tokens from a member.
 func (p *Pool) Borrow(ctx context.Context, m *pb.Member, req *pb.BorrowRequest) (*pb.BorrowResponse, error) {
 	return call(ctx, p, m.PeerAddress, req, pb.PeerServiceClient.Borrow)
@@ -261,13 +196,13 @@
 	method func(pb.PeerServiceClient, context.Context, Req, ...grpc.CallOption) (Resp, error),
 ) (Resp, error) {
 	var none Resp
-	c, err := p.client(address)
+	conn, err := p.conns.Conn(address)
 	if err != nil {
 		return none, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	resp, err := method(c, ctx, req)
+	resp, err := method(pb.NewPeerServiceClient(conn), ctx, req)
 	if err != nil {
 		return none, trace.Wrap(err)
 	}
--- /dev/null
+++ b/router/peerconn/pool.go
@@ -0,0 +1,102 @@
+// Package peerconn keeps gRPC connections to other routers, one for each address.
+package peerconn
+
+import (
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+const (
+	// minReconnectDelay and maxReconnectDelay bound the delay between two
+	// attempts to connect, so that the end of a partition is noticed within a
+	// second.
+	minReconnectDelay = 100 * time.Millisecond
+	maxReconnectDelay = time.Second
+	// reconnectFactor is the factor by which that delay grows.
+	reconnectFactor = 1.6
+	// replacedFor is how long a replaced connection stays open, so that calls in
+	// progress can end.
+	replacedFor = 2 * time.Second
+)
+
+// Pool keeps one connection for each address. It is safe for concurrent use.
+type Pool struct {
+	options []grpc.DialOption
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewPool returns an empty pool whose connections are dialled with the options.
+func NewPool(options ...grpc.DialOption) *Pool {
+	base := []grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(reconnectParams()),
+	}
+	return &Pool{options: append(base, options...), conns: make(map[string]*grpc.ClientConn)}
+}
+
+// reconnectParams returns the backoff for dialling a lost connection again.
+func reconnectParams() grpc.ConnectParams {
+	delays := backoff.DefaultConfig
+	delays.BaseDelay = minReconnectDelay
+	delays.Multiplier = reconnectFactor
+	delays.MaxDelay = maxReconnectDelay
+	return grpc.ConnectParams{Backoff: delays, MinConnectTimeout: maxReconnectDelay}
+}
+
+// Conn returns the connection to an address. It connects with its first call.
+func (p *Pool) Conn(address string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.conns[address]; ok {
+		return c, nil
+	}
+	c, err := grpc.NewClient(address, p.options...)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	p.conns[address] = c
+	return c, nil
+}
+
+// Replace drops the connection to an address, which may be dead, so that the
+// next call dials a new one.
+func (p *Pool) Replace(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old, ok := p.conns[address]
+	if !ok {
+		return
+	}
+	delete(p.conns, address)
+	time.AfterFunc(replacedFor, func() { _ = old.Close() })
+}
+
+// Retain closes the connections to all addresses but these.
+func (p *Pool) Retain(addresses map[string]struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, c := range p.conns {
+		if _, ok := addresses[address]; ok {
+			continue
+		}
+		_ = c.Close()
+		delete(p.conns, address)
+	}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		_ = c.Close()
+	}
+	clear(p.conns)
+}
