--- a/fleet/allotment/bound.go
+++ b/fleet/allotment/bound.go
@@ -37,10 +37,10 @@
 	headroomReservations = 0.25
 	// surgeFactor is the surge of a bound as a multiple of the sum of an
 	// average reservation and the average tokens of a second.
-	surgeFactor = 2.0
+	surgeFactor = 0.3
 	// surgeAfter is the time within which a crashed process is usually
 	// replaced.
-	surgeAfter = 2 * time.Second
+	surgeAfter = 2500 * time.Millisecond
 	// headroomSearchStep is the resolution of TimeToHeadroom.
 	headroomSearchStep = 100 * time.Millisecond
 	// clockDriftMargin allows for different rates of the monotonic clocks of
--- a/fleet/allotment/demand.go
+++ b/fleet/allotment/demand.go
@@ -38,9 +38,12 @@
 	// expectedOutage is the expected duration of a platform outage. The demand
 	// of more urgent requests is reserved for what remains of it.
 	expectedOutage = 8 * time.Second
-	// minReserveHorizon is the least time for which that demand is reserved,
-	// and the time for which it is reserved when a budget is nearly spent.
+	// minReserveHorizon is the least time for which that demand is reserved.
 	minReserveHorizon = time.Second
+	// scarceReserveHorizon is the time for which it is reserved when a budget is
+	// nearly spent. The requests that it serves are smaller than those that it
+	// refuses, so the last tokens serve more callers, and for longer.
+	scarceReserveHorizon = 6 * time.Second
 	// minRateWindow is the shortest time over which a rate is estimated.
 	minRateWindow = 2 * time.Second
 	// returnInterval is the minimum time between two returns of a surplus.
--- a/fleet/allotment/holding.go
+++ b/fleet/allotment/holding.go
@@ -82,7 +82,7 @@
 		horizon := max(expectedOutage-now.Sub(a.platformDownSince), minReserveHorizon)
 		return int64(a.urgentRate(rank, math.MaxInt64, now) * horizon.Seconds())
 	}
-	reserve := int64(a.urgentRate(rank, tokens, now) * minReserveHorizon.Seconds())
+	reserve := int64(a.urgentRate(rank, tokens, now) * scarceReserveHorizon.Seconds())
 	if a.Unallocated() < reserve {
 		return reserve
 	}
