--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -1,10 +1,11 @@
 // Package gateway wires the parts of a router that forwards requests on a
 // hosting platform, and starts and stops them together.
 //
-// A gateway stores nothing itself and doesn't communicate with other gateways:
-// the configuration, the targets and the tokens that it may spend come from the
-// platform's store. While the store is unavailable, it continues with the last
-// known state. A new gateway isn't ready, and refuses requests, until it has a
+// A gateway stores nothing itself: the configuration, the targets and the tokens
+// that it may spend come from the platform's store. While the store is
+// unavailable, it continues with the last known state. Gateways reserve prepaid
+// tokens at each other (package homebudget); one that reaches no other takes
+// them from the store itself. A new gateway isn't ready, and refuses requests, until it has a
 // configuration and targets.
 package gateway
 
@@ -102,6 +103,8 @@
 
 	relay   *relay.Relay
 	budgets *prepaid.Manager
+	// peers is nil if the gateway has no listener for others.
+	peers   *peers
 	targets *placement.Table
 	catalog atomic.Pointer[catalog.Catalog]
 
@@ -134,10 +137,15 @@
 		Holder: settings.Name + "." + incarnation, PreviousRunsEndedBy: openedAt,
 		Metrics: prepaid.NewMetrics(g.registry), Log: log, Now: time.Now,
 	})
+	var budgets relay.Budgets = g.budgets
+	if lis.peer != nil {
+		g.peers = newPeers(g, incarnation, lis.peer.Addr().String())
+		budgets = g.peers.budgets
+	}
 	g.relay = relay.New(relay.Options{
 		Catalog:  g.catalog.Load,
 		Targets:  g.targets,
-		Budgets:  g.budgets,
+		Budgets:  budgets,
 		Retries:  retry.NewBudgets(int(settings.Retries.Ratio*retryRatioShare*permille), retryBurst),
 		Upstream: p.Upstream,
 		Metrics:  relay.NewMetrics(g.registry),
@@ -145,7 +153,7 @@
 		Now:      time.Now,
 	})
 	g.startServers(lis)
-	g.startWatching()
+	g.startWatching(lis)
 	log.Info("gateway: started.", zap.String("name", settings.Name), zap.String("incarnation", incarnation),
 		zap.String("callers", settings.Doors.Caller), zap.String("store", settings.StoreAddress))
 	return g, nil
@@ -163,6 +171,8 @@
 // listeners holds the gateway's listeners.
 type listeners struct {
 	caller, readiness, metrics net.Listener
+	// peer is nil without an address in the settings.
+	peer net.Listener
 }
 
 // listen opens the listeners. That the addresses are free also proves that no earlier
@@ -172,7 +182,10 @@
 	for _, endpoint := range []struct {
 		lis     *net.Listener
 		address string
-	}{{&l.caller, settings.Caller}, {&l.readiness, settings.Readiness}, {&l.metrics, settings.Metrics}} {
+	}{{&l.caller, settings.Caller}, {&l.readiness, settings.Readiness}, {&l.metrics, settings.Metrics}, {&l.peer, settings.Peer}} {
+		if endpoint.address == "" {
+			continue
+		}
 		lis, err := net.Listen("tcp", endpoint.address)
 		if err != nil {
 			l.close()
@@ -184,7 +197,7 @@
 }
 
 func (l *listeners) close() {
-	for _, lis := range []net.Listener{l.caller, l.readiness, l.metrics} {
+	for _, lis := range []net.Listener{l.caller, l.readiness, l.metrics, l.peer} {
 		if lis != nil {
 			_ = lis.Close()
 		}
--- a/router/gateway/stop.go
+++ b/router/gateway/stop.go
@@ -31,16 +31,39 @@
 	g.log.Info("gateway: stopping.", zap.Int64("in_progress", g.relay.Active()))
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
+	if g.peers != nil {
+		g.peers.registrar.deregister(ctx)
+	}
 	wait.For(ctx, balancerDelay)
 	err := g.shutDownCallerServer(limit.Add(-tokenReturnTime))
+	err = errors.Join(err, g.drainPeers(limit.Add(-tokenReturnTime/2)))
 	err = errors.Join(err, g.budgets.Close(ctx))
 	g.cancelWork()
+	if g.peers != nil {
+		g.peers.close()
+	}
 	g.closeServers()
 	g.wg.Wait()
 	g.log.Info("gateway: stopped.", zap.Duration("took", time.Since(startedAt)), zap.Error(err))
 	return err
 }
 
+// drainPeers settles the reservations of tokens between this gateway and others,
+// until the time limit. Tokens of reservations that are still open then stay
+// taken until this machine's next run.
+func (g *Gateway) drainPeers(limit time.Time) error {
+	if g.peers == nil {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	defer cancel()
+	err := g.peers.drain(ctx)
+	if err != nil {
+		g.log.Warn("gateway: reservations between gateways are still open; the time limit for stopping has passed.", zap.Error(err))
+	}
+	return err
+}
+
 // shutDownCallerServer stops accepting callers' connections and waits for requests in
 // progress, until the time limit.
 func (g *Gateway) shutDownCallerServer(limit time.Time) error {
--- a/router/gateway/view.go
+++ b/router/gateway/view.go
@@ -72,8 +72,9 @@
 	before := v.current
 	v.current = make(map[string]placement.Target, len(rows))
 	for _, row := range rows {
-		v.applyRow(row)
+		v.applyRow(row, before)
 	}
+	v.logGone(before)
 	v.lapsed = findLapsed(before, v.current)
 	v.lapsedUntil = time.Now().Add(lapsedGracePeriod)
 	if len(v.lapsed) > 0 {
@@ -85,7 +86,7 @@
 func (v *targetView) update(rows []platformclient.Entry) {
 	for _, row := range rows {
 		delete(v.lapsed, row.Key)
-		v.applyRow(row)
+		v.applyRow(row, v.current)
 	}
 	v.updateTable()
 }
@@ -127,8 +128,9 @@
 }
 
 // applyRow applies one row. A row that can't be parsed is treated as no target.
-func (v *targetView) applyRow(row platformclient.Entry) {
-	old, had := v.current[row.Key]
+// before holds the targets before the change, which decide what is logged.
+func (v *targetView) applyRow(row platformclient.Entry, before map[string]placement.Target) {
+	old, had := before[row.Key]
 	delete(v.current, row.Key)
 	if row.Deleted {
 		if had {
@@ -142,8 +144,17 @@
 		return
 	}
 	v.current[row.Key] = target
-	if !had || old.Leaving != target.Leaving || old.StartTimeMs != target.StartTimeMs {
+	if !had || old != target {
 		v.gateway.log.Info("targets: registered.", zap.String("target", target.ID), zap.String("service", target.Service),
 			zap.String("address", target.Address), zap.Bool("leaving", target.Leaving))
 	}
 }
+
+// logGone logs the targets that a list no longer has.
+func (v *targetView) logGone(before map[string]placement.Target) {
+	for id := range before {
+		if _, still := v.current[id]; !still {
+			v.gateway.log.Info("targets: gone.", zap.String("target", id))
+		}
+	}
+}
--- a/router/gateway/watch.go
+++ b/router/gateway/watch.go
@@ -12,14 +12,31 @@
 )
 
 const (
-	// minRelistDelay and maxRelistDelay bound the random delay after a failed call.
-	minRelistDelay = 50 * time.Millisecond
-	maxRelistDelay = 250 * time.Millisecond
-	// configPollDelay and targetPollDelay are the delays between calls for the
-	// changes of a table. Targets change with each of their heartbeats, and a
-	// longer delay collects more changes in one call.
-	configPollDelay = 100 * time.Millisecond
-	targetPollDelay = 500 * time.Millisecond
+	// minRelistDelay and maxRelistDelay bound the delay after a failed call,
+	// which doubles with each further failure. A random part of up to a half is
+	// taken off, so that gateways don't call together.
+	minRelistDelay = 100 * time.Millisecond
+	maxRelistDelay = time.Second
+	// maxRelistDoublings keeps the doubled delay from overflowing.
+	maxRelistDoublings = 8
+)
+
+// watchPolicy says how a table is watched.
+type watchPolicy struct {
+	// maxWait is how long a call for changes may wait for one. It also bounds the
+	// time until a dead connection is noticed.
+	maxWait time.Duration
+	// pollDelay is the delay between a call that returned changes and the next.
+	// A longer one collects more changes in one call.
+	pollDelay time.Duration
+}
+
+// The watch policies of the tables. Targets change with each of their heartbeats,
+// gateways hardly ever.
+var (
+	configWatch   = watchPolicy{maxWait: 1500 * time.Millisecond, pollDelay: 100 * time.Millisecond}
+	targetsWatch  = watchPolicy{maxWait: 1500 * time.Millisecond, pollDelay: 500 * time.Millisecond}
+	gatewaysWatch = watchPolicy{maxWait: 10 * time.Second, pollDelay: time.Second}
 )
 
 // tableView receives the rows of a watched table.
@@ -31,54 +48,65 @@
 	expire()
 }
 
-// startWatching starts to watch the store's tables and to close expired idle
-// connections.
-func (g *Gateway) startWatching() {
+// startWatching starts to watch the store's tables, to serve other gateways and to
+// close expired idle connections.
+func (g *Gateway) startWatching(lis *listeners) {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancelWork = cancel
-	g.wg.Go(func() { g.watchTable(ctx, g.platform.Config.Table, &configView{gateway: g}, configPollDelay) })
+	g.wg.Go(func() { g.watchTable(ctx, g.platform.Config.Table, &configView{gateway: g}, configWatch) })
 	g.wg.Go(func() {
-		g.watchTable(ctx, g.platform.Targets.Table, newTargetView(g), targetPollDelay)
+		g.watchTable(ctx, g.platform.Targets.Table, newTargetView(g), targetsWatch)
 	})
+	if g.peers != nil {
+		g.peers.start(ctx, g, lis.peer)
+	}
 	g.wg.Go(func() { g.closeExpiredConnections(ctx) })
 }
 
 // watchTable lists a table and receives its changes. It lists the table again after
 // any failure, since changes may have been missed.
-func (g *Gateway) watchTable(ctx context.Context, table string, v tableView, pollDelay time.Duration) {
-	disconnected := false
+func (g *Gateway) watchTable(ctx context.Context, table string, v tableView, policy watchPolicy) {
+	failures := 0
 	for ctx.Err() == nil {
-		err := g.watchOnce(ctx, table, v, pollDelay, &disconnected)
+		err := g.watchOnce(ctx, table, v, policy, &failures)
 		if ctx.Err() != nil {
 			return
 		}
-		if !disconnected {
-			disconnected = true
+		if failures == 0 {
 			g.log.Warn("gateway: lost a table of the store; continuing with the last known rows.", zap.String("table", table), zap.Error(err))
 		}
-		wait.For(ctx, minRelistDelay+rand.N(maxRelistDelay-minRelistDelay))
+		wait.For(ctx, relistDelay(failures))
+		failures++
 	}
 }
 
-// watchOnce lists and watches a table until a call fails.
-func (g *Gateway) watchOnce(ctx context.Context, table string, v tableView, pollDelay time.Duration, disconnected *bool) error {
+// relistDelay returns the delay after a failed call that followed a number of
+// failures.
+func relistDelay(failures int) time.Duration {
+	delay := min(minRelistDelay<<min(failures, maxRelistDoublings), maxRelistDelay)
+	return delay/2 + rand.N(delay/2)
+}
+
+// watchOnce lists and watches a table until a call fails. It resets failures once
+// the table was listed.
+func (g *Gateway) watchOnce(ctx context.Context, table string, v tableView, policy watchPolicy, failures *int) error {
 	rows, cursor, err := g.platform.Watcher.List(ctx, table)
 	if err != nil {
 		return err
 	}
-	if *disconnected {
-		*disconnected = false
+	if *failures > 0 {
+		*failures = 0
 		g.log.Info("gateway: regained a table of the store.", zap.String("table", table), zap.Uint64("row_version", uint64(cursor)))
 	}
 	v.replace(rows)
 	for {
-		rows, cursor, err = g.platform.Watcher.WaitForChanges(ctx, table, cursor)
+		rows, cursor, err = g.platform.Watcher.WaitForChanges(ctx, table, cursor, policy.maxWait)
 		if err != nil {
 			return err
 		}
 		if len(rows) > 0 {
 			v.update(rows)
-			wait.For(ctx, pollDelay)
+			wait.For(ctx, policy.pollDelay)
 		}
 		v.expire()
 	}
--- /dev/null
+++ b/router/gateway/watch_test.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"cuminrock.example/fleet/placement"
+	"cuminrock.example/router/platformclient"
+)
+
+func TestRelistDelayGrowsToItsBound(t *testing.T) {
+	is := is.New(t)
+	for failures := range 100 {
+		delay := relistDelay(failures)
+		is.True(delay >= minRelistDelay/2)
+		is.True(delay <= maxRelistDelay)
+		is.True(failures < 4 || delay >= maxRelistDelay/2)
+	}
+	is.True(relistDelay(0) <= minRelistDelay)
+}
+
+// A list repeats all targets. Only those that changed are logged.
+func TestListLogsOnlyChangedTargets(t *testing.T) {
+	is := is.New(t)
+	core, logs := observer.New(zapcore.InfoLevel)
+	g := &Gateway{log: zap.New(core), targets: placement.New("z")}
+	g.platform.Targets.Parse = func(id string, value []byte) (placement.Target, error) {
+		return placement.Target{ID: id, Service: "s", Address: string(value)}, nil
+	}
+	v := newTargetView(g)
+	v.replace([]platformclient.Entry{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("1")}, {Key: "c", Value: []byte("1")}})
+	is.Equal(logs.FilterMessage("targets: registered.").Len(), 3)
+	v.replace([]platformclient.Entry{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("2")}})
+	is.Equal(logs.FilterMessage("targets: registered.").Len(), 4)
+	is.Equal(logs.FilterMessage("targets: gone.").Len(), 1)
+}
--- a/router/platformclient/watch.go
+++ b/router/platformclient/watch.go
@@ -21,11 +21,11 @@
 	// List returns all rows of the table and the position in the history that
 	// they reflect.
 	List(ctx context.Context, table string) ([]Entry, Cursor, error)
-	// WaitForChanges waits for changes after a position, for at most the
-	// platform's wait time. It returns them in order, with the position to
+	// WaitForChanges waits for changes after a position, for at most maxWait. It
+	// returns them in order, with the position to
 	// continue from. After any error, changes may have been missed, and the
 	// caller must List again.
-	WaitForChanges(ctx context.Context, table string, after Cursor) ([]Entry, Cursor, error)
+	WaitForChanges(ctx context.Context, table string, after Cursor, maxWait time.Duration) ([]Entry, Cursor, error)
 }
 
 // Clock estimates the platform's monotonic clock.
--- a/router/prepaid/calls.go
+++ b/router/prepaid/calls.go
@@ -97,12 +97,15 @@
 	aw.account.OnCommitted(rows, txn, aw.manager.opts.Now())
 }
 
-// timedCall makes a call, and records its start time and whether the platform
-// answered.
+// timedCall makes a call through the gate, and records its start time and whether
+// the platform answered.
 func (aw *accountWorker) timedCall(call func() error) error {
-	aw.setCallStart(aw.manager.opts.Now())
-	err := call()
-	aw.setCallStart(time.Time{})
+	now := aw.manager.opts.Now
+	err := aw.manager.gate.do(now, func() error {
+		aw.setCallStart(now())
+		defer aw.setCallStart(time.Time{})
+		return call()
+	})
 	return aw.trackAvailability(err)
 }
 
--- a/router/prepaid/manager.go
+++ b/router/prepaid/manager.go
@@ -66,21 +66,34 @@
 	wg     conc.WaitGroup
 
 	noteWriter *noteWriter
+	gate       platformGate
 }
 
 // NewManager returns a manager without any tokens. It starts to return the
 // unused tokens of the previous run on this machine.
 func NewManager(opts Options) *Manager {
-	m := &Manager{opts: opts, workers: make(map[string]*accountWorker)}
+	m := &Manager{opts: opts, workers: make(map[string]*accountWorker), gate: newPlatformGate()}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	m.noteWriter = newNoteWriter(m)
 	m.wg.Go(m.noteWriter.run)
 	return m
 }
 
-// Reservation is a number of tokens set aside for one request. Settle ends it
-// and must be called exactly once.
-type Reservation struct {
+// Reservation is a number of tokens set aside for one request.
+type Reservation interface {
+	// Settle ends the reservation, of which used tokens were consumed. It must
+	// be called exactly once.
+	Settle(used int64)
+}
+
+// Unlimited is the reservation of a request that no prepaid amount limits.
+type Unlimited struct{}
+
+// Settle implements Reservation.
+func (Unlimited) Settle(int64) {}
+
+// heldReservation is a reservation of tokens that this router holds.
+type heldReservation struct {
 	worker *accountWorker
 	tokens int64
 }
@@ -90,9 +103,9 @@
 // the request, 0 the most urgent; scarce tokens are kept for urgent requests. The
 // kind of the error is BudgetUnreachable or BudgetExhausted, or Draining after
 // Close. A workspace without a prepaid amount has no limit.
-func (m *Manager) Reserve(ctx context.Context, id string, w *catalog.Workspace, tokens int64, rank int, maxWait time.Duration) (*Reservation, error) {
-	if w == nil || w.PrepaidTokens == nil {
-		return &Reservation{}, nil
+func (m *Manager) Reserve(ctx context.Context, id string, w *catalog.Workspace, tokens int64, rank int, maxWait time.Duration) (Reservation, error) {
+	if !Limited(w) {
+		return Unlimited{}, nil
 	}
 	aw := m.worker(w.Name)
 	if aw == nil {
@@ -102,14 +115,29 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Reservation{worker: aw, tokens: tokens}, nil
+	return &heldReservation{worker: aw, tokens: tokens}, nil
 }
 
-// Settle ends the reservation, of which used tokens were consumed.
-func (r *Reservation) Settle(used int64) {
-	if r.worker != nil {
-		r.worker.settle(r.tokens, min(used, r.tokens))
+// ReserveHeld sets tokens aside only if this router holds enough already. It
+// makes no call and doesn't count as demand at this router.
+func (m *Manager) ReserveHeld(w *catalog.Workspace, tokens int64, rank int) (Reservation, bool) {
+	if !Limited(w) {
+		return Unlimited{}, true
 	}
+	aw := m.knownWorker(w.Name)
+	if aw == nil || !aw.reserveHeld(tokens, rank, *w.PrepaidTokens) {
+		return nil, false
+	}
+	return &heldReservation{worker: aw, tokens: tokens}, true
+}
+
+// Limited reports whether a prepaid amount limits the workspace, which may be
+// nil.
+func Limited(w *catalog.Workspace) bool { return w != nil && w.PrepaidTokens != nil }
+
+// Settle implements Reservation.
+func (r *heldReservation) Settle(used int64) {
+	r.worker.settle(r.tokens, min(used, r.tokens))
 }
 
 // Apply sets the prepaid amounts of a new configuration.
@@ -141,6 +169,17 @@
 	return aw
 }
 
+// knownWorker returns the worker of the workspace, or nil if there is none or the
+// manager is closed.
+func (m *Manager) knownWorker(workspace string) *accountWorker {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return nil
+	}
+	return m.workers[workspace]
+}
+
 // Close returns all tokens that aren't reserved to the platform. It returns once
 // they are committed, or the error of ctx.
 func (m *Manager) Close(ctx context.Context) error {
--- a/router/prepaid/recovery.go
+++ b/router/prepaid/recovery.go
@@ -48,7 +48,7 @@
 	usageBound := allotment.UsageBound{Limit: bound.Limit, Rate: bound.Rate, Surge: bound.Surge,
 		SurgeAfter: time.Duration(bound.SurgeAfterMs) * time.Millisecond}
 	maxUsed := usageBound.MaxAfter(elapsed)
-	for !n.returnUnused(holder, bound.Workspace, maxUsed) {
+	for !n.tryReturnUnused(holder, bound.Workspace, maxUsed) {
 		if !wait.For(n.manager.ctx, minRetryDelay+rand.N(maxRetryDelay-minRetryDelay)) {
 			return
 		}
@@ -85,36 +85,49 @@
 	return message, trace.Wrap(err, "decoding the note")
 }
 
+// tryReturnUnused calls returnUnused through the gate. It reports false when the
+// call must be repeated.
+func (n *noteWriter) tryReturnUnused(holder, workspace string, maxUsed int64) bool {
+	done := false
+	// A call that isn't made or not answered is repeated like one that conflicted.
+	_ = n.manager.gate.do(n.manager.opts.Now, func() (err error) {
+		done, err = n.returnUnused(holder, workspace, maxUsed)
+		return err
+	})
+	return done
+}
+
 // returnUnused returns the tokens of an ended holder beyond maxUsed, the most that
 // it can have consumed. It reports false when the outcome isn't known or the commit
-// conflicted, and the call must be repeated.
-func (n *noteWriter) returnUnused(holder, workspace string, maxUsed int64) bool {
+// conflicted, and the call must be repeated; the error says that the platform
+// didn't answer.
+func (n *noteWriter) returnUnused(holder, workspace string, maxUsed int64) (done bool, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	totalKey, holderKey := rowKeys(workspace, holder)
 	found, err := n.manager.opts.Tables.Read(ctx, totalKey, holderKey)
 	if err != nil {
-		return false
+		return false, err
 	}
 	rows, err := decodeRows(found, totalKey, holderKey)
 	if err != nil {
 		n.manager.opts.Log.Error("budget: can't decode the rows of the previous run.", zap.String("workspace", workspace), zap.Error(err))
-		return true
+		return true, nil
 	}
 	unused := rows.Taken - rows.Returned - maxUsed
 	n.manager.opts.Log.Info("budget: closing the last run's account.", zap.String("workspace", workspace), zap.String("holder", holder),
 		zap.Int64("taken", rows.Taken), zap.Int64("returned", rows.Returned), zap.Int64("consumed_at_most", maxUsed))
 	if unused <= 0 {
-		return true
+		return true, nil
 	}
 	after := rows
 	after.Total -= unused
 	after.Returned += unused
 	resp, err := n.manager.opts.Tables.Commit(ctx, encodeTransaction(allotment.Transaction{Before: rows, After: after}, totalKey, holderKey))
 	if err != nil || !resp.Committed {
-		return false
+		return false, err
 	}
 	n.manager.opts.Log.Info("budget: returned unused tokens of the previous run.", zap.String("workspace", workspace),
 		zap.String("holder", holder), zap.Int64("tokens", unused))
-	return true
+	return true, nil
 }
--- a/router/prepaid/waiters.go
+++ b/router/prepaid/waiters.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,6 +21,10 @@
 	maxRetryAfter = 5 * time.Second
 )
 
+// ErrPlatformDown is the cause of a refusal because the platform doesn't answer,
+// whatever the balance is.
+var ErrPlatformDown = errors.New("the platform doesn't answer")
+
 // waiter is a reservation that waits for tokens.
 type waiter struct {
 	requestID string
@@ -61,6 +66,20 @@
 	return aw.awaitResult(ctx, w, maxWait)
 }
 
+// reserveHeld reserves tokens only if they are held. It reports whether it did.
+func (aw *accountWorker) reserveHeld(tokens int64, rank int, prepaid int64) bool {
+	aw.mu.Lock()
+	aw.account.SetPrepaid(prepaid)
+	now := aw.manager.opts.Now()
+	reserved := aw.account.Reserve(tokens, rank, now)
+	low := reserved && aw.account.HeadroomLow(now)
+	aw.mu.Unlock()
+	if low {
+		aw.manager.noteWriter.wakeup.notify()
+	}
+	return reserved
+}
+
 // awaitResult waits for the result of a waiter, for maxWait or until ctx ends.
 func (aw *accountWorker) awaitResult(ctx context.Context, w *waiter, maxWait time.Duration) error {
 	timer := time.NewTimer(maxWait)
@@ -93,7 +112,7 @@
 	if aw.account.BlockedByBound(w.tokens, now) {
 		after = max(after, aw.account.TimeToHeadroom(w.tokens, now, maxRetryAfter))
 	}
-	return errkind.New(errkind.BudgetUnreachable, "no tokens can be taken from the prepaid balance now").WithRetryAfter(after)
+	return errkind.Wrap(errkind.BudgetUnreachable, ErrPlatformDown, "no tokens can be taken from the prepaid balance now").WithRetryAfter(after)
 }
 
 // removeWaiter removes a waiter and returns its refusal, or nil when it already has
--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -26,7 +26,7 @@
 	*admittedRequest
 	relay       *Relay
 	writer      ResponseWriter
-	reservation *prepaid.Reservation
+	reservation prepaid.Reservation
 
 	// triedTargets are the ids of the targets that were picked. sends counts the
 	// requests written to targets, and unreachableTargets the targets that
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -49,7 +49,7 @@
 	// Catalog returns the configuration in force; nil before there is one.
 	Catalog  func() *catalog.Catalog
 	Targets  *placement.Table
-	Budgets  *prepaid.Manager
+	Budgets  Budgets
 	Retries  *retry.Budgets
 	Upstream Upstream
 	Metrics  *Metrics
@@ -57,6 +57,14 @@
 	Now      func() time.Time
 }
 
+// Budgets reserves prepaid tokens.
+type Budgets interface {
+	// Reserve sets aside the most tokens that a request can consume, and waits
+	// up to maxWait for them. The id is the request's; rank is its priority, 0 the
+	// most urgent. The error is of package errkind.
+	Reserve(ctx context.Context, id string, w *catalog.Workspace, tokens int64, rank int, maxWait time.Duration) (prepaid.Reservation, error)
+}
+
 // Relay serves forwarded requests. It is safe for concurrent use.
 type Relay struct {
 	Options
@@ -152,9 +160,9 @@
 
 // reserve reserves the most tokens that the request can consume. It waits for them
 // for up to a quarter of the timeout and half of the route's latency goal.
-func (r *Relay) reserve(ctx context.Context, a *admittedRequest) (*prepaid.Reservation, *errkind.Error) {
+func (r *Relay) reserve(ctx context.Context, a *admittedRequest) (prepaid.Reservation, *errkind.Error) {
 	if a.Prompt == nil {
-		return &prepaid.Reservation{}, nil
+		return prepaid.Unlimited{}, nil
 	}
 	maxWait := a.timeout() / 4
 	if a.route.LatencyGoal > 0 {
--- a/router/settings/gateway.go
+++ b/router/settings/gateway.go
@@ -44,6 +44,9 @@
 	c.checkAddress("doors.caller", s.Doors.Caller)
 	c.checkAddress("doors.readiness", s.Doors.Readiness)
 	c.checkAddress("doors.metrics", s.Doors.Metrics)
+	if s.Doors.Peer != "" {
+		c.checkAddress("doors.peer", s.Doors.Peer)
+	}
 	c.checkAddress("store_address", s.StoreAddress)
 	if s.Retries.Ratio < 0 || s.Retries.Ratio > 1 {
 		c.addFault("retries.ratio", "%v must be from 0 to 1", s.Retries.Ratio)
--- a/router/settings/gateway_test.go
+++ b/router/settings/gateway_test.go
@@ -24,6 +24,8 @@
 	for _, path := range []string{"name", "data_centre", "doors.caller", "doors.readiness", "doors.metrics", "store_address", "times.stop_s", "memory_mib"} {
 		is.True(strings.Contains(err.Error(), path+":"))
 	}
+	_, err = ParseGateway([]byte(strings.Replace(validGatewaySettings, `"metrics"`, `"peer":"nowhere","metrics"`, 1)))
+	is.True(strings.Contains(err.Error(), "doors.peer"))
 	_, err = ParseGateway([]byte(strings.Replace(validGatewaySettings, "0.2", "2", 1)))
 	is.True(strings.Contains(err.Error(), "retries.ratio"))
 	_, err = ParseGateway([]byte(strings.Replace(validGatewaySettings, `"name"`, `"nome"`, 1)))
