--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -75,7 +75,8 @@
 		candidates = t.candidates(r, false)
 	}
 	if len(candidates) == 0 {
-		return nil, errkind.New(errkind.NoTarget, "no target of the service accepts new requests").WithRetryAfter(noTargetRetryAfter)
+		retryAfter := max(t.untilQuietEnds(r.Service, r.Now), noTargetRetryAfter)
+		return nil, errkind.New(errkind.NoTarget, "no target of the service accepts new requests").WithRetryAfter(retryAfter)
 	}
 	s, preferred := t.choose(candidates, r)
 	pendingPromptTokens := r.PromptTokens
@@ -94,12 +95,13 @@
 	}, nil
 }
 
-// candidates returns the targets that may get the request. If healthy is set,
-// it leaves out unavailable ones; Pick calls it again without if none is left.
+// candidates returns the targets that may get the request: never one that is
+// leaving or asked for quiet. If healthy is set, it leaves out unavailable ones;
+// Pick calls it again without if none is left.
 func (t *Table) candidates(r *Request, healthy bool) []*targetState {
 	var candidates []*targetState
 	for _, s := range t.services[r.Service] {
-		if s.target.Leaving || slices.Contains(r.Exclude, s.target.ID) {
+		if s.announced.leaving || s.announced.quiet(r.Now) || slices.Contains(r.Exclude, s.target.ID) {
 			continue
 		}
 		if healthy && !t.available(s, r.Now) {
--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -49,6 +49,8 @@
 	dataCentres map[string]*dataCentreState
 	// lastPlacement is keyed by the affinity of the prompts.
 	lastPlacement map[uint64]placementRecord
+	// past holds what targets announced that are no longer listed.
+	past map[process]pastTarget
 }
 
 // targetState is a target and what the table knows about it.
@@ -70,17 +72,20 @@
 	// consecutiveFailures counts failures since the last answered request.
 	consecutiveFailures int
 	health              breaker.Breaker
+	// announced is what the target's process said about itself.
+	announced announced
 	// refusedUntil is the end of the pause after a refusal.
 	refusedUntil time.Time
 }
 
 // New returns a table without targets for a router in the given data centre.
 func New(dataCentre string) *Table {
-	return &Table{dataCentre: dataCentre, services: make(map[string][]*targetState), byID: make(map[string]*targetState), dataCentres: make(map[string]*dataCentreState), lastPlacement: make(map[uint64]placementRecord)}
+	return &Table{dataCentre: dataCentre, services: make(map[string][]*targetState), byID: make(map[string]*targetState), dataCentres: make(map[string]*dataCentreState), lastPlacement: make(map[uint64]placementRecord), past: make(map[process]pastTarget)}
 }
 
 // Update replaces the list of targets. A target whose process still runs at the
-// same address keeps its state.
+// same address keeps its state. One that was leaving stays so, whatever a later
+// list says, until its process is replaced.
 func (t *Table) Update(targets []Target, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -94,12 +99,14 @@
 	for _, target := range targets {
 		s := old[target.ID]
 		if s == nil || s.target.StartTimeMs != target.StartTimeMs || s.target.Address != target.Address {
-			s = &targetState{registeredAt: registeredAt, health: newHealth()}
+			s = &targetState{registeredAt: registeredAt, health: newHealth(), announced: t.past[target.process()].announced}
 		}
 		s.target = target
+		s.announced.leaving = s.announced.leaving || target.Leaving
 		t.byID[target.ID] = s
 		t.services[target.Service] = append(t.services[target.Service], s)
 	}
+	t.rememberPast(old, now)
 }
 
 // Len returns the number of known targets.
--- a/router/cmd/cuminrock-router/gateway.go
+++ b/router/cmd/cuminrock-router/gateway.go
@@ -38,7 +38,7 @@
 	}
 	defer flush()
 	client := store.New(s.StoreAddress)
-	g, err := gateway.Start(s, hostingPlatform(client), log)
+	g, err := gateway.Start(s, hostingPlatform(client, log), log)
 	if err != nil {
 		log.Error("gateway: failed to start.", zap.Error(err))
 		return exitFail
@@ -51,7 +51,7 @@
 }
 
 // hostingPlatform assembles the hosting platform's services for the gateway.
-func hostingPlatform(client *store.Client) gateway.Platform {
+func hostingPlatform(client *store.Client, log *zap.Logger) gateway.Platform {
 	pool := exchange.NewPool(time.Now)
 	return gateway.Platform{
 		Tables:        client,
@@ -59,7 +59,7 @@
 		Clock:         client,
 		Config:        gateway.ConfigSource{Table: operatorconfig.Table, Key: operatorconfig.Key, Parse: operatorconfig.Parse},
 		Targets:       gateway.TargetSource{Table: directory.Table, Parse: directory.Parse},
-		Upstream:      upstream.New(pool, time.Now),
+		Upstream:      upstream.New(pool, log, time.Now),
 		CloseExpired:  pool.CloseExpired,
 		NewHandler:    func(g *gateway.Gateway) http.Handler { return ingress.NewHandler(g) },
 		ReadinessPath: ingress.ReadinessPath,
--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -104,6 +104,7 @@
 			if load := response.Load(); load != nil {
 				lease.ReportLoad(*load, p.relay.Now())
 			}
+			p.recordAnnouncement(lease, response.Announcement())
 			return &attempt{lease: lease, response: response}, nil
 		}
 		failure := p.handleSendFailure(ctx, lease, err)
@@ -128,6 +129,10 @@
 	case errkind.TargetRefused:
 		p.sends++
 		result = placement.Refused
+		var refusal *Refusal
+		if errors.As(err, &refusal) {
+			p.recordAnnouncement(lease, refusal.Announcement)
+		}
 	default:
 		p.sends++
 		p.mayHaveRun = true
@@ -143,6 +148,16 @@
 	return failure
 }
 
+// recordAnnouncement records what the target says about its further use.
+func (p *proxiedRequest) recordAnnouncement(lease *placement.Lease, n placement.Announcement) {
+	if n == (placement.Announcement{}) {
+		return
+	}
+	lease.Announce(n, p.relay.Now())
+	p.relay.Log.Info("relay: a target announced that it is leaving, or wants quiet.", zap.String("request", p.ID),
+		zap.String("target", lease.Target().ID), zap.Bool("leaving", n.Leaving), zap.Duration("quiet", n.Quiet))
+}
+
 // interruptedError returns the error of a request whose deadline has passed or
 // whose caller has disconnected.
 func (p *proxiedRequest) interruptedError(ctx context.Context, cause error) *errkind.Error {
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -32,7 +32,8 @@
 	status int
 	body   string
 	// truncated makes the body end early.
-	truncated bool
+	truncated    bool
+	announcement placement.Announcement
 }
 
 func (u *upstream) Send(_ context.Context, s *UpstreamRequest) (UpstreamResponse, error) {
@@ -60,7 +61,10 @@
 func (r *reply) Header() http.Header             { return http.Header{"Own-Field": {"s"}} }
 func (r *reply) SetReadDeadline(time.Time) error { return nil }
 func (r *reply) Load() *placement.Load           { return nil }
-func (r *reply) Close()                          {}
+func (r *reply) Announcement() placement.Announcement {
+	return r.outcome.announcement
+}
+func (r *reply) Close() {}
 
 // caller is a ResponseWriter that records the response.
 type caller struct {
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -136,12 +137,24 @@
 	SetReadDeadline(t time.Time) error
 	// Load is the load that the target reports; nil without a report.
 	Load() *placement.Load
+	// Announcement is what the target says about its further use.
+	Announcement() placement.Announcement
 	Close()
 }
 
+// Refusal is the cause of an error of kind TargetRefused: a target's response that
+// says that it didn't run the request.
+type Refusal struct {
+	Status       int
+	Announcement placement.Announcement
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return fmt.Sprintf("status %d", r.Status) }
+
 // Upstream sends requests to targets. The kind of the error is TargetUnreachable if
-// no byte was sent, TargetRefused if the target says that it didn't run the request,
-// and TargetFailed if the request may have run.
+// no byte was sent, TargetRefused, caused by a Refusal, if the target says that it
+// didn't run the request, and TargetFailed if the request may have run.
 type Upstream interface {
 	Send(ctx context.Context, s *UpstreamRequest) (UpstreamResponse, error)
 }
