--- a/router/homebudget/peers.go
+++ b/router/homebudget/peers.go
@@ -19,7 +19,7 @@
 // NewGRPCPeers returns peers without connections.
 func NewGRPCPeers() *GRPCPeers {
 	return &GRPCPeers{conns: peerconn.NewPool(
-		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes), grpc.WithSharedWriteBuffer(true),
+		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes),
 	)}
 }
 
--- a/router/homebudget/server.go
+++ b/router/homebudget/server.go
@@ -56,7 +56,7 @@
 // GRPCServer returns a gRPC server with the service registered.
 func (s *Server) GRPCServer() *grpc.Server {
 	g := grpc.NewServer(
-		grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes), grpc.SharedWriteBuffer(true),
+		grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 	)
 	pb.RegisterAllotmentServiceServer(g, s)
