--- a/router/homebudget/budgets.go
+++ b/router/homebudget/budgets.go
@@ -17,6 +17,9 @@
 //   - A settlement may be repeated; only the first one of a reservation counts.
 //   - A reservation that isn't settled within its lifetime counts as used.
 //
+// A gateway that itself has steady demand for a workspace holds tokens of its own,
+// as a home does, and asks the home only when these don't suffice.
+//
 // A gateway falls back to the next one in the ranking, and to an account of its
 // own, when the home doesn't respond. When the data centre's home has too few
 // tokens, those of other data centres are asked for what they hold.
@@ -88,6 +91,7 @@
 // concurrent use.
 type Budgets struct {
 	Options
+	demand     *home.Demand
 	lastNumber atomic.Uint64
 	outbox     outbox
 
@@ -99,7 +103,7 @@
 
 // New returns budgets whose settlements are sent by Run.
 func New(opts Options) *Budgets {
-	return &Budgets{Options: opts, outbox: newOutbox(), searchAfter: make(map[string]time.Time)}
+	return &Budgets{Options: opts, demand: home.NewDemand(), outbox: newOutbox(), searchAfter: make(map[string]time.Time)}
 }
 
 // tokenRequest is what one request needs.
@@ -127,11 +131,18 @@
 	return nil, refusal
 }
 
-// reserveNearby reserves tokens at a home in this data centre, or takes them from
-// the platform if none responds.
+// reserveNearby reserves tokens at this gateway if its own demand is heavy, at a
+// home in this data centre, or takes them from the platform if none responds.
 func (b *Budgets) reserveNearby(ctx context.Context, q *tokenRequest, end time.Time) (prepaid.Reservation, error) {
 	var tried []string
 	refusal := errNoResponse
+	if b.demand.Record(q.workspace.Name, b.Now()) {
+		reservation, err := b.reserveLocally(ctx, q, max(end.Sub(b.Now()), 0)/firstWaitDivisor)
+		if err == nil || !nextMayHelp(err) {
+			return reservation, err
+		}
+		tried, refusal = append(tried, b.Homes.Self().Name), err
+	}
 	for len(tried) < maxHomesTried {
 		call := b.Homes.Pick(q.workspace.Name, b.Homes.Self().DataCentre, tried, b.Now())
 		if call == nil {
@@ -153,11 +164,16 @@
 	}
 	if errors.Is(refusal, errNoResponse) {
 		b.Metrics.recordResult(resultFallback)
-		return b.Local.Reserve(ctx, q.id, q.workspace, q.tokens, q.rank, max(end.Sub(b.Now()), 0))
+		return b.reserveLocally(ctx, q, max(end.Sub(b.Now()), 0))
 	}
 	return nil, refusal
 }
 
+// reserveLocally reserves tokens that this gateway takes from the platform itself.
+func (b *Budgets) reserveLocally(ctx context.Context, q *tokenRequest, maxWait time.Duration) (prepaid.Reservation, error) {
+	return b.Local.Reserve(ctx, q.id, q.workspace, q.tokens, q.rank, maxWait)
+}
+
 // preferred returns the newer of two refusals, unless it only says that there was
 // no response.
 func preferred(before, err error) error {
@@ -177,7 +193,7 @@
 func (b *Budgets) reserveAt(ctx context.Context, call *home.Call, q *tokenRequest, maxWait time.Duration) (prepaid.Reservation, error) {
 	if call.Gateway().Name == b.Homes.Self().Name {
 		call.Succeeded()
-		return b.Local.Reserve(ctx, q.id, q.workspace, q.tokens, q.rank, maxWait)
+		return b.reserveLocally(ctx, q, maxWait)
 	}
 	// Tokens that were taken while this gateway was the home are used up first.
 	reservation, held := b.Local.ReserveHeld(q.workspace, q.tokens, q.rank)
