--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -29,9 +29,11 @@
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/catalog"
+	"cuminrock.example/fleet/egress"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/retry"
+	"cuminrock.example/router/lag"
 	"cuminrock.example/router/platformclient"
 	"cuminrock.example/router/prepaid"
 	"cuminrock.example/router/relay"
@@ -106,6 +108,8 @@
 	// peers is nil if the gateway has no listener for others.
 	peers   *peers
 	targets *placement.Table
+	lag     lag.Monitor
+	egress  *egress.Meter
 	catalog atomic.Pointer[catalog.Catalog]
 
 	callerServer    *http.Server
@@ -132,6 +136,7 @@
 	debug.SetMemoryLimit(int64(settings.MemoryMib) << 20 * memoryPermille / permille)
 	g := &Gateway{settings: settings, platform: p, log: log, registry: prometheus.NewRegistry()}
 	g.targets = placement.New(settings.DataCentre)
+	g.egress = egress.NewMeter(settings.LinkMbps)
 	g.budgets = prepaid.NewManager(prepaid.Options{
 		Tables: p.Tables, Clock: p.Clock, Machine: settings.Name + "." + settings.Doors.Caller,
 		Holder: settings.Name + "." + incarnation, PreviousRunsEndedBy: openedAt,
@@ -143,14 +148,16 @@
 		budgets = g.peers.budgets
 	}
 	g.relay = relay.New(relay.Options{
-		Catalog:  g.catalog.Load,
-		Targets:  g.targets,
-		Budgets:  budgets,
-		Retries:  retry.NewBudgets(int(settings.Retries.Ratio*retryRatioShare*permille), retryBurst),
-		Upstream: p.Upstream,
-		Metrics:  relay.NewMetrics(g.registry),
-		Log:      log,
-		Now:      time.Now,
+		Catalog:    g.catalog.Load,
+		Targets:    g.targets,
+		Budgets:    budgets,
+		Retries:    retry.NewBudgets(int(settings.Retries.Ratio*retryRatioShare*permille), retryBurst),
+		Upstream:   p.Upstream,
+		Overloaded: g.overloaded,
+		Egress:     g.egress,
+		Metrics:    relay.NewMetrics(g.registry),
+		Log:        log,
+		Now:        time.Now,
 	})
 	g.startServers(lis)
 	g.startWatching(lis)
@@ -263,6 +270,12 @@
 // RecordRefusal logs and counts a request that was refused before it was served.
 func (g *Gateway) RecordRefusal(id string, err *errkind.Error) { g.relay.RecordRefusal(id, err) }
 
+// overloaded reports whether this gateway has more work than its processor or its
+// link allow; urgent work is refused last.
+func (g *Gateway) overloaded(urgent bool) bool {
+	return g.lag.Overloaded(urgent) || g.egress.Overloaded(urgent, time.Now())
+}
+
 // Limits returns the limits on callers' requests.
 func (g *Gateway) Limits() catalog.Limits {
 	var limits catalog.Limits
--- a/router/gateway/watch.go
+++ b/router/gateway/watch.go
@@ -61,6 +61,7 @@
 		g.peers.start(ctx, g, lis.peer)
 	}
 	g.wg.Go(func() { g.closeExpiredConnections(ctx) })
+	g.wg.Go(func() { g.lag.Run(ctx) })
 }
 
 // watchTable lists a table and receives its changes. It lists the table again after
--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -89,6 +89,7 @@
 		if source := lease.Source(); source != nil {
 			p.copiedFrom = append(p.copiedFrom, source.ID)
 		}
+		p.relay.Egress.Add(headerBytes+len(p.Body), p.relay.Now())
 		response, err := p.relay.Upstream.Send(ctx, &UpstreamRequest{
 			Request:     p.Request,
 			Target:      target,
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -21,6 +21,7 @@
 	"go.uber.org/zap"
 
 	"cuminrock.example/fleet/catalog"
+	"cuminrock.example/fleet/egress"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/retry"
@@ -28,7 +29,9 @@
 )
 
 const (
-	// lowestPriority is the least urgent priority that targets support.
+	// mostUrgent and lowestPriority are the bounds of the priorities that targets
+	// support.
+	mostUrgent     = 0
 	lowestPriority = 9
 	// defaultTimeout applies when neither the route nor the caller sets a timeout.
 	defaultTimeout = 60 * time.Second
@@ -39,6 +42,9 @@
 	// that aren't error kinds.
 	outcomeAnswered   = "answered"
 	outcomeCallerLeft = "caller left"
+	// overloadedRetryAfter is the Retry-After while this router is overloaded. It is
+	// short, since the next try reaches another router.
+	overloadedRetryAfter = 50 * time.Millisecond
 	// notReadyRetryAfter is the Retry-After before a configuration is loaded, or
 	// when it lacks the route's service.
 	notReadyRetryAfter = time.Second
@@ -52,9 +58,15 @@
 	Budgets  Budgets
 	Retries  *retry.Budgets
 	Upstream Upstream
-	Metrics  *Metrics
-	Log      *zap.Logger
-	Now      func() time.Time
+	// Overloaded reports whether this router has more work than processor time or
+	// its link allow, so that new requests should be refused; urgent ones are
+	// refused last.
+	Overloaded func(urgent bool) bool
+	// Egress is told the bytes that are sent to targets and callers.
+	Egress  *egress.Meter
+	Metrics *Metrics
+	Log     *zap.Logger
+	Now     func() time.Time
 }
 
 // Budgets reserves prepaid tokens.
@@ -81,7 +93,7 @@
 func (r *Relay) Serve(ctx context.Context, req *Request, w ResponseWriter) {
 	r.active.Add(1)
 	defer r.active.Add(-1)
-	p := &proxiedRequest{relay: r, writer: w}
+	p := &proxiedRequest{relay: r, writer: &meteredWriter{ResponseWriter: w, relay: r}}
 	err := r.serve(ctx, req, p)
 	if err != nil {
 		refusal := withRetryAfter(err, req, r.Now())
@@ -138,6 +150,9 @@
 			return nil, errkind.New(errkind.UnknownKey, "the API key is unknown")
 		}
 	}
+	if r.Overloaded(a.route.Priority == mostUrgent) {
+		return nil, errkind.New(errkind.Overloaded, "this router has more work than its processor or link allow").WithRetryAfter(overloadedRetryAfter)
+	}
 	a.service = c.Service(a.route.ServiceFor(req.ID))
 	if a.service == nil {
 		return nil, errkind.New(errkind.NoTarget, "the configuration lacks the route's service").WithRetryAfter(notReadyRetryAfter)
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"cuminrock.example/fleet/catalog"
+	"cuminrock.example/fleet/egress"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/retry"
@@ -96,13 +97,15 @@
 	}
 	r := New(Options{
 		Catalog: func() *catalog.Catalog { return c }, Targets: targets, Retries: retries, Upstream: up,
-		Budgets: &prepaid.Manager{}, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now,
+		Budgets: &prepaid.Manager{}, Overloaded: neverOverloaded, Egress: egress.NewMeter(0), Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now,
 	})
 	out := &caller{}
 	r.Serve(context.Background(), &Request{ID: "1", HostName: "h", Path: "/x", Arrived: time.Now()}, out)
 	return out, up
 }
 
+func neverOverloaded(bool) bool { return false }
+
 var (
 	failed      = outcome{err: errkind.New(errkind.TargetFailed, "broke")}
 	refused     = outcome{err: errkind.New(errkind.TargetRefused, "full")}
@@ -222,3 +225,25 @@
 	is.Equal(placementResult(context.Background(), syscall.ETIMEDOUT), placement.Silent)
 	is.Equal(placementResult(context.Background(), io.ErrUnexpectedEOF), placement.Failed)
 }
+
+// A router without processor time refuses new requests at once, truthfully as not
+// run, and tells callers to come back soon: the next try reaches another router.
+func TestOverloadedRouterRefusesNewRequests(t *testing.T) {
+	is := is.New(t)
+	route := &catalog.Route{Host: "h", Prefix: "/", Public: true, Priority: 1, Shares: []catalog.Share{{Service: "s", Weight: 1}}}
+	urgent := &catalog.Route{Host: "h", Prefix: "/urgent/", Public: true, Shares: route.Shares}
+	c := catalog.New(catalog.Spec{Routes: []*catalog.Route{route, urgent}, Services: []*catalog.Service{{Name: "s"}}})
+	r := New(Options{
+		Catalog: func() *catalog.Catalog { return c }, Targets: placement.New("dc"), Retries: retry.NewBudgets(1000, 10),
+		Overloaded: func(urgent bool) bool { return !urgent }, Egress: egress.NewMeter(0),
+		Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now,
+	})
+	out := &caller{}
+	r.Serve(context.Background(), &Request{ID: "1", HostName: "h", Path: "/x", Arrived: time.Now()}, out)
+	is.Equal(out.refused.Kind, errkind.Overloaded)
+	is.True(out.refused.RetryAfter > 0)
+	is.True(out.refused.RetryAfter < defaultRetryAfter)
+	out = &caller{}
+	r.Serve(context.Background(), &Request{ID: "2", HostName: "h", Path: "/urgent/x", Arrived: time.Now()}, out)
+	is.Equal(out.refused.Kind, errkind.NoTarget) // urgent ones are refused last
+}
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -179,7 +179,7 @@
 	if a.workspace != nil && a.workspace.Priority != nil {
 		rank = *a.workspace.Priority
 	}
-	rank = min(max(rank, 0), lowestPriority)
+	rank = min(max(rank, mostUrgent), lowestPriority)
 	return &rank
 }
 
--- a/router/settings/gateway.go
+++ b/router/settings/gateway.go
@@ -53,6 +53,9 @@
 	}
 	c.checkPositive("times.stop_s", s.Times.StopS)
 	c.checkPositive("memory_mib", float64(s.MemoryMib))
+	if s.LinkMbps < 0 {
+		c.addFault("link_mbps", "must not be negative")
+	}
 	c.checkLogLevel(s.Log)
 	return c.faults
 }
--- a/router/settings/gateway_test.go
+++ b/router/settings/gateway_test.go
@@ -26,6 +26,8 @@
 	}
 	_, err = ParseGateway([]byte(strings.Replace(validGatewaySettings, `"metrics"`, `"peer":"nowhere","metrics"`, 1)))
 	is.True(strings.Contains(err.Error(), "doors.peer"))
+	_, err = ParseGateway([]byte(strings.Replace(validGatewaySettings, `"memory_mib"`, `"link_mbps":-1,"memory_mib"`, 1)))
+	is.True(strings.Contains(err.Error(), "link_mbps"))
 	_, err = ParseGateway([]byte(strings.Replace(validGatewaySettings, "0.2", "2", 1)))
 	is.True(strings.Contains(err.Error(), "retries.ratio"))
 	_, err = ParseGateway([]byte(strings.Replace(validGatewaySettings, `"name"`, `"nome"`, 1)))
