--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -112,6 +112,7 @@
 	egress  *egress.Meter
 	catalog atomic.Pointer[catalog.Catalog]
 
+	callers         *callerConns
 	callerServer    *http.Server
 	readinessServer *http.Server
 	metricsServer   *http.Server
@@ -136,6 +137,7 @@
 	debug.SetMemoryLimit(int64(settings.MemoryMib) << 20 * memoryPermille / permille)
 	g := &Gateway{settings: settings, platform: p, log: log, registry: prometheus.NewRegistry()}
 	g.targets = placement.New(settings.DataCentre)
+	g.callers = newCallerConns(int(settings.FileDescriptors), func() time.Duration { return g.Limits().IdleTimeout })
 	g.egress = egress.NewMeter(settings.LinkMbps)
 	g.budgets = prepaid.NewManager(prepaid.Options{
 		Tables: p.Tables, Clock: p.Clock, Machine: settings.Name + "." + settings.Doors.Caller,
@@ -219,7 +221,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          zap.NewStdLog(g.log),
-		ConnState:         newIdleLimiter(func() time.Duration { return g.Limits().IdleTimeout }).onStateChange,
+		ConnState:         g.callers.onStateChange,
 	}
 	g.readinessServer = &http.Server{Handler: g.readinessRoutes(), ReadHeaderTimeout: headerTimeout}
 	g.metricsServer = &http.Server{Handler: g.metricsRoutes(), ReadHeaderTimeout: headerTimeout}
@@ -288,5 +290,9 @@
 	return limits
 }
 
-// ShuttingDown reports whether connections are to be closed after their response.
-func (g *Gateway) ShuttingDown() bool { return g.shuttingDown.Load() }
+// CallerConnections returns the number of callers' open connections.
+func (g *Gateway) CallerConnections() int { return g.callers.count() }
+
+// CloseConnections reports whether callers' connections are to be closed after
+// their response: while stopping, and while too many are open.
+func (g *Gateway) CloseConnections() bool { return g.shuttingDown.Load() || g.callers.tooMany() }
