--- a/fleet/placement/announcement_test.go
+++ b/fleet/placement/announcement_test.go
@@ -90,6 +90,8 @@
 	_, err := tb.Pick(&Request{Service: "s", Now: testNow.Add(time.Second)})
 	is.Equal(errkind.KindOf(err), errkind.NoTarget)
 	is.Equal(errkind.FromError(err).RetryAfter, 3*time.Second) // until the first is open again
+	_, err = tb.Pick(&Request{Service: "s", Now: testNow.Add(3900 * time.Millisecond)})
+	is.Equal(errkind.FromError(err).RetryAfter, 100*time.Millisecond)
 	is.Equal(pickedIDs(tb, testNow.Add(4*time.Second-1)), nil)
 	is.Equal(pickedIDs(tb, testNow.Add(4*time.Second)), []string{"a"})
 	lease = pickTarget(t, tb, "a", testNow.Add(5*time.Second))
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -75,7 +75,10 @@
 		candidates = t.candidates(r, false)
 	}
 	if len(candidates) == 0 {
-		retryAfter := max(t.untilQuietEnds(r.Service, r.Now), noTargetRetryAfter)
+		retryAfter := t.untilQuietEnds(r.Service, r.Now)
+		if retryAfter == 0 {
+			retryAfter = noTargetRetryAfter
+		}
 		return nil, errkind.New(errkind.NoTarget, "no target of the service accepts new requests").WithRetryAfter(retryAfter)
 	}
 	s, preferred := t.choose(candidates, r)
--- a/router/gateway/conns.go
+++ b/router/gateway/conns.go
@@ -37,51 +37,51 @@
 }
 
 // count returns the number of open connections.
-func (l *callerConns) count() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.open)
+func (cc *callerConns) count() int {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return len(cc.open)
 }
 
 // tooMany reports whether more connections are open than are to be kept.
-func (l *callerConns) tooMany() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.maxKept > 0 && len(l.open) > l.maxKept
+func (cc *callerConns) tooMany() bool {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return cc.maxKept > 0 && len(cc.open) > cc.maxKept
 }
 
 // onStateChange is the ConnState hook of an http.Server.
-func (l *callerConns) onStateChange(c net.Conn, state http.ConnState) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if timer := l.timers[c]; timer != nil {
+func (cc *callerConns) onStateChange(c net.Conn, state http.ConnState) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if timer := cc.timers[c]; timer != nil {
 		timer.Stop()
-		delete(l.timers, c)
+		delete(cc.timers, c)
 	}
 	switch state {
 	case http.StateNew:
-		l.open[c] = struct{}{}
+		cc.open[c] = struct{}{}
 	case http.StateClosed, http.StateHijacked:
-		delete(l.open, c)
+		delete(cc.open, c)
 	case http.StateIdle:
-		l.startTimer(c)
+		cc.startTimer(c)
 	}
 }
 
 // startTimer closes a connection that stays idle. The lock is held.
-func (l *callerConns) startTimer(c net.Conn) {
-	limit := l.idleLimit()
+func (cc *callerConns) startTimer(c net.Conn) {
+	limit := cc.idleLimit()
 	if limit > 0 {
-		l.timers[c] = time.AfterFunc(limit, func() { l.close(c) })
+		cc.timers[c] = time.AfterFunc(limit, func() { cc.close(c) })
 	}
 }
 
 // close closes a connection if it is still idle.
-func (l *callerConns) close(c net.Conn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if _, idle := l.timers[c]; idle {
-		delete(l.timers, c)
+func (cc *callerConns) close(c net.Conn) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if _, idle := cc.timers[c]; idle {
+		delete(cc.timers, c)
 		_ = c.Close()
 	}
 }
--- a/router/gateway/stop.go
+++ b/router/gateway/stop.go
@@ -32,6 +32,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
 	if g.peers != nil {
+		g.peers.server.RefuseNew()
 		g.peers.registrar.deregister(ctx)
 	}
 	wait.For(ctx, balancerDelay)
--- a/router/homebudget/budgets.go
+++ b/router/homebudget/budgets.go
@@ -21,8 +21,8 @@
 // as a home does, and asks the home only when these don't suffice.
 //
 // A gateway falls back to the next one in the ranking, and to an account of its
-// own, when the home doesn't respond. When the data centre's home has too few
-// tokens, those of other data centres are asked for what they hold.
+// own, when the home doesn't respond. When tokens are missing, the homes of this
+// and of other data centres are asked for what they hold.
 package homebudget
 
 import (
@@ -46,10 +46,11 @@
 	// maxHomesTried bounds the gateways of the own data centre that are asked for
 	// one request.
 	maxHomesTried = 2
-	// maxDataCentresSearched bounds the other data centres that are asked.
+	// maxDataCentresSearched bounds the other data centres whose homes are asked
+	// for what they hold.
 	maxDataCentresSearched = 2
-	// searchPause is how long a workspace's tokens aren't searched for in other
-	// data centres after none were found.
+	// searchPause is how long a workspace's tokens aren't searched for at other
+	// homes after none were found.
 	searchPause = 300 * time.Millisecond
 	// firstWaitDivisor gives the part of the waiting time that the first home gets,
 	// so that a silent one leaves time for the next.
@@ -96,8 +97,8 @@
 	outbox     outbox
 
 	mu sync.Mutex
-	// searchAfter is when a workspace's tokens may next be searched for in other
-	// data centres.
+	// searchAfter is when a workspace's tokens may next be searched for at other
+	// homes.
 	searchAfter map[string]time.Time
 }
 
@@ -124,7 +125,7 @@
 	if refusal == nil {
 		return reservation, nil
 	}
-	reservation = b.searchElsewhere(ctx, q)
+	reservation = b.searchHeld(ctx, q)
 	if reservation != nil {
 		return reservation, nil
 	}
@@ -258,16 +259,15 @@
 	return deadline.Sub(b.Now()) + lifetimeMargin
 }
 
-// searchElsewhere reserves tokens that homes of other data centres hold. It returns
-// nil if it finds none.
-func (b *Budgets) searchElsewhere(ctx context.Context, q *tokenRequest) prepaid.Reservation {
+// searchHeld reserves tokens that homes of this or of other data centres hold. It
+// returns nil if it finds none.
+func (b *Budgets) searchHeld(ctx context.Context, q *tokenRequest) prepaid.Reservation {
 	if ctx.Err() != nil || !b.maySearch(q.workspace.Name) {
 		return nil
 	}
-	dataCentres := b.Homes.OtherDataCentres()
-	rand.Shuffle(len(dataCentres), func(i, j int) { dataCentres[i], dataCentres[j] = dataCentres[j], dataCentres[i] })
-	for _, dataCentre := range dataCentres[:min(maxDataCentresSearched, len(dataCentres))] {
-		call := b.Homes.Pick(q.workspace.Name, dataCentre, nil, b.Now())
+	self := b.Homes.Self()
+	for _, dataCentre := range append([]string{self.DataCentre}, b.someOtherDataCentres()...) {
+		call := b.Homes.Pick(q.workspace.Name, dataCentre, []string{self.Name}, b.Now())
 		if call == nil {
 			continue
 		}
@@ -281,6 +281,14 @@
 	return nil
 }
 
+// someOtherDataCentres returns up to maxDataCentresSearched data centres, in random
+// order.
+func (b *Budgets) someOtherDataCentres() []string {
+	dataCentres := b.Homes.OtherDataCentres()
+	rand.Shuffle(len(dataCentres), func(i, j int) { dataCentres[i], dataCentres[j] = dataCentres[j], dataCentres[i] })
+	return dataCentres[:min(maxDataCentresSearched, len(dataCentres))]
+}
+
 func (b *Budgets) maySearch(workspace string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/router/homebudget/fleet_test.go
+++ b/router/homebudget/fleet_test.go
@@ -116,6 +116,7 @@
 		is.Equal(holders, 1) // only the home knows the workspace
 		call := fleet.gateways[0].budgets.Homes.Pick("w", "dc0", nil, time.Now())
 		call.Release()
+		fleet.network.servers[call.Gateway().PeerAddress].RefuseNew()
 		is.NoErr(fleet.network.servers[call.Gateway().PeerAddress].Drain(context.Background()))
 		for _, g := range fleet.gateways {
 			if g.Name == call.Gateway().Name {
--- a/router/homebudget/metrics.go
+++ b/router/homebudget/metrics.go
@@ -10,9 +10,9 @@
 // Results of reservations.
 const (
 	// resultRemote is a reservation at another gateway, resultElsewhere one of
-	// these in another data centre.
+	// these that was found by a search for held tokens.
 	resultRemote    = "remote"
-	resultElsewhere = "other_data_centre"
+	resultElsewhere = "search"
 	// resultNoResponse is a gateway that didn't respond, and resultFallback a
 	// request for which none responded.
 	resultNoResponse = "no_response"
--- a/router/homebudget/server.go
+++ b/router/homebudget/server.go
@@ -139,10 +139,11 @@
 	}
 }
 
-// Drain refuses new reservations and waits until the others are settled, or returns
-// the error of ctx.
+// RefuseNew refuses new reservations from now on, as a stopping gateway does.
+func (s *Server) RefuseNew() { s.stopping.Store(true) }
+
+// Drain waits until all reservations are settled, or returns the error of ctx.
 func (s *Server) Drain(ctx context.Context) error {
-	s.stopping.Store(true)
 	for s.reservations.outstanding() > 0 {
 		if !wait.For(ctx, drainPollInterval) {
 			return ctx.Err()
