--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -5,8 +5,8 @@
 // that it may spend come from the platform's store. While the store is
 // unavailable, it continues with the last known state. Gateways reserve prepaid
 // tokens at each other (package homebudget); one that reaches no other takes
-// them from the store itself. A new gateway isn't ready, and refuses requests, until it has a
-// configuration and targets.
+// them from the store itself. A new gateway isn't ready, and refuses requests,
+// until it has a configuration and targets.
 package gateway
 
 import (
