--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -177,42 +177,6 @@
 	return hex.EncodeToString(random[:]), nil
 }
 
-// listeners holds the gateway's listeners.
-type listeners struct {
-	caller, readiness, metrics net.Listener
-	// peer is nil without an address in the settings.
-	peer net.Listener
-}
-
-// listen opens the listeners. That the addresses are free also proves that no earlier
-// run on this machine is still running.
-func listen(settings *pb.GatewayDoors) (*listeners, error) {
-	l := &listeners{}
-	for _, endpoint := range []struct {
-		lis     *net.Listener
-		address string
-	}{{&l.caller, settings.Caller}, {&l.readiness, settings.Readiness}, {&l.metrics, settings.Metrics}, {&l.peer, settings.Peer}} {
-		if endpoint.address == "" {
-			continue
-		}
-		lis, err := net.Listen("tcp", endpoint.address)
-		if err != nil {
-			l.close()
-			return nil, trace.Wrap(err, "opening a listener")
-		}
-		*endpoint.lis = lis
-	}
-	return l, nil
-}
-
-func (l *listeners) close() {
-	for _, lis := range []net.Listener{l.caller, l.readiness, l.metrics, l.peer} {
-		if lis != nil {
-			_ = lis.Close()
-		}
-	}
-}
-
 // startServers serves on the listeners.
 func (g *Gateway) startServers(l *listeners) {
 	g.callerServer = &http.Server{
