--- a/ctl/processtest/kill_test.go
+++ b/ctl/processtest/kill_test.go
@@ -39,6 +39,7 @@
 			}
 			return false
 		})
+		t.Logf("%s: read ended after %d tokens: %v", q.IdempotencyKey, stream.Tokens, err)
 		is.True(errors.Is(err, ErrStreamInterrupted)) // the kill closes the connection
 		is.Equal(stream.Tokens, at)                   // it came after exactly this token
 		f.SetEngineFaults(target.Faults{})
