--- a/bench/replay.sh
+++ b/bench/replay.sh
@@ -3,6 +3,7 @@
 # reports for each whether it violates one now.
 #
 # usage: FLEETBENCH=PROGRAM SITES=FOLDER bench/replay.sh
+#   SITES  folder of the site files, to which the paths in failed-days.txt belong
 set -euo pipefail
 cd "$(dirname "$0")/.."
 rc=0
