Log the prompt parts of sends and answers that break

Adds the parts (all but the last) to 'relay: a send failed', a line 'relay: an answer broke off' with target, events and time since the first event, and the counter cuminrock_broken_answers_total. No decision changes.

--- a/router/relay/buffered.go
+++ b/router/relay/buffered.go
@@ -39,6 +39,7 @@
 	}
 	body, err := readBody(a.response)
 	if err != nil {
+		p.recordBreak(a, err)
 		a.finish(p, placementResult(ctx, err))
 		return p.truncatedError(ctx, err)
 	}
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -18,6 +18,8 @@
 	// Sends counts requests sent to targets, Resends those beyond the first send
 	// of a request.
 	Sends, Resends prometheus.Counter
+	// Breaks counts answers of targets that ended early.
+	Breaks prometheus.Counter
 	// RetriesDenied counts failures that weren't retried because the retry budget
 	// was used up.
 	RetriesDenied prometheus.Counter
@@ -37,10 +39,12 @@
 			Name: "cuminrock_sends_total", Help: "Requests sent to targets."}),
 		Resends: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cuminrock_resends_total", Help: "Requests sent to a further target."}),
+		Breaks: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cuminrock_broken_answers_total", Help: "Answers of targets that ended early."}),
 		RetriesDenied: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cuminrock_retries_denied_total", Help: "Retries that the retry budget forbade."}),
 	}
-	registry.MustRegister(m.Requests, m.Duration, m.FirstByte, m.Sends, m.Resends, m.RetriesDenied)
+	registry.MustRegister(m.Requests, m.Duration, m.FirstByte, m.Sends, m.Resends, m.Breaks, m.RetriesDenied)
 	return m
 }
 
--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -55,7 +55,9 @@
 type attempt struct {
 	lease    *placement.Lease
 	response UpstreamResponse
-	finished bool
+	// firstEventAt is when the first event of the stream arrived; zero before it.
+	firstEventAt time.Time
+	finished     bool
 }
 
 // finish closes the response and ends the target's lease. Only the first call has
@@ -145,10 +147,22 @@
 	lease.Done(result, p.relay.Now())
 	p.relay.Log.Info("relay: a send failed.", zap.String("request", p.ID),
 		zap.String("target", lease.Target().ID), zap.Int("sends", p.sends),
-		zap.Stringer("kind", failure.Kind), zap.Error(err))
+		zap.Stringer("kind", failure.Kind), zap.Strings("prompt_parts", p.Prompt.sharedPartIDs()), zap.Error(err))
 	return failure
 }
 
+// recordBreak records an answer that ended early.
+func (p *proxiedRequest) recordBreak(a *attempt, err error) {
+	var answering time.Duration
+	if !a.firstEventAt.IsZero() {
+		answering = p.relay.Now().Sub(a.firstEventAt)
+	}
+	p.relay.Metrics.Breaks.Inc()
+	p.relay.Log.Info("relay: an answer broke off.", zap.String("request", p.ID), zap.String("target", a.lease.Target().ID),
+		zap.Int64("events", p.events), zap.Duration("since_first_event", answering),
+		zap.Strings("prompt_parts", p.Prompt.sharedPartIDs()), zap.Error(err))
+}
+
 // recordAnnouncement records what the target says about its further use.
 func (p *proxiedRequest) recordAnnouncement(lease *placement.Lease, n placement.Announcement) {
 	if n == (placement.Announcement{}) {
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -77,6 +77,19 @@
 	return tokens
 }
 
+// sharedPartIDs returns the ids of the parts that other requests may share, all
+// but the last; none without a prompt.
+func (p *Prompt) sharedPartIDs() []string {
+	if p == nil || len(p.Parts) < 2 {
+		return nil
+	}
+	ids := make([]string, 0, len(p.Parts)-1)
+	for _, part := range p.Parts[:len(p.Parts)-1] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // affinityHash returns a hash of the parts that other requests may share, all but
 // the last; 0 without any.
 func (p *Prompt) affinityHash() uint64 {
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -67,10 +67,11 @@
 			return p.finishStream(a)
 		}
 		if err != nil {
+			p.recordBreak(a, err)
 			a.finish(p, placementResult(ctx, err))
 			return p.truncatedError(ctx, err)
 		}
-		a.lease.RecordProgress(p.relay.Now())
+		a.recordEvent(p.relay.Now())
 		if event.ID != "" {
 			*lastEventID = event.ID
 		}
@@ -81,6 +82,14 @@
 	}
 }
 
+// recordEvent records that an event arrived.
+func (a *attempt) recordEvent(now time.Time) {
+	if a.firstEventAt.IsZero() {
+		a.firstEventAt = now
+	}
+	a.lease.RecordProgress(now)
+}
+
 // placementResult classifies a failed attempt for the target's health. A caller that
 // disconnected says nothing about the target. A target that stopped sending or
 // acknowledging is silent. One that broke off, or used up all of the request's time,
