Refuse prompt parts that crash targets, at all gateways

Cause: a failure was recorded against the target alone. The request went on to the next target, and so did further ones with its part; each gateway saw a few single failures. Class of fault: a cause that travels with the request is blamed on whatever it meets, and evidence that is spread over gateways is never put together.

Now a gateway checks whether a target that lost an early answer still accepts connections; if not, the crash and the parts in flight go into its report, a row that all gateways follow (router/crashwatch). All decide from all reports (fleet/quarantine): crashes at several moments speak against a part, an answer clears it, and crashes that one part explains don't count against others. The check is made before each send, resends included.

Ruled out: refusing every part of a crashed request (refuses sound prompts with the same first part), and counting without waves (refuses whatever was in flight when all targets end together).

--- a/fleet/errkind/errkind.go
+++ b/fleet/errkind/errkind.go
@@ -75,6 +75,8 @@
 	// DeadlineInRun means that the deadline passed after the request was sent to
 	// a target.
 	DeadlineInRun
+	// PromptRefused means that requests with a part of the prompt crash targets.
+	PromptRefused
 	// NoTarget means that the service has no target that accepts new work.
 	NoTarget
 	// TargetUnreachable means that the target couldn't be reached; nothing was
@@ -172,6 +174,7 @@
 	Overloaded:          {"overloaded", http.StatusTooManyRequests, codes.ResourceExhausted, notRun, RetryLater},
 	DeadlinePassed:      {"deadline_passed", http.StatusGatewayTimeout, codes.DeadlineExceeded, notRun, RetryLater},
 	DeadlineInRun:       {"deadline_in_run", http.StatusGatewayTimeout, codes.DeadlineExceeded, unknown, RetryQueryOutcome},
+	PromptRefused:       {"prompt_refused", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
 	NoTarget:            {"no_target", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
 	TargetUnreachable:   {"target_unreachable", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
 	TargetRefused:       {"target_refused", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
--- a/router/exchange/exchange.go
+++ b/router/exchange/exchange.go
@@ -55,6 +55,8 @@
 	body     io.ReadCloser
 	x        *exchange
 	complete bool
+	// endsWithConnection is set if the body has neither a length nor chunks.
+	endsWithConnection bool
 }
 
 // exchange is one request and response on a connection.
@@ -85,7 +87,10 @@
 		return nil, errors.Join(ErrBroken, err)
 	}
 	x.keepAlive = !resp.Close
-	return &Response{Status: resp.StatusCode, Header: resp.Header, body: resp.Body, x: x}, nil
+	return &Response{
+		Status: resp.StatusCode, Header: resp.Header, body: resp.Body, x: x,
+		endsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+	}, nil
 }
 
 // write sends the request, in a goroutine if it is large.
@@ -141,6 +146,10 @@
 	return n, err
 }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks, and
+// is complete when the target closes the connection.
+func (r *Response) EndsWithConnection() bool { return r.endsWithConnection }
+
 // SetReadDeadline sets the deadline of the following reads of the body; zero means
 // none.
 func (r *Response) SetReadDeadline(t time.Time) error { return r.x.conn.SetReadDeadline(t) }
--- a/router/exchange/pool.go
+++ b/router/exchange/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -82,6 +83,15 @@
 	return newConn(raw), nil
 }
 
+// ConnectionRefused reports whether a new connection to the address is refused.
+func (p *Pool) ConnectionRefused(ctx context.Context, address string) bool {
+	c, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = c.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // takeIdle removes and returns the most recently used idle connection, or nil.
 func (p *Pool) takeIdle(address string) *conn {
 	p.mu.Lock()
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -33,6 +33,7 @@
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/retry"
+	"cuminrock.example/router/crashwatch"
 	"cuminrock.example/router/lag"
 	"cuminrock.example/router/platformclient"
 	"cuminrock.example/router/prepaid"
@@ -78,6 +79,9 @@
 	// were idle for too long.
 	Upstream     relay.Upstream
 	CloseExpired func()
+	// ConnectionRefused reports whether a connection to a target's address is
+	// refused.
+	ConnectionRefused func(ctx context.Context, address string) bool
 	// NewHandler returns the handler of callers' requests.
 	NewHandler func(*Gateway) http.Handler
 	// ReadinessPath is the path of the load balancer's readiness check.
@@ -108,6 +112,7 @@
 	// peers is nil if the gateway has no listener for others.
 	peers   *peers
 	targets *placement.Table
+	crashes *crashwatch.Watcher
 	lag     lag.Monitor
 	egress  *egress.Meter
 	catalog atomic.Pointer[catalog.Catalog]
@@ -149,12 +154,17 @@
 		g.peers = newPeers(g, incarnation, lis.peer.Addr().String())
 		budgets = g.peers.budgets
 	}
+	g.crashes = crashwatch.New(crashwatch.Options{
+		Gateway: settings.Name, Tables: p.Tables, Clock: p.Clock, ConnectionRefused: p.ConnectionRefused,
+		Metrics: crashwatch.NewMetrics(g.registry), Log: log, Now: time.Now,
+	})
 	g.relay = relay.New(relay.Options{
 		Catalog:    g.catalog.Load,
 		Targets:    g.targets,
 		Budgets:    budgets,
 		Retries:    retry.NewBudgets(int(settings.Retries.Ratio*retryRatioShare*permille), retryBurst),
 		Upstream:   p.Upstream,
+		Prompts:    g.crashes,
 		Overloaded: g.overloaded,
 		Egress:     g.egress,
 		Metrics:    relay.NewMetrics(g.registry),
--- a/router/gateway/view.go
+++ b/router/gateway/view.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"cuminrock.example/fleet/placement"
+	"cuminrock.example/router/crashwatch"
 	"cuminrock.example/router/platformclient"
 )
 
@@ -47,6 +48,17 @@
 		zap.Int("services", next.ServiceCount()), zap.Int("workspaces", next.WorkspaceCount()))
 }
 
+// reportView passes on the reports of gateways.
+type reportView struct {
+	crashes *crashwatch.Watcher
+}
+
+func (v *reportView) replace(rows []platformclient.Entry) { v.crashes.Replace(rows) }
+
+func (v *reportView) update(rows []platformclient.Entry) { v.crashes.Update(rows) }
+
+func (v *reportView) expire() { v.crashes.Tick() }
+
 // lapsedGracePeriod is how long targets are still used after most entries of their
 // service vanished at once: entries expire while the store is unavailable, and are
 // written again soon after.
--- a/router/gateway/watch.go
+++ b/router/gateway/watch.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"cuminrock.example/router/crashwatch"
 	"cuminrock.example/router/platformclient"
 	"cuminrock.example/router/wait"
 )
@@ -36,6 +37,7 @@
 var (
 	configWatch   = watchPolicy{maxWait: 1500 * time.Millisecond, pollDelay: 100 * time.Millisecond}
 	targetsWatch  = watchPolicy{maxWait: 1500 * time.Millisecond, pollDelay: 500 * time.Millisecond}
+	reportsWatch  = watchPolicy{maxWait: 2 * time.Second, pollDelay: 250 * time.Millisecond}
 	gatewaysWatch = watchPolicy{maxWait: 10 * time.Second, pollDelay: time.Second}
 )
 
@@ -57,6 +59,10 @@
 	g.wg.Go(func() {
 		g.watchTable(ctx, g.platform.Targets.Table, newTargetView(g), targetsWatch)
 	})
+	g.wg.Go(func() { g.crashes.Run(ctx) })
+	g.wg.Go(func() {
+		g.watchTable(ctx, crashwatch.Table, &reportView{crashes: g.crashes}, reportsWatch)
+	})
 	if g.peers != nil {
 		g.peers.start(ctx, g, lis.peer)
 	}
--- a/router/relay/buffered.go
+++ b/router/relay/buffered.go
@@ -39,7 +39,7 @@
 	}
 	body, err := readBody(a.response)
 	if err != nil {
-		p.recordBreak(a, err)
+		p.recordBreak(ctx, a, err)
 		a.finish(p, placementResult(ctx, err))
 		return p.truncatedError(ctx, err)
 	}
@@ -48,6 +48,9 @@
 	if status >= http.StatusInternalServerError {
 		result = placement.Failed
 	}
+	if result == placement.OK {
+		p.recordComplete(a)
+	}
 	a.finish(p, result)
 	if result == placement.Failed && p.mayRetry(ctx, errkind.New(errkind.TargetFailed, "the target answered %d", status)) {
 		return p.tryBuffered(ctx)
--- /dev/null
+++ b/router/relay/prompts_test.go
@@ -0,0 +1,141 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"cuminrock.example/fleet/catalog"
+	"cuminrock.example/fleet/egress"
+	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/placement"
+	"cuminrock.example/fleet/quarantine"
+	"cuminrock.example/fleet/retry"
+	"cuminrock.example/router/prepaid"
+)
+
+// promptGuard records what it is told. It refuses prompts after a number of checks;
+// never if that is 0.
+type promptGuard struct {
+	refuseAfter, checks int
+	calls               []string
+	parts               []quarantine.Part
+}
+
+func (g *promptGuard) Refusal(parts []quarantine.Part) *errkind.Error {
+	g.checks++
+	g.parts = parts
+	if g.refuseAfter > 0 && g.checks > g.refuseAfter {
+		return errkind.New(errkind.PromptRefused, "refused").WithRetryAfter(time.Minute)
+	}
+	return nil
+}
+
+func (g *promptGuard) Answered([]quarantine.Part, time.Time) { g.calls = append(g.calls, "answered") }
+
+func (g *promptGuard) ConnectionLost(target placement.Target, _ []quarantine.Part) {
+	g.calls = append(g.calls, "lost at "+target.Service)
+}
+
+func (g *promptGuard) AnsweredUnlessCrashed(placement.Target, []quarantine.Part, time.Time) {
+	g.calls = append(g.calls, "answered unless crashed")
+}
+
+// servePrompt sends a request with a prompt through a relay.
+func servePrompt(guard *promptGuard, route *catalog.Route, outcomes ...outcome) (*caller, *upstream) {
+	up := &upstream{outcomes: outcomes}
+	route.Host, route.Prefix, route.Public = "h", "/", true
+	route.Shares = []catalog.Share{{Service: "s", Weight: 1}}
+	route.Timeout, route.LatencyGoal = time.Minute, time.Second
+	c := catalog.New(catalog.Spec{Version: 1, Routes: []*catalog.Route{route}, Services: []*catalog.Service{{Name: "s"}}})
+	targets := placement.New("dc")
+	targets.Update([]placement.Target{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}, {ID: "c", Service: "s"}}, time.Now())
+	retries := retry.NewBudgets(1000, 10)
+	r := New(Options{
+		Catalog: func() *catalog.Catalog { return c }, Targets: targets, Retries: retries, Upstream: up, Prompts: guard,
+		Budgets: &prepaid.Manager{}, Overloaded: neverOverloaded, Egress: egress.NewMeter(0), Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now,
+	})
+	prompt := &Prompt{InputTokens: 30, MaxOutputTokens: 10, Parts: []PromptPart{{ID: "x", Tokens: 10}, {ID: "y", Tokens: 10}, {ID: "own", Tokens: 10}}}
+	out := &caller{}
+	r.Serve(context.Background(), &Request{ID: "1", HostName: "h", Path: "/x", Arrived: time.Now(), Prompt: prompt}, out)
+	return out, up
+}
+
+func resumable() *catalog.Route {
+	return &catalog.Route{Kind: catalog.Stream, Resumable: true, MaxAttempts: 3}
+}
+
+// connectionLost is how the adapter reports a connection that the target lost.
+func connectionLost(cause error) outcome {
+	return outcome{err: errkind.Wrap(errkind.TargetFailed, fmt.Errorf("exchange: %w", cause), "broke")}
+}
+
+func TestRefusedPromptIsNotSent(t *testing.T) {
+	is := is.New(t)
+	g := &promptGuard{refuseAfter: 1, checks: 1}
+	out, up := servePrompt(g, resumable(), good)
+	is.Equal(len(up.sends), 0)
+	is.Equal(out.refused.Kind, errkind.PromptRefused)
+	is.True(out.refused.RetryAfter > 0)
+	is.Equal(g.parts, []quarantine.Part{quarantine.PartOf("x"), quarantine.PartOf("y")}) // never the last
+}
+
+// Guards against a request that crashes one target after the other: what became
+// known since its last send holds for the next.
+func TestPromptRefusedSinceTheLastSendIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	g := &promptGuard{refuseAfter: 2} // checked on arrival and before the send
+	out, up := servePrompt(g, resumable(), connectionLost(syscall.ECONNRESET), good)
+	is.Equal(len(up.sends), 1)
+	is.Equal(out.refused.Kind, errkind.TargetFailed) // it may have run
+	is.Equal(g.calls, []string{"lost at s"})
+}
+
+func TestLostConnectionsAreReported(t *testing.T) {
+	is := is.New(t)
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		g := &promptGuard{}
+		servePrompt(g, &catalog.Route{Kind: catalog.Stream, MaxAttempts: 1}, connectionLost(cause))
+		is.Equal(g.calls, []string{"lost at s"})
+	}
+	for _, cause := range []error{syscall.ETIMEDOUT, errors.New("the response isn't HTTP")} {
+		g := &promptGuard{}
+		servePrompt(g, &catalog.Route{Kind: catalog.Stream, MaxAttempts: 1}, connectionLost(cause))
+		is.Equal(len(g.calls), 0)
+	}
+}
+
+func TestEndsOfAnswersAreReported(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		kind    catalog.Kind
+		outcome outcome
+		want    string
+	}{
+		{catalog.Stream, outcome{status: 200, body: firstEvents}, "answered"},
+		{catalog.Stream, outcome{status: 200, body: firstEvents, truncated: true}, "lost at s"},
+		{catalog.Stream, outcome{status: 200, body: firstEvents, endsWithConnection: true}, "answered unless crashed"},
+		{catalog.AtMostOnce, outcome{status: 200, body: "x"}, "answered"},
+		{catalog.AtMostOnce, outcome{status: 200, body: "x", truncated: true}, "lost at s"},
+		{catalog.AtMostOnce, outcome{status: 200, body: "x", endsWithConnection: true}, "answered unless crashed"},
+	} {
+		g := &promptGuard{}
+		servePrompt(g, &catalog.Route{Kind: c.kind, MaxAttempts: 1}, c.outcome)
+		is.Equal(g.calls, []string{c.want})
+	}
+}
+
+// A target's own error says nothing about the prompt.
+func TestErrorResponseIsNoAnswerToThePrompt(t *testing.T) {
+	g := &promptGuard{}
+	servePrompt(g, &catalog.Route{Kind: catalog.AtMostOnce, MaxAttempts: 1}, outcome{status: 500, body: "x"})
+	is.New(t).Equal(len(g.calls), 0)
+}
--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -10,6 +10,7 @@
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
+	"cuminrock.example/fleet/quarantine"
 	"cuminrock.example/router/prepaid"
 )
 
@@ -27,6 +28,8 @@
 	relay       *Relay
 	writer      ResponseWriter
 	reservation prepaid.Reservation
+	// promptParts are the parts that the prompt shares with other requests.
+	promptParts []quarantine.Part
 
 	// triedTargets are the ids of the targets that were picked. sends counts the
 	// requests written to targets, and unreachableTargets the targets that
@@ -57,7 +60,9 @@
 	response UpstreamResponse
 	// firstEventAt is when the first event of the stream arrived; zero before it.
 	firstEventAt time.Time
-	finished     bool
+	// outlivedProbation is set once the prompt is known not to crash the target.
+	outlivedProbation bool
+	finished          bool
 }
 
 // finish closes the response and ends the target's lease. Only the first call has
@@ -75,6 +80,10 @@
 // targets that can't be reached, up to maxUnreachableTargets.
 func (p *proxiedRequest) sendToNextTarget(ctx context.Context, resumeAfter string) (*attempt, *errkind.Error) {
 	for {
+		refusal := p.refusePrompt()
+		if refusal != nil {
+			return nil, refusal
+		}
 		lease, err := p.relay.Targets.Pick(&placement.Request{
 			Service:      p.service.Name,
 			Affinity:     p.Prompt.affinityHash(),
@@ -139,6 +148,7 @@
 	default:
 		p.sends++
 		p.mayHaveRun = true
+		p.recordConnectionLoss(ctx, lease.Target(), err)
 	}
 	if ctx.Err() != nil {
 		failure = p.interruptedError(ctx, failure)
@@ -152,11 +162,14 @@
 }
 
 // recordBreak records an answer that ended early.
-func (p *proxiedRequest) recordBreak(a *attempt, err error) {
+func (p *proxiedRequest) recordBreak(ctx context.Context, a *attempt, err error) {
 	var answering time.Duration
 	if !a.firstEventAt.IsZero() {
 		answering = p.relay.Now().Sub(a.firstEventAt)
 	}
+	if !a.outlivedProbation {
+		p.recordConnectionLoss(ctx, a.lease.Target(), err)
+	}
 	p.relay.Metrics.Breaks.Inc()
 	p.relay.Log.Info("relay: an answer broke off.", zap.String("request", p.ID), zap.String("target", a.lease.Target().ID),
 		zap.Int64("events", p.events), zap.Duration("since_first_event", answering),
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -24,6 +24,7 @@
 	"cuminrock.example/fleet/egress"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
+	"cuminrock.example/fleet/quarantine"
 	"cuminrock.example/fleet/retry"
 	"cuminrock.example/router/prepaid"
 )
@@ -58,6 +59,7 @@
 	Budgets  Budgets
 	Retries  *retry.Budgets
 	Upstream Upstream
+	Prompts  PromptGuard
 	// Overloaded reports whether this router has more work than processor time or
 	// its link allow, so that new requests should be refused; urgent ones are
 	// refused last.
@@ -77,6 +79,22 @@
 	Reserve(ctx context.Context, id string, w *catalog.Workspace, tokens int64, rank int, maxWait time.Duration) (prepaid.Reservation, error)
 }
 
+// PromptGuard refuses prompts that crash targets, and is told how answers end. It
+// is told the parts that a prompt shares with others.
+type PromptGuard interface {
+	// Refusal returns an error of kind PromptRefused, or nil if the request may be
+	// sent.
+	Refusal(parts []quarantine.Part) *errkind.Error
+	// Answered records that an answer, which began at the given time, was complete
+	// or has outlived quarantine.Probation.
+	Answered(parts []quarantine.Part, began time.Time)
+	// ConnectionLost records that a target's connection was lost before that.
+	ConnectionLost(target placement.Target, parts []quarantine.Part)
+	// AnsweredUnlessCrashed records an answer that ended with its connection. It is
+	// complete unless the target has crashed.
+	AnsweredUnlessCrashed(target placement.Target, parts []quarantine.Part, began time.Time)
+}
+
 // Relay serves forwarded requests. It is safe for concurrent use.
 type Relay struct {
 	Options
@@ -121,6 +139,11 @@
 	p.admittedRequest = a
 	ctx, cancel := context.WithDeadline(ctx, a.deadline)
 	defer cancel()
+	p.promptParts = a.Prompt.sharedParts()
+	err = p.refusePrompt()
+	if err != nil {
+		return err
+	}
 	r.Retries.ForService(a.service.Name).Deposit()
 	reservation, err := r.reserve(ctx, a)
 	if err != nil {
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -33,8 +33,10 @@
 	status int
 	body   string
 	// truncated makes the body end early.
-	truncated    bool
-	announcement placement.Announcement
+	truncated bool
+	// endsWithConnection makes the body end with its connection.
+	endsWithConnection bool
+	announcement       placement.Announcement
 }
 
 func (u *upstream) Send(_ context.Context, s *UpstreamRequest) (UpstreamResponse, error) {
@@ -65,7 +67,8 @@
 func (r *reply) Announcement() placement.Announcement {
 	return r.outcome.announcement
 }
-func (r *reply) Close() {}
+func (r *reply) EndsWithConnection() bool { return r.outcome.endsWithConnection }
+func (r *reply) Close()                   {}
 
 // caller is a ResponseWriter that records the response.
 type caller struct {
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -11,6 +11,7 @@
 	"cuminrock.example/fleet/catalog"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
+	"cuminrock.example/fleet/quarantine"
 )
 
 // Request is a caller's request with its complete body.
@@ -90,6 +91,16 @@
 	return ids
 }
 
+// sharedParts returns the parts that other requests may share; none without a
+// prompt.
+func (p *Prompt) sharedParts() []quarantine.Part {
+	var parts []quarantine.Part
+	for _, id := range p.sharedPartIDs() {
+		parts = append(parts, quarantine.PartOf(id))
+	}
+	return parts
+}
+
 // affinityHash returns a hash of the parts that other requests may share, all but
 // the last; 0 without any.
 func (p *Prompt) affinityHash() uint64 {
@@ -150,6 +161,9 @@
 	SetReadDeadline(t time.Time) error
 	// Load is the load that the target reports; nil without a report.
 	Load() *placement.Load
+	// EndsWithConnection reports whether the body has no length of its own: it is
+	// complete when the target closes the connection.
+	EndsWithConnection() bool
 	// Announcement is what the target says about its further use.
 	Announcement() placement.Announcement
 	Close()
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -13,6 +13,7 @@
 
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
+	"cuminrock.example/fleet/quarantine"
 	"cuminrock.example/router/eventstream"
 )
 
@@ -63,15 +64,16 @@
 		p.setSilenceDeadline(a.response)
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			p.recordComplete(a)
 			a.finish(p, placement.OK)
 			return p.finishStream(a)
 		}
 		if err != nil {
-			p.recordBreak(a, err)
+			p.recordBreak(ctx, a, err)
 			a.finish(p, placementResult(ctx, err))
 			return p.truncatedError(ctx, err)
 		}
-		a.recordEvent(p.relay.Now())
+		p.recordEvent(a)
 		if event.ID != "" {
 			*lastEventID = event.ID
 		}
@@ -83,10 +85,15 @@
 }
 
 // recordEvent records that an event arrived.
-func (a *attempt) recordEvent(now time.Time) {
+func (p *proxiedRequest) recordEvent(a *attempt) {
+	now := p.relay.Now()
 	if a.firstEventAt.IsZero() {
 		a.firstEventAt = now
 	}
+	if !a.outlivedProbation && now.Sub(a.firstEventAt) >= quarantine.Probation {
+		a.outlivedProbation = true
+		p.relay.Prompts.Answered(p.promptParts, a.firstEventAt)
+	}
 	a.lease.RecordProgress(now)
 }
 
