--- a/fleet/placement/announcement.go
+++ b/fleet/placement/announcement.go
@@ -20,6 +20,9 @@
 	// Quiet is how long the target wants no requests from this router; 0 if it
 	// doesn't say.
 	Quiet time.Duration
+	// Limit is the number of requests a second that the target takes from all
+	// routers together; 0 if it names none.
+	Limit float64
 }
 
 // announced is what a process of a target has announced. It holds whatever the
--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -182,8 +182,8 @@
 		return
 	}
 	lease.Announce(n, p.relay.Now())
-	p.relay.Log.Info("relay: a target announced that it is leaving, or wants quiet.", zap.String("request", p.ID),
-		zap.String("target", lease.Target().ID), zap.Bool("leaving", n.Leaving), zap.Duration("quiet", n.Quiet))
+	p.relay.Log.Info("relay: a target announced that it is leaving, wants quiet, or has a limit.", zap.String("request", p.ID),
+		zap.String("target", lease.Target().ID), zap.Bool("leaving", n.Leaving), zap.Duration("quiet", n.Quiet), zap.Float64("limit", n.Limit))
 }
 
 // interruptedError returns the error of a request whose deadline has passed or
