Share the identity of a target's process, calls to gateways and past platform times

Three things stood twice or were about to: the process of a target (placement, quarantine), the call of another gateway with its replaced connection, and the platform's time at a past moment. No behaviour changes.

--- a/fleet/placement/announcement.go
+++ b/fleet/placement/announcement.go
@@ -52,13 +52,15 @@
 	l.state.announced.add(n, now)
 }
 
-// process identifies one process of a target.
-type process struct {
-	id          string
-	startTimeMs int64
+// Process identifies one process of a target; successive processes under one id
+// differ in their start time, in Unix milliseconds.
+type Process struct {
+	ID          string
+	StartTimeMs int64
 }
 
-func (t *Target) process() process { return process{id: t.ID, startTimeMs: t.StartTimeMs} }
+// Process returns the process that the target is.
+func (t *Target) Process() Process { return Process{ID: t.ID, StartTimeMs: t.StartTimeMs} }
 
 // pastTarget is what a target that is no longer listed had announced.
 type pastTarget struct {
@@ -79,7 +81,7 @@
 	}
 	for id, s := range old {
 		if t.byID[id] != s && (s.announced.leaving || s.announced.quiet(now)) {
-			t.past[s.target.process()] = pastTarget{announced: s.announced, listedUntil: now}
+			t.past[s.target.Process()] = pastTarget{announced: s.announced, listedUntil: now}
 		}
 	}
 }
--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -50,7 +50,7 @@
 	// lastPlacement is keyed by the affinity of the prompts.
 	lastPlacement map[uint64]placementRecord
 	// past holds what targets announced that are no longer listed.
-	past map[process]pastTarget
+	past map[Process]pastTarget
 }
 
 // targetState is a target and what the table knows about it.
@@ -80,7 +80,7 @@
 
 // New returns a table without targets for a router in the given data centre.
 func New(dataCentre string) *Table {
-	return &Table{dataCentre: dataCentre, services: make(map[string][]*targetState), byID: make(map[string]*targetState), dataCentres: make(map[string]*dataCentreState), lastPlacement: make(map[uint64]placementRecord), past: make(map[process]pastTarget)}
+	return &Table{dataCentre: dataCentre, services: make(map[string][]*targetState), byID: make(map[string]*targetState), dataCentres: make(map[string]*dataCentreState), lastPlacement: make(map[uint64]placementRecord), past: make(map[Process]pastTarget)}
 }
 
 // Update replaces the list of targets. A target whose process still runs at the
@@ -99,7 +99,7 @@
 	for _, target := range targets {
 		s := old[target.ID]
 		if s == nil || s.target.StartTimeMs != target.StartTimeMs || s.target.Address != target.Address {
-			s = &targetState{registeredAt: registeredAt, health: newHealth(), announced: t.past[target.process()].announced}
+			s = &targetState{registeredAt: registeredAt, health: newHealth(), announced: t.past[target.Process()].announced}
 		}
 		s.target = target
 		s.announced.leaving = s.announced.leaving || target.Leaving
--- a/fleet/quarantine/evidence.go
+++ b/fleet/quarantine/evidence.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"cuminrock.example/fleet/placement"
 )
 
 const (
@@ -41,7 +43,7 @@
 }
 
 type crashTime struct {
-	process Process
+	process placement.Process
 	atMs    int64
 }
 
@@ -134,7 +136,7 @@
 }
 
 // without returns the evidence that is left when some crashes have another cause.
-func (e *evidence) without(explained map[Process]struct{}) *evidence {
+func (e *evidence) without(explained map[placement.Process]struct{}) *evidence {
 	left := &evidence{part: e.part, answeredMs: e.answeredMs}
 	for _, c := range e.crashes {
 		if _, found := explained[c.process]; !found {
@@ -168,7 +170,7 @@
 func decide(crashes *crashRecords, list []*evidence, nowMs int64) []Refusal {
 	list = slices.DeleteFunc(list, func(e *evidence) bool { return e.waves() < minWaves && len(e.crashes) < enoughCrashes })
 	all := slices.Sorted(maps.Values(crashes.endedMs))
-	explained := make(map[Process]struct{})
+	explained := make(map[placement.Process]struct{})
 	var refusals []Refusal
 	for len(refusals) < maxRefusals {
 		left := sufficient(list, explained, nowMs, all)
@@ -201,7 +203,7 @@
 
 // sufficient returns the evidence that still suffices to refuse its part without
 // the explained crashes.
-func sufficient(list []*evidence, explained map[Process]struct{}, nowMs int64, all []int64) []*evidence {
+func sufficient(list []*evidence, explained map[placement.Process]struct{}, nowMs int64, all []int64) []*evidence {
 	var left []*evidence
 	for _, e := range list {
 		e = e.without(explained)
--- a/fleet/quarantine/quarantine.go
+++ b/fleet/quarantine/quarantine.go
@@ -27,6 +27,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cuminrock.example/fleet/placement"
 )
 
 // Probation is how long after the first part of an answer a crash may still be due
@@ -39,17 +41,10 @@
 // PartOf returns the part with an id.
 func PartOf(id string) Part { return Part(xxhash.Sum64String(id)) }
 
-// Process identifies one process of a target; successive processes under one id
-// differ in their start time, in Unix milliseconds.
-type Process struct {
-	ID          string
-	StartTimeMs int64
-}
-
 // Crash is the end of a target's process. Parts are those of the prompts that it
 // was about to answer, or had answered for less than Probation.
 type Crash struct {
-	Process Process
+	Process placement.Process
 	AtMs    int64
 	Parts   []Part
 }
@@ -69,7 +64,7 @@
 	reports map[string]Report
 	// crashes and answers are what this gateway saw; answers may not be reported
 	// yet.
-	crashes map[Process]Crash
+	crashes map[placement.Process]Crash
 	answers answerLog
 	// suspected are the parts with crashes since their last answer.
 	suspected map[Part]struct{}
@@ -90,7 +85,7 @@
 
 // New returns a table without reports for the gateway of the given name.
 func New(self string) *Table {
-	t := &Table{self: self, reports: make(map[string]Report), crashes: make(map[Process]Crash)}
+	t := &Table{self: self, reports: make(map[string]Report), crashes: make(map[placement.Process]Crash)}
 	t.refusals.Store(&[]Refusal{})
 	return t
 }
@@ -150,7 +145,7 @@
 func (t *Table) Update(nowMs int64) []Refusal {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	maps.DeleteFunc(t.crashes, func(_ Process, c Crash) bool { return c.AtMs <= nowMs-retention.Milliseconds() })
+	maps.DeleteFunc(t.crashes, func(_ placement.Process, c Crash) bool { return c.AtMs <= nowMs-retention.Milliseconds() })
 	known := t.knownCrashes(nowMs)
 	list := gather(known, t.knownAnswers(known, true))
 	t.suspected = make(map[Part]struct{}, len(list))
@@ -187,7 +182,7 @@
 // endedMs is the earliest time of each process's crash.
 type crashRecords struct {
 	list    []Crash
-	endedMs map[Process]int64
+	endedMs map[placement.Process]int64
 }
 
 // add adds the crashes that still count.
@@ -205,7 +200,7 @@
 // knownCrashes returns the crashes of all reports that still count, and those that
 // this gateway saw.
 func (t *Table) knownCrashes(nowMs int64) *crashRecords {
-	known := &crashRecords{endedMs: make(map[Process]int64)}
+	known := &crashRecords{endedMs: make(map[placement.Process]int64)}
 	for _, c := range t.crashes {
 		known.add(c, nowMs)
 	}
--- a/fleet/quarantine/quarantine_test.go
+++ b/fleet/quarantine/quarantine_test.go
@@ -6,13 +6,15 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"cuminrock.example/fleet/placement"
 )
 
 const startMs = 1_000_000
 
 // crashAt records a crash of a process of its own.
 func crashAt(t *Table, number int, atMs int64, parts ...Part) {
-	t.RecordCrash(Crash{Process: Process{ID: fmt.Sprintf("p%d", number), StartTimeMs: 1}, AtMs: atMs, Parts: parts})
+	t.RecordCrash(Crash{Process: placement.Process{ID: fmt.Sprintf("p%d", number), StartTimeMs: 1}, AtMs: atMs, Parts: parts})
 }
 
 func refuses(t *Table, nowMs int64, parts ...Part) bool {
@@ -115,7 +117,7 @@
 func TestReportIsBounded(t *testing.T) {
 	is := is.New(t)
 	table := New("g")
-	table.SetReport("g", Report{Crashes: []Crash{{Process: Process{ID: "before"}, AtMs: startMs - 3000, Parts: []Part{1}}}})
+	table.SetReport("g", Report{Crashes: []Crash{{Process: placement.Process{ID: "before"}, AtMs: startMs - 3000, Parts: []Part{1}}}})
 	for i := range enoughCrashes - 1 {
 		crashAt(table, i, startMs+int64(i)*500, 1)
 	}
@@ -149,7 +151,7 @@
 	is := is.New(t)
 	table := New("g")
 	for i := range 10 {
-		table.RecordCrash(Crash{Process: Process{ID: "p"}, AtMs: startMs + int64(i)*500, Parts: []Part{1}})
+		table.RecordCrash(Crash{Process: placement.Process{ID: "p"}, AtMs: startMs + int64(i)*500, Parts: []Part{1}})
 	}
 	is.True(!refuses(table, startMs+time.Minute.Milliseconds(), 1))
 }
--- a/fleet/quarantine/sim_test.go
+++ b/fleet/quarantine/sim_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+
+	"cuminrock.example/fleet/placement"
 )
 
 // contactMs is the time after which the platform's rules hold gateways to what
@@ -96,7 +98,7 @@
 }
 
 type simTarget struct {
-	process  Process
+	process  placement.Process
 	downTo   int64
 	inFlight []*simRequest
 }
@@ -139,7 +141,7 @@
 		s.gateways = append(s.gateways, &simGateway{name: name, table: New(name)})
 	}
 	for i := range sc.targets {
-		s.targets = append(s.targets, &simTarget{process: Process{ID: fmt.Sprintf("t%d", i), StartTimeMs: 1}})
+		s.targets = append(s.targets, &simTarget{process: placement.Process{ID: fmt.Sprintf("t%d", i), StartTimeMs: 1}})
 	}
 	s.schedule()
 	for len(s.queue) > 0 {
@@ -375,7 +377,7 @@
 }
 
 // lose ends a request whose target crashed. It is sent once more.
-func (s *sim) lose(r *simRequest, process Process) {
+func (s *sim) lose(r *simRequest, process placement.Process) {
 	g, atMs := r.gateway, s.nowMs
 	began := r.beganMs
 	r.target, r.beganMs = nil, 0
--- a/router/crashwatch/crashwatch.go
+++ b/router/crashwatch/crashwatch.go
@@ -128,12 +128,9 @@
 	}
 }
 
-// platformTime returns the time of the platform's clock at a local time, which may
-// be past. It returns false until the platform has answered a call.
+// platformTime returns the time of the platform's clock at a local time.
 func (w *Watcher) platformTime(at time.Time) (int64, bool) {
-	now := w.Now()
-	nowMs, known := w.Clock.LowerBound(now)
-	return nowMs - now.Sub(at).Milliseconds(), known
+	return platformclient.TimeAt(w.Clock, at, w.Now())
 }
 
 func (w *Watcher) enqueue(l lostAnswer) {
@@ -177,7 +174,7 @@
 
 func (w *Watcher) recordCrash(l lostAnswer) {
 	w.Metrics.crashes.Inc()
-	process := quarantine.Process{ID: l.target.ID, StartTimeMs: l.target.StartTimeMs}
+	process := l.target.Process()
 	w.table.RecordCrash(quarantine.Crash{Process: process, AtMs: l.atMs, Parts: l.parts})
 	w.Log.Info("crash: a target ended under a prompt.", zap.String("target", l.target.ID), zap.Int64("at_ms", l.atMs), zap.Int("parts", len(l.parts)))
 	w.refresh()
--- a/router/crashwatch/reports.go
+++ b/router/crashwatch/reports.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/quarantine"
 	"cuminrock.example/router/platformclient"
 )
@@ -65,7 +66,7 @@
 	}
 	report := quarantine.Report{Answers: make(map[quarantine.Part]int64, len(message.Answers))}
 	for _, c := range message.Crashes {
-		crash := quarantine.Crash{Process: quarantine.Process{ID: c.TargetId, StartTimeMs: c.StartTimeMs}, AtMs: c.AtMs}
+		crash := quarantine.Crash{Process: placement.Process{ID: c.TargetId, StartTimeMs: c.StartTimeMs}, AtMs: c.AtMs}
 		for _, part := range c.Parts {
 			crash.Parts = append(crash.Parts, quarantine.Part(part))
 		}
--- a/router/gateway/peers.go
+++ b/router/gateway/peers.go
@@ -13,6 +13,7 @@
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/home"
 	"cuminrock.example/router/homebudget"
+	"cuminrock.example/router/peerconn"
 	"cuminrock.example/router/platformclient"
 )
 
@@ -23,7 +24,7 @@
 // of gateways, and the reservations of tokens at each other.
 type peers struct {
 	homes     *home.Table
-	calls     *homebudget.GRPCPeers
+	conns     *peerconn.Pool
 	budgets   *homebudget.Budgets
 	server    *homebudget.Server
 	grpc      *grpc.Server
@@ -33,10 +34,10 @@
 // newPeers returns the peers' side of a gateway that listens at the address.
 func newPeers(g *Gateway, incarnation, address string) *peers {
 	self := home.Gateway{Name: g.settings.Name, DataCentre: g.settings.DataCentre, PeerAddress: address}
-	p := &peers{homes: home.New(self), calls: homebudget.NewGRPCPeers()}
+	p := &peers{homes: home.New(self), conns: homebudget.NewConns()}
 	metrics := homebudget.NewMetrics(g.registry)
 	p.budgets = homebudget.New(homebudget.Options{
-		Local: g.budgets, Homes: p.homes, Peers: p.calls, Incarnation: incarnation,
+		Local: g.budgets, Homes: p.homes, Peers: homebudget.NewGRPCPeers(p.conns), Incarnation: incarnation,
 		Metrics: metrics, Log: g.log, Now: time.Now,
 	})
 	p.server = homebudget.NewServer(homebudget.ServerOptions{
@@ -70,7 +71,7 @@
 // close closes the server and all connections.
 func (p *peers) close() {
 	p.grpc.Stop()
-	p.calls.Close()
+	p.conns.Close()
 }
 
 // gatewayView tracks the gateways that are registered in the store.
@@ -96,7 +97,7 @@
 		addresses[gateway.PeerAddress] = struct{}{}
 	}
 	v.peers.homes.Update(registered)
-	v.peers.calls.Retain(addresses)
+	v.peers.conns.Retain(addresses)
 	if v.known[v.peers.homes.Self().Name] != v.peers.homes.Self() {
 		v.peers.registrar.wake()
 	}
--- a/router/platformclient/watch.go
+++ b/router/platformclient/watch.go
@@ -39,3 +39,11 @@
 	// was sent after that time has got a response.
 	UpperBound(local time.Time) (int64, bool)
 }
+
+// TimeAt returns the approximate time in milliseconds that the platform's clock
+// showed at a local time that isn't after now. It returns false until a call has got
+// a response.
+func TimeAt(c Clock, at, now time.Time) (int64, bool) {
+	nowMs, known := c.LowerBound(now)
+	return nowMs - now.Sub(at).Milliseconds(), known
+}
