Keep the requests of all gateways within the limit that a target names

Cause: the field Server-Limit was read nowhere. Class of fault: what a target says of itself counts for all gateways together, but each decides alone.

Now one gateway issues the permits for a target, the first in the ranking of the target's data centre, which all know from their register; the others ask it before each request to a target that they know to have a limit (fleet/targetlimit, router/targetlimit). Without a permit the request goes elsewhere, or is refused at once with the time to come back. What was heard last holds: a limit ends with the process, or with an answer without one that was asked for later. Another process's 421 at the target's address no longer counts as the target's own announcement.

Weighed: a share of the limit for each gateway needs no calls, but a share of 0.5 / 300 a second can't be used, and unused shares accumulate to a burst of all gateways; turns by the platform's clock refuse six of seven requests where a few targets' high limits would take them all.

--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -42,6 +42,9 @@
 
 	mu       sync.Mutex
 	gateways map[string]*gatewayState
+	// selfRegistered is set if the registered gateways include self, so that others
+	// know it.
+	selfRegistered bool
 	// dataCentres are the names of the data centres other than self's, in order.
 	dataCentres []string
 }
@@ -67,10 +70,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	before := t.gateways
+	t.selfRegistered = false
 	t.gateways = map[string]*gatewayState{t.self.Name: {Gateway: t.self, breaker: newBreaker()}}
 	t.dataCentres = nil
 	for _, g := range registered {
 		if g.Name == t.self.Name {
+			t.selfRegistered = true
 			continue
 		}
 		state := before[g.Name]
@@ -88,6 +93,15 @@
 
 func newBreaker() breaker.Breaker { return breaker.New(minSuspectTime, maxSuspectTime) }
 
+// DataCentres returns the names of all data centres with a gateway, in order.
+func (t *Table) DataCentres() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := append(slices.Clone(t.dataCentres), t.self.DataCentre)
+	slices.Sort(all)
+	return all
+}
+
 // OtherDataCentres returns the names of the data centres other than the
 // gateway's own.
 func (t *Table) OtherDataCentres() []string {
@@ -139,24 +153,49 @@
 
 // Pick returns a call to the workspace's home in a data centre: the first in
 // the ranking that responds and isn't excluded by name. It returns nil if there
-// is none.
+// is none. Other keys than workspaces are ranked alike.
 func (t *Table) Pick(workspace, dataCentre string, exclude []string, now time.Time) *Call {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	key := xxhash.Sum64String(workspace)
+	best := t.first(workspace, dataCentre, func(g *gatewayState) bool {
+		return !slices.Contains(exclude, g.Name) && g.breaker.Accepts(now)
+	})
+	if best == nil {
+		return nil
+	}
+	return &Call{table: t, state: best, gateway: best.Gateway, probe: best.breaker.Begin()}
+}
+
+// First returns the first gateway of a data centre in the ranking for a key, whether
+// it responds or not; false if there is none. The gateway itself counts only if it
+// is registered or there is no other.
+func (t *Table) First(key, dataCentre string) (Gateway, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	alone := len(t.gateways) == 1
+	best := t.first(key, dataCentre, func(g *gatewayState) bool {
+		return g.Name != t.self.Name || t.selfRegistered || alone
+	})
+	if best == nil {
+		return Gateway{}, false
+	}
+	return best.Gateway, true
+}
+
+// first returns the acceptable gateway of a data centre that is first in the ranking
+// for a key, or nil. The lock is held.
+func (t *Table) first(key, dataCentre string, accept func(*gatewayState) bool) *gatewayState {
+	hash := xxhash.Sum64String(key)
 	var best *gatewayState
 	var bestWeight uint64
 	for _, g := range t.gateways {
-		if g.DataCentre != dataCentre || slices.Contains(exclude, g.Name) || !g.breaker.Accepts(now) {
+		if g.DataCentre != dataCentre || !accept(g) {
 			continue
 		}
-		weight := mix.RendezvousWeight(key, g.Name)
+		weight := mix.RendezvousWeight(hash, g.Name)
 		if best == nil || weight > bestWeight {
 			best, bestWeight = g, weight
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	return &Call{table: t, state: best, gateway: best.Gateway, probe: best.breaker.Begin()}
+	return best
 }
--- a/fleet/home/home_test.go
+++ b/fleet/home/home_test.go
@@ -104,3 +104,26 @@
 		is.True(n < workspaces/count*14/10)
 	}
 }
+
+// A gateway that isn't registered yet isn't first, since the others don't know it.
+func TestUnregisteredGatewayIsNotFirst(t *testing.T) {
+	is := is.New(t)
+	self := Gateway{Name: "self", DataCentre: "z"}
+	table := New(self)
+	alone, found := table.First("key", "z")
+	is.True(found)
+	is.Equal(alone, self)
+	other := Gateway{Name: "other", DataCentre: "z"}
+	for i := range 20 {
+		key := string(rune('a' + i))
+		table.Update([]Gateway{other})
+		first, _ := table.First(key, "z")
+		is.Equal(first, other)
+		table.Update([]Gateway{other, self})
+		registered, _ := table.First(key, "z")
+		call := table.Pick(key, "z", nil, time.Now())
+		is.Equal(registered, call.Gateway())
+	}
+	_, found = table.First("key", "elsewhere")
+	is.True(!found)
+}
--- a/fleet/placement/announcement.go
+++ b/fleet/placement/announcement.go
@@ -86,15 +86,16 @@
 	}
 }
 
-// untilQuietEnds returns the time until the first of the service's targets that
-// asked for quiet takes requests again, or 0 if none of them did.
-func (t *Table) untilQuietEnds(service string, now time.Time) time.Duration {
+// untilAccepting returns the time until the first of the service's targets that
+// asked for quiet, or reached its limit, takes requests again; 0 if none of them
+// did.
+func (t *Table) untilAccepting(service string, now time.Time) time.Duration {
 	var first time.Duration
 	for _, s := range t.services[service] {
-		if s.announced.leaving || !s.announced.quiet(now) {
+		if s.announced.leaving || s.acceptsNew(now) {
 			continue
 		}
-		left := s.announced.quietUntil.Sub(now)
+		left := max(s.announced.quietUntil.Sub(now), s.deferredUntil.Sub(now))
 		if first == 0 || left < first {
 			first = left
 		}
--- a/fleet/placement/announcement_test.go
+++ b/fleet/placement/announcement_test.go
@@ -102,3 +102,22 @@
 	tb.Update(restarted, testNow.Add(6*time.Second))
 	is.Equal(pickedIDs(tb, testNow.Add(6*time.Second)), []string{"a"})
 }
+
+// A target that takes no more within its limit isn't picked until it does, even if
+// there is no other, and the caller is told when.
+func TestDeferredTargetIsNotPicked(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := New("z")
+	table.Update([]Target{{ID: "a", Service: "s", DataCentre: "z"}}, now)
+	lease, err := table.Pick(&Request{Service: "s", Affinity: 7, SharedTokens: 1000, PromptTokens: 1100, Now: now})
+	is.NoErr(err)
+	lease.Defer(2*time.Second, now)
+	is.Equal(table.byID["a"].inFlight, 0)
+	is.Equal(table.byID["a"].pendingPromptTokens, int64(0))
+	is.Equal(len(table.lastPlacement), 0)
+	_, err = table.Pick(&Request{Service: "s", Now: now.Add(500 * time.Millisecond)})
+	is.Equal(errkind.FromError(err).RetryAfter, 1500*time.Millisecond)
+	_, err = table.Pick(&Request{Service: "s", Now: now.Add(2 * time.Second)})
+	is.NoErr(err)
+}
--- a/fleet/placement/copysource.go
+++ b/fleet/placement/copysource.go
@@ -75,6 +75,13 @@
 	t.lastPlacement[r.Affinity] = placementRecord{id: s.target.ID, at: r.Now}
 }
 
+// forgetPlacement forgets that the shared parts were sent to a target.
+func (t *Table) forgetPlacement(id string, affinity uint64) {
+	if t.lastPlacement[affinity].id == id {
+		delete(t.lastPlacement, affinity)
+	}
+}
+
 // remoteHolders returns the available targets outside the picked target's data
 // centre that may keep the shared parts.
 func (t *Table) remoteHolders(picked *targetState, r *Request) []*targetState {
--- a/fleet/placement/outcome.go
+++ b/fleet/placement/outcome.go
@@ -78,6 +78,17 @@
 	}
 }
 
+// Defer releases the lease of a request that wasn't sent, since the target takes no
+// further ones for a while. The target isn't picked until then.
+func (l *Lease) Defer(pause time.Duration, now time.Time) {
+	l.Done(Neutral, now)
+	l.table.mu.Lock()
+	defer l.table.mu.Unlock()
+	l.state.sentSinceReport = max(l.state.sentSinceReport-1, 0)
+	l.state.deferredUntil = now.Add(pause)
+	l.table.forgetPlacement(l.target.ID, l.affinity)
+}
+
 // dataCentreState returns the state of the target's data centre. The table's
 // lock must be held.
 func (l *Lease) dataCentreState() *dataCentreState {
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -54,6 +54,7 @@
 	// pendingPromptTokens is the number of prompt tokens that the target
 	// presumably hasn't processed yet.
 	pendingPromptTokens int64
+	affinity            uint64
 	// source is the target from which the shared parts can be copied; nil for
 	// none.
 	source *Target
@@ -75,7 +76,7 @@
 		candidates = t.candidates(r, false)
 	}
 	if len(candidates) == 0 {
-		retryAfter := t.untilQuietEnds(r.Service, r.Now)
+		retryAfter := t.untilAccepting(r.Service, r.Now)
 		if retryAfter == 0 {
 			retryAfter = noTargetRetryAfter
 		}
@@ -92,19 +93,24 @@
 	dc := t.dataCentreState(s.target.DataCentre)
 	dc.recordSend(r.Now)
 	return &Lease{
-		table: t, state: s, target: s.target, pendingPromptTokens: pendingPromptTokens, source: t.copySource(s, r),
+		table: t, state: s, target: s.target, pendingPromptTokens: pendingPromptTokens, affinity: r.Affinity, source: t.copySource(s, r),
 		probesTarget:     s.health.Begin(),
 		probesDataCentre: dc.health.Begin(),
 	}, nil
 }
 
+// acceptsNew reports whether the target takes new requests, by what it said.
+func (s *targetState) acceptsNew(now time.Time) bool {
+	return !s.announced.leaving && !s.announced.quiet(now) && !now.Before(s.deferredUntil)
+}
+
 // candidates returns the targets that may get the request: never one that is
-// leaving or asked for quiet. If healthy is set, it leaves out unavailable ones;
+// leaving, asked for quiet or takes no more within its limit. If healthy is set, it leaves out unavailable ones;
 // Pick calls it again without if none is left.
 func (t *Table) candidates(r *Request, healthy bool) []*targetState {
 	var candidates []*targetState
 	for _, s := range t.services[r.Service] {
-		if s.announced.leaving || s.announced.quiet(r.Now) || slices.Contains(r.Exclude, s.target.ID) {
+		if !s.acceptsNew(r.Now) || slices.Contains(r.Exclude, s.target.ID) {
 			continue
 		}
 		if healthy && !t.available(s, r.Now) {
--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -74,6 +74,9 @@
 	health              breaker.Breaker
 	// announced is what the target's process said about itself.
 	announced announced
+	// deferredUntil is when the target takes requests again, as far as the limit
+	// allows that it named.
+	deferredUntil time.Time
 	// refusedUntil is the end of the pause after a refusal.
 	refusedUntil time.Time
 }
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -38,6 +38,7 @@
 	"cuminrock.example/router/platformclient"
 	"cuminrock.example/router/prepaid"
 	"cuminrock.example/router/relay"
+	"cuminrock.example/router/targetlimit"
 )
 
 const (
@@ -113,6 +114,7 @@
 	peers   *peers
 	targets *placement.Table
 	crashes *crashwatch.Watcher
+	limits  *targetlimit.Limiter
 	lag     lag.Monitor
 	egress  *egress.Meter
 	catalog atomic.Pointer[catalog.Catalog]
@@ -158,6 +160,7 @@
 		Gateway: settings.Name, Tables: p.Tables, Clock: p.Clock, ConnectionRefused: p.ConnectionRefused,
 		Metrics: crashwatch.NewMetrics(g.registry), Log: log, Now: time.Now,
 	})
+	g.limits = newLimiter(g)
 	g.relay = relay.New(relay.Options{
 		Catalog:    g.catalog.Load,
 		Targets:    g.targets,
@@ -165,6 +168,7 @@
 		Retries:    retry.NewBudgets(int(settings.Retries.Ratio*retryRatioShare*permille), retryBurst),
 		Upstream:   p.Upstream,
 		Prompts:    g.crashes,
+		Limits:     g.limits,
 		Overloaded: g.overloaded,
 		Egress:     g.egress,
 		Metrics:    relay.NewMetrics(g.registry),
--- a/router/gateway/peers.go
+++ b/router/gateway/peers.go
@@ -15,6 +15,7 @@
 	"cuminrock.example/router/homebudget"
 	"cuminrock.example/router/peerconn"
 	"cuminrock.example/router/platformclient"
+	"cuminrock.example/router/targetlimit"
 )
 
 // gatewaysTable is the table in which each gateway registers under its name.
@@ -48,6 +49,22 @@
 	return p
 }
 
+// newLimiter returns the limiter of requests to targets. The permits of a gateway
+// that has no listener for others are its own.
+func newLimiter(g *Gateway) *targetlimit.Limiter {
+	opts := targetlimit.Options{
+		Homes: home.New(home.Gateway{Name: g.settings.Name, DataCentre: g.settings.DataCentre}), Clock: g.platform.Clock,
+		Metrics: targetlimit.NewMetrics(g.registry), Log: g.log, Now: time.Now,
+	}
+	if g.peers == nil {
+		return targetlimit.New(opts)
+	}
+	opts.Homes, opts.Peers = g.peers.homes, targetlimit.NewGRPCPeers(g.peers.conns)
+	limiter := targetlimit.New(opts)
+	pb.RegisterTargetLimitServiceServer(g.peers.grpc, targetlimit.NewServer(limiter))
+	return limiter
+}
+
 // start serves other gateways and follows their register until ctx ends.
 func (p *peers) start(ctx context.Context, g *Gateway, lis net.Listener) {
 	g.wg.Go(func() {
--- /dev/null
+++ b/router/relay/limits_test.go
@@ -0,0 +1,89 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"cuminrock.example/fleet/catalog"
+	"cuminrock.example/fleet/egress"
+	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/placement"
+	"cuminrock.example/fleet/retry"
+	"cuminrock.example/fleet/targetlimit"
+	"cuminrock.example/router/prepaid"
+)
+
+// targetLimits gives permits for some targets, and records answers.
+type targetLimits struct {
+	permitted map[string]bool
+	asked     []string
+	answered  []float64
+}
+
+func (l *targetLimits) Acquire(_ context.Context, target placement.Target) targetlimit.Permit {
+	l.asked = append(l.asked, target.ID)
+	return targetlimit.Permit{Granted: l.permitted[target.ID], RetryAfter: 3 * time.Second}
+}
+
+func (l *targetLimits) Answered(_ placement.Target, perSecond float64, _ time.Time) {
+	l.answered = append(l.answered, perSecond)
+}
+
+// serveLimited sends a request through a relay with three targets.
+func serveLimited(limits *targetLimits, outcomes ...outcome) (*caller, *upstream) {
+	up := &upstream{outcomes: outcomes}
+	route := &catalog.Route{Host: "h", Prefix: "/", Public: true, Kind: catalog.AtMostOnce, MaxAttempts: 2,
+		Shares: []catalog.Share{{Service: "s", Weight: 1}}, Timeout: time.Minute, LatencyGoal: time.Second}
+	c := catalog.New(catalog.Spec{Version: 1, Routes: []*catalog.Route{route}, Services: []*catalog.Service{{Name: "s"}}})
+	targets := placement.New("dc")
+	targets.Update([]placement.Target{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}, {ID: "c", Service: "s"}}, time.Now())
+	retries := retry.NewBudgets(1000, 10)
+	r := New(Options{
+		Catalog: func() *catalog.Catalog { return c }, Targets: targets, Retries: retries, Upstream: up, Limits: limits,
+		Budgets: &prepaid.Manager{}, Overloaded: neverOverloaded, Egress: egress.NewMeter(0), Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now,
+	})
+	out := &caller{}
+	r.Serve(context.Background(), &Request{ID: "1", HostName: "h", Path: "/x", Arrived: time.Now()}, out)
+	return out, up
+}
+
+func TestRequestGoesToTheTargetWithAPermit(t *testing.T) {
+	is := is.New(t)
+	limits := &targetLimits{permitted: map[string]bool{"c": true}}
+	out, up := serveLimited(limits, good)
+	is.Equal(out.body, "good")
+	is.Equal(len(up.sends), 1)
+	is.Equal(up.sends[0].Target.ID, "c")
+}
+
+// Without any permit the request is refused at once, as not run, and the caller is
+// told when to come back.
+func TestRequestWithoutAnyPermitIsRefused(t *testing.T) {
+	is := is.New(t)
+	limits := &targetLimits{}
+	out, up := serveLimited(limits)
+	is.Equal(len(up.sends), 0)
+	is.Equal(len(limits.asked), 3) // each target once
+	is.Equal(out.refused.Kind, errkind.NoTarget)
+	is.True(out.refused.RetryAfter > 0 && out.refused.RetryAfter <= 3*time.Second)
+}
+
+// Each answer tells of the limit, also one that refuses the request, but not one of
+// another process at the target's address.
+func TestAnswersTellOfTheLimit(t *testing.T) {
+	is := is.New(t)
+	limits := &targetLimits{permitted: map[string]bool{"a": true, "b": true, "c": true}}
+	busy := &Refusal{Status: http.StatusServiceUnavailable, Announcement: placement.Announcement{Limit: 2}}
+	serveLimited(limits, outcome{err: errkind.Wrap(errkind.TargetRefused, busy, "busy")}, outcome{status: 200, announcement: placement.Announcement{Limit: 3}})
+	is.Equal(limits.answered, []float64{2, 3})
+	limits.answered = nil
+	stranger := &Refusal{Status: http.StatusMisdirectedRequest, Misdirected: true}
+	serveLimited(limits, outcome{err: errkind.Wrap(errkind.TargetRefused, stranger, "not me")}, good)
+	is.Equal(limits.answered, []float64{0}) // of the good answer
+}
--- a/router/relay/prompts_test.go
+++ b/router/relay/prompts_test.go
@@ -60,7 +60,7 @@
 	targets.Update([]placement.Target{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}, {ID: "c", Service: "s"}}, time.Now())
 	retries := retry.NewBudgets(1000, 10)
 	r := New(Options{
-		Catalog: func() *catalog.Catalog { return c }, Targets: targets, Retries: retries, Upstream: up, Prompts: guard,
+		Catalog: func() *catalog.Catalog { return c }, Targets: targets, Retries: retries, Upstream: up, Prompts: guard, Limits: noLimits{},
 		Budgets: &prepaid.Manager{}, Overloaded: neverOverloaded, Egress: egress.NewMeter(0), Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now,
 	})
 	prompt := &Prompt{InputTokens: 30, MaxOutputTokens: 10, Parts: []PromptPart{{ID: "x", Tokens: 10}, {ID: "y", Tokens: 10}, {ID: "own", Tokens: 10}}}
--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -80,6 +80,25 @@
 // targets that can't be reached, up to maxUnreachableTargets.
 func (p *proxiedRequest) sendToNextTarget(ctx context.Context, resumeAfter string) (*attempt, *errkind.Error) {
 	for {
+		lease, failure := p.pickTarget(ctx)
+		if failure != nil {
+			return nil, failure
+		}
+		a, failure := p.send(ctx, lease, resumeAfter)
+		if failure == nil || failure.Kind != errkind.TargetUnreachable {
+			return a, failure
+		}
+		p.unreachableTargets++
+		if p.unreachableTargets >= maxUnreachableTargets || ctx.Err() != nil {
+			return nil, failure
+		}
+	}
+}
+
+// pickTarget picks a target for the next send. It skips targets that have no permit
+// left for it, up to maxDeniedPermits.
+func (p *proxiedRequest) pickTarget(ctx context.Context) (*placement.Lease, *errkind.Error) {
+	for denied := 0; ; denied++ {
 		refusal := p.refusePrompt()
 		if refusal != nil {
 			return nil, refusal
@@ -95,44 +114,49 @@
 		if err != nil {
 			return nil, errkind.FromError(err)
 		}
-		target := lease.Target()
-		p.triedTargets = append(p.triedTargets, target.ID)
-		if source := lease.Source(); source != nil {
-			p.copiedFrom = append(p.copiedFrom, source.ID)
+		permit := p.relay.Limits.Acquire(ctx, lease.Target())
+		if permit.Granted {
+			return lease, nil
 		}
-		p.relay.Egress.Add(headerBytes+len(p.Body), p.relay.Now())
-		response, err := p.relay.Upstream.Send(ctx, &UpstreamRequest{
-			Request:     p.Request,
-			Target:      target,
-			Source:      lease.Source(),
-			Workspace:   p.workspaceName(),
-			Deadline:    p.deadline,
-			Priority:    p.priority(),
-			ResumeAfter: resumeAfter,
-		})
-		if err == nil {
-			p.sends++
-			p.mayHaveRun = true
-			if load := response.Load(); load != nil {
-				lease.ReportLoad(*load, p.relay.Now())
-			}
-			p.recordAnnouncement(lease, response.Announcement())
-			return &attempt{lease: lease, response: response}, nil
-		}
-		failure := p.handleSendFailure(ctx, lease, err)
-		if failure.Kind != errkind.TargetUnreachable {
-			return nil, failure
-		}
-		p.unreachableTargets++
-		if p.unreachableTargets >= maxUnreachableTargets || ctx.Err() != nil {
-			return nil, failure
+		lease.Defer(permit.RetryAfter, p.relay.Now())
+		if denied == maxDeniedPermits || ctx.Err() != nil {
+			return nil, errkind.New(errkind.NoTarget, "the targets take no more requests now").WithRetryAfter(permit.RetryAfter)
 		}
 	}
 }
 
+// send sends the request to the leased target. An error ends the lease.
+func (p *proxiedRequest) send(ctx context.Context, lease *placement.Lease, resumeAfter string) (*attempt, *errkind.Error) {
+	target, sent := lease.Target(), p.relay.Now()
+	p.triedTargets = append(p.triedTargets, target.ID)
+	if source := lease.Source(); source != nil {
+		p.copiedFrom = append(p.copiedFrom, source.ID)
+	}
+	p.relay.Egress.Add(headerBytes+len(p.Body), sent)
+	response, err := p.relay.Upstream.Send(ctx, &UpstreamRequest{
+		Request:     p.Request,
+		Target:      target,
+		Source:      lease.Source(),
+		Workspace:   p.workspaceName(),
+		Deadline:    p.deadline,
+		Priority:    p.priority(),
+		ResumeAfter: resumeAfter,
+	})
+	if err != nil {
+		return nil, p.handleSendFailure(ctx, lease, sent, err)
+	}
+	p.sends++
+	p.mayHaveRun = true
+	if load := response.Load(); load != nil {
+		lease.ReportLoad(*load, p.relay.Now())
+	}
+	p.recordAnnouncement(lease, sent, response.Announcement())
+	return &attempt{lease: lease, response: response}, nil
+}
+
 // handleSendFailure records a failed send and ends the target's lease. It returns
 // the error for the request.
-func (p *proxiedRequest) handleSendFailure(ctx context.Context, lease *placement.Lease, err error) *errkind.Error {
+func (p *proxiedRequest) handleSendFailure(ctx context.Context, lease *placement.Lease, sent time.Time, err error) *errkind.Error {
 	failure := errkind.FromError(err)
 	result := placementResult(ctx, err)
 	switch failure.Kind {
@@ -142,8 +166,8 @@
 		p.sends++
 		result = placement.Refused
 		var refusal *Refusal
-		if errors.As(err, &refusal) {
-			p.recordAnnouncement(lease, refusal.Announcement)
+		if errors.As(err, &refusal) && !refusal.Misdirected {
+			p.recordAnnouncement(lease, sent, refusal.Announcement)
 		}
 	default:
 		p.sends++
@@ -176,14 +200,16 @@
 		zap.Strings("prompt_parts", p.Prompt.sharedPartIDs()), zap.Error(err))
 }
 
-// recordAnnouncement records what the target says about its further use.
-func (p *proxiedRequest) recordAnnouncement(lease *placement.Lease, n placement.Announcement) {
-	if n == (placement.Announcement{}) {
+// recordAnnouncement records what the target says about its further use in an
+// answer to a request that was sent at a time.
+func (p *proxiedRequest) recordAnnouncement(lease *placement.Lease, sent time.Time, n placement.Announcement) {
+	p.relay.Limits.Answered(lease.Target(), n.Limit, sent)
+	if !n.Leaving && n.Quiet == 0 {
 		return
 	}
 	lease.Announce(n, p.relay.Now())
-	p.relay.Log.Info("relay: a target announced that it is leaving, wants quiet, or has a limit.", zap.String("request", p.ID),
-		zap.String("target", lease.Target().ID), zap.Bool("leaving", n.Leaving), zap.Duration("quiet", n.Quiet), zap.Float64("limit", n.Limit))
+	p.relay.Log.Info("relay: a target announced that it is leaving, or wants quiet.", zap.String("request", p.ID),
+		zap.String("target", lease.Target().ID), zap.Bool("leaving", n.Leaving), zap.Duration("quiet", n.Quiet))
 }
 
 // interruptedError returns the error of a request whose deadline has passed or
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -26,6 +26,7 @@
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/quarantine"
 	"cuminrock.example/fleet/retry"
+	"cuminrock.example/fleet/targetlimit"
 	"cuminrock.example/router/prepaid"
 )
 
@@ -39,6 +40,9 @@
 	// maxUnreachableTargets bounds how many unreachable targets are tried for one
 	// request.
 	maxUnreachableTargets = 3
+	// maxDeniedPermits bounds how many targets without a permit are skipped for one
+	// request.
+	maxDeniedPermits = 8
 	// outcomeAnswered and outcomeCallerLeft are the outcomes in logs and metrics
 	// that aren't error kinds.
 	outcomeAnswered   = "answered"
@@ -60,6 +64,7 @@
 	Retries  *retry.Budgets
 	Upstream Upstream
 	Prompts  PromptGuard
+	Limits   TargetLimits
 	// Overloaded reports whether this router has more work than processor time or
 	// its link allow, so that new requests should be refused; urgent ones are
 	// refused last.
@@ -95,6 +100,15 @@
 	AnsweredUnlessCrashed(target placement.Target, parts []quarantine.Part, began time.Time)
 }
 
+// TargetLimits keeps requests within the limits that targets name.
+type TargetLimits interface {
+	// Acquire asks for a permit to send one request to a target.
+	Acquire(ctx context.Context, target placement.Target) targetlimit.Permit
+	// Answered records the limit that a target names in an answer to a request that
+	// was sent at a time, in requests a second; 0 if it names none.
+	Answered(target placement.Target, perSecond float64, sent time.Time)
+}
+
 // Relay serves forwarded requests. It is safe for concurrent use.
 type Relay struct {
 	Options
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/retry"
+	"cuminrock.example/fleet/targetlimit"
 	"cuminrock.example/router/prepaid"
 )
 
@@ -99,7 +100,7 @@
 		retries.ForService("s").Deposit()
 	}
 	r := New(Options{
-		Catalog: func() *catalog.Catalog { return c }, Targets: targets, Retries: retries, Upstream: up,
+		Catalog: func() *catalog.Catalog { return c }, Targets: targets, Retries: retries, Upstream: up, Limits: noLimits{},
 		Budgets: &prepaid.Manager{}, Overloaded: neverOverloaded, Egress: egress.NewMeter(0), Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now,
 	})
 	out := &caller{}
@@ -109,6 +110,14 @@
 
 func neverOverloaded(bool) bool { return false }
 
+// noLimits is a TargetLimits of targets without limits.
+type noLimits struct{}
+
+func (noLimits) Acquire(context.Context, placement.Target) targetlimit.Permit {
+	return targetlimit.Permit{Granted: true}
+}
+func (noLimits) Answered(placement.Target, float64, time.Time) {}
+
 var (
 	failed      = outcome{err: errkind.New(errkind.TargetFailed, "broke")}
 	refused     = outcome{err: errkind.New(errkind.TargetRefused, "full")}
@@ -237,7 +246,7 @@
 	urgent := &catalog.Route{Host: "h", Prefix: "/urgent/", Public: true, Shares: route.Shares}
 	c := catalog.New(catalog.Spec{Routes: []*catalog.Route{route, urgent}, Services: []*catalog.Service{{Name: "s"}}})
 	r := New(Options{
-		Catalog: func() *catalog.Catalog { return c }, Targets: placement.New("dc"), Retries: retry.NewBudgets(1000, 10),
+		Catalog: func() *catalog.Catalog { return c }, Targets: placement.New("dc"), Retries: retry.NewBudgets(1000, 10), Limits: noLimits{},
 		Overloaded: func(urgent bool) bool { return !urgent }, Egress: egress.NewMeter(0),
 		Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now,
 	})
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -172,7 +172,9 @@
 // Refusal is the cause of an error of kind TargetRefused: a target's response that
 // says that it didn't run the request.
 type Refusal struct {
-	Status       int
+	Status int
+	// Misdirected is set if another process answered at the target's address.
+	Misdirected  bool
 	Announcement placement.Announcement
 }
 
--- /dev/null
+++ b/router/targetlimit/limiter.go
@@ -0,0 +1,206 @@
+// Package targetlimit keeps the requests that all gateways together send to a target
+// within the limit that the target names.
+//
+// For each target one gateway issues permits: the first in the ranking of its data
+// centre's gateways by a hash of the target's id (package home). The others ask it
+// before each request to a target that they know to have a limit, and each call
+// exchanges what both heard last of the limit. A gateway that gets no response asks
+// the next one, which issues fewer permits as long as it isn't the first in its own
+// ranking; without any response, nothing is sent.
+package targetlimit
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/home"
+	"cuminrock.example/fleet/placement"
+	"cuminrock.example/fleet/targetlimit"
+	"cuminrock.example/router/platformclient"
+)
+
+const (
+	// maxIssuersTried bounds the gateways that are asked for one permit.
+	maxIssuersTried = 2
+	// callTimeout bounds one call. A small VM may run nothing for a tenth of a
+	// second.
+	callTimeout = 150 * time.Millisecond
+	// unreachableRetryAfter is when to ask again if no gateway responded.
+	unreachableRetryAfter = 500 * time.Millisecond
+	// maxPendingNews bounds the changed limits that the issuer is still to be told.
+	// Calls for permits tell them, too.
+	maxPendingNews = 64
+)
+
+// Peers calls other gateways.
+type Peers interface {
+	Acquire(ctx context.Context, address string, req *pb.AcquirePermitRequest) (*pb.AcquirePermitResponse, error)
+}
+
+// Options configures a Limiter. All fields are required.
+type Options struct {
+	Homes   *home.Table
+	Peers   Peers
+	Clock   platformclient.Clock
+	Metrics *Metrics
+	Log     *zap.Logger
+	Now     func() time.Time
+}
+
+// Limiter asks for permits, and issues those of this gateway. It is safe for
+// concurrent use.
+type Limiter struct {
+	Options
+	book   *targetlimit.Book
+	issuer *targetlimit.Issuer
+	news   chan placement.Target
+}
+
+// New returns a limiter that knows of no limits.
+func New(opts Options) *Limiter {
+	return &Limiter{Options: opts, book: targetlimit.NewBook(), issuer: targetlimit.NewIssuer(), news: make(chan placement.Target, maxPendingNews)}
+}
+
+// Run tells issuers of changed limits until ctx ends.
+func (l *Limiter) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case target := <-l.news:
+			l.ask(ctx, target, true)
+		}
+	}
+}
+
+// Answered records an answer of a target to a request that was sent at a time:
+// the limit in requests a second that it names, or 0 if it names none.
+func (l *Limiter) Answered(target placement.Target, perSecond float64, sent time.Time) {
+	if perSecond == 0 && l.book.Limit(target.Process()).PerSecond == 0 {
+		return
+	}
+	now := l.Now()
+	nowMs, known := platformclient.TimeAt(l.Clock, now, now)
+	if !known || !l.book.LearnAnswer(target.Process(), perSecond, nowMs-now.Sub(sent).Milliseconds(), nowMs) {
+		return
+	}
+	l.Log.Info("limit: a target's limit has changed.", zap.String("target", target.ID), zap.Float64("per_second", perSecond))
+	select {
+	case l.news <- target:
+	default:
+	}
+}
+
+// Acquire asks for a permit to send one request to a target. Targets without a known
+// limit need none.
+func (l *Limiter) Acquire(ctx context.Context, target placement.Target) targetlimit.Permit {
+	if l.book.Limit(target.Process()).PerSecond == 0 {
+		return targetlimit.Permit{Granted: true}
+	}
+	permit := l.ask(ctx, target, false)
+	l.Metrics.record(permit)
+	return permit
+}
+
+// ask asks the issuer of the target's permits, or the next one if it doesn't
+// respond. If newsOnly is set, it only tells what this gateway knows.
+func (l *Limiter) ask(ctx context.Context, target placement.Target, newsOnly bool) targetlimit.Permit {
+	var tried []string
+	for len(tried) < maxIssuersTried && ctx.Err() == nil {
+		call := l.pick(target, tried)
+		if call == nil {
+			break
+		}
+		tried = append(tried, call.Gateway().Name)
+		if call.Gateway().Name == l.Homes.Self().Name {
+			call.Succeeded()
+			return l.issue(target, newsOnly)
+		}
+		permit, err := l.askAt(ctx, call, target, newsOnly)
+		if err == nil {
+			return permit
+		}
+		l.Log.Info("limit: the issuer of permits didn't respond.", zap.String("target", target.ID),
+			zap.String("gateway", call.Gateway().Name), zap.Error(err))
+	}
+	return targetlimit.Permit{RetryAfter: unreachableRetryAfter}
+}
+
+// pick returns a call to the first gateway that issues permits for the target,
+// responds and wasn't tried; nil if there is none.
+func (l *Limiter) pick(target placement.Target, tried []string) *home.Call {
+	for _, dataCentre := range l.dataCentres(target) {
+		call := l.Homes.Pick(target.ID, dataCentre, tried, l.Now())
+		if call != nil {
+			return call
+		}
+	}
+	return nil
+}
+
+// dataCentres returns the data centres whose gateways may issue permits for the
+// target: its own, and the others for when that has no gateways. All gateways have
+// the same order.
+func (l *Limiter) dataCentres(target placement.Target) []string {
+	list := []string{target.DataCentre}
+	for _, dataCentre := range l.Homes.DataCentres() {
+		if dataCentre != target.DataCentre {
+			list = append(list, dataCentre)
+		}
+	}
+	return list
+}
+
+// isFallback reports whether another gateway should issue the target's permits.
+func (l *Limiter) isFallback(target placement.Target) bool {
+	for _, dataCentre := range l.dataCentres(target) {
+		first, found := l.Homes.First(target.ID, dataCentre)
+		if found {
+			return first.Name != l.Homes.Self().Name
+		}
+	}
+	return false
+}
+
+// issue issues a permit here.
+func (l *Limiter) issue(target placement.Target, newsOnly bool) targetlimit.Permit {
+	perSecond := l.book.Limit(target.Process()).PerSecond
+	if newsOnly || perSecond == 0 {
+		return targetlimit.Permit{Granted: true}
+	}
+	return l.issuer.Acquire(target.Process(), perSecond, l.isFallback(target), l.Now())
+}
+
+// askAt asks another gateway.
+func (l *Limiter) askAt(ctx context.Context, call *home.Call, target placement.Target, newsOnly bool) (targetlimit.Permit, error) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := l.Peers.Acquire(callCtx, call.Gateway().PeerAddress, &pb.AcquirePermitRequest{
+		TargetId: target.ID, StartTimeMs: target.StartTimeMs, DataCentre: target.DataCentre,
+		Limit: encodeLimit(l.book.Limit(target.Process())), NewsOnly: newsOnly,
+	})
+	switch {
+	case err == nil:
+		call.Succeeded()
+	case ctx.Err() != nil:
+		// The request itself has ended, which says nothing about the gateway.
+		call.Release()
+		return targetlimit.Permit{}, err
+	default:
+		call.Failed(l.Now())
+		return targetlimit.Permit{}, err
+	}
+	l.book.Learn(target.Process(), decodeLimit(resp.Limit))
+	return targetlimit.Permit{Granted: resp.Granted, RetryAfter: time.Duration(resp.RetryAfterMs) * time.Millisecond}, nil
+}
+
+func encodeLimit(l targetlimit.Limit) *pb.TargetLimit {
+	return &pb.TargetLimit{PerSecond: l.PerSecond, HeardMs: l.HeardMs}
+}
+
+func decodeLimit(l *pb.TargetLimit) targetlimit.Limit {
+	return targetlimit.Limit{PerSecond: l.GetPerSecond(), HeardMs: l.GetHeardMs()}
+}
--- /dev/null
+++ b/router/targetlimit/server.go
@@ -0,0 +1,43 @@
+package targetlimit
+
+import (
+	"context"
+
+	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/placement"
+	"cuminrock.example/router/peerconn"
+)
+
+// Server issues permits to other gateways. It implements
+// pb.TargetLimitServiceServer.
+type Server struct {
+	pb.UnimplementedTargetLimitServiceServer
+	limiter *Limiter
+}
+
+// NewServer returns a server of the limiter's permits.
+func NewServer(l *Limiter) *Server { return &Server{limiter: l} }
+
+// Acquire implements pb.TargetLimitServiceServer.
+func (s *Server) Acquire(_ context.Context, req *pb.AcquirePermitRequest) (*pb.AcquirePermitResponse, error) {
+	target := placement.Target{ID: req.TargetId, StartTimeMs: req.StartTimeMs, DataCentre: req.DataCentre}
+	s.limiter.book.Learn(target.Process(), decodeLimit(req.Limit))
+	permit := s.limiter.issue(target, req.NewsOnly)
+	return &pb.AcquirePermitResponse{
+		Granted: permit.Granted, RetryAfterMs: permit.RetryAfter.Milliseconds(),
+		Limit: encodeLimit(s.limiter.book.Limit(target.Process())),
+	}, nil
+}
+
+// GRPCPeers calls other gateways over gRPC. It implements Peers.
+type GRPCPeers struct {
+	conns *peerconn.Pool
+}
+
+// NewGRPCPeers returns peers that are called over the connections.
+func NewGRPCPeers(conns *peerconn.Pool) *GRPCPeers { return &GRPCPeers{conns: conns} }
+
+// Acquire implements Peers.
+func (p *GRPCPeers) Acquire(ctx context.Context, address string, req *pb.AcquirePermitRequest) (*pb.AcquirePermitResponse, error) {
+	return peerconn.Call(ctx, p.conns, address, req, pb.NewTargetLimitServiceClient, pb.TargetLimitServiceClient.Acquire)
+}
