Bound the header of a target's response

A target that sends header fields, or a line, without end was read until the request's deadline, and all of it was kept in memory: TestEndlessHeadIsCutOff and TestEndlessHeaderLineIsCutOff got 504 at the deadline. Now the header is cut off after 64 KiB and the request fails at once with 502. Class of fault: a bound on the whole (the deadline) taken for a bound on each part.

--- a/router/exchange/exchange.go
+++ b/router/exchange/exchange.go
@@ -112,10 +112,12 @@
 // another id are late responses to earlier requests, and are skipped.
 func (x *exchange) readResponse() (*http.Response, error) {
 	for range maxResponses {
+		x.conn.head.limit()
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
 		if err != nil {
 			return nil, err
 		}
+		x.conn.head.lift()
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
