A caller that leaves doesn't make its target be passed over

While a permit was asked for, the end of the request counted as no permit, and the target was passed over for half a second. Tests of that, and of a stream that clears its prompt before it breaks.

--- a/router/relay/limits_test.go
+++ b/router/relay/limits_test.go
@@ -37,6 +37,10 @@
 
 // serveLimited sends a request through a relay with three targets.
 func serveLimited(limits *targetLimits, outcomes ...outcome) (*caller, *upstream) {
+	return serveLimitedWithin(context.Background(), limits, outcomes...)
+}
+
+func serveLimitedWithin(ctx context.Context, limits *targetLimits, outcomes ...outcome) (*caller, *upstream) {
 	up := &upstream{outcomes: outcomes}
 	route := &catalog.Route{Host: "h", Prefix: "/", Public: true, Kind: catalog.AtMostOnce, MaxAttempts: 2,
 		Shares: []catalog.Share{{Service: "s", Weight: 1}}, Timeout: time.Minute, LatencyGoal: time.Second}
@@ -49,7 +53,7 @@
 		Budgets: &prepaid.Manager{}, Overloaded: neverOverloaded, Egress: egress.NewMeter(0), Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now,
 	})
 	out := &caller{}
-	r.Serve(context.Background(), &Request{ID: "1", HostName: "h", Path: "/x", Arrived: time.Now()}, out)
+	r.Serve(ctx, &Request{ID: "1", HostName: "h", Path: "/x", Arrived: time.Now()}, out)
 	return out, up
 }
 
@@ -87,3 +91,14 @@
 	serveLimited(limits, outcome{err: errkind.Wrap(errkind.TargetRefused, stranger, "not me")}, good)
 	is.Equal(limits.answered, []float64{0}) // of the good answer
 }
+
+// A caller that leaves while a permit is asked for says nothing about the target.
+func TestCallerThatLeavesDoesntDeferTheTarget(t *testing.T) {
+	is := is.New(t)
+	left, leave := context.WithCancel(context.Background())
+	leave()
+	limits := &targetLimits{}
+	_, up := serveLimitedWithin(left, limits)
+	is.Equal(len(up.sends), 0)
+	is.Equal(len(limits.asked), 1)
+}
--- a/router/relay/prompts_test.go
+++ b/router/relay/prompts_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -139,3 +140,15 @@
 	servePrompt(g, &catalog.Route{Kind: catalog.AtMostOnce, MaxAttempts: 1}, outcome{status: 500, body: "x"})
 	is.New(t).Equal(len(g.calls), 0)
 }
+
+// A stream that breaks after it has run for a while clears its prompt.
+func TestAnswerThatOutlivesProbationClearsThePrompt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &promptGuard{}
+		out, _ := servePrompt(g, &catalog.Route{Kind: catalog.Stream, MaxAttempts: 1},
+			outcome{status: 200, body: firstEvents + lastEvents, truncated: true, pause: quarantine.Probation / 2})
+		is := is.New(t)
+		is.True(out.aborted)
+		is.Equal(g.calls, []string{"answered"})
+	})
+}
--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -118,8 +118,12 @@
 		if permit.Granted {
 			return lease, nil
 		}
+		if ctx.Err() != nil {
+			lease.Done(placement.Neutral, p.relay.Now())
+			return nil, p.interruptedError(ctx, ctx.Err())
+		}
 		lease.Defer(permit.RetryAfter, p.relay.Now())
-		if denied == maxDeniedPermits || ctx.Err() != nil {
+		if denied == maxDeniedPermits {
 			return nil, errkind.New(errkind.NoTarget, "the targets take no more requests now").WithRetryAfter(permit.RetryAfter)
 		}
 	}
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -37,7 +37,9 @@
 	truncated bool
 	// endsWithConnection makes the body end with its connection.
 	endsWithConnection bool
-	announcement       placement.Announcement
+	// pause is how long each read takes, of a few bytes.
+	pause        time.Duration
+	announcement placement.Announcement
 }
 
 func (u *upstream) Send(_ context.Context, s *UpstreamRequest) (UpstreamResponse, error) {
@@ -55,6 +57,10 @@
 }
 
 func (r *reply) Read(p []byte) (int, error) {
+	if r.outcome.pause > 0 {
+		time.Sleep(r.outcome.pause)
+		p = p[:min(len(p), 5)]
+	}
 	n, err := r.Reader.Read(p)
 	if err == io.EOF && r.outcome.truncated {
 		err = io.ErrUnexpectedEOF
