--- a/router/crashwatch/publisher.go
+++ b/router/crashwatch/publisher.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/router/wait"
 )
 
 const (
@@ -66,7 +67,7 @@
 				break
 			}
 			p.watcher.Log.Warn("crash: can't store this gateway's report.", zap.Error(err))
-			p.sleep(ctx, minRetryDelay+rand.N(maxRetryDelay-minRetryDelay), nil)
+			wait.For(ctx, minRetryDelay+rand.N(maxRetryDelay-minRetryDelay))
 		}
 	}
 }
@@ -77,21 +78,22 @@
 	case <-ctx.Done():
 		return false
 	case <-p.urgent:
-		return p.sleep(ctx, rand.N(maxCrashDelay), nil)
+		return wait.For(ctx, rand.N(maxCrashDelay))
 	case <-p.later:
-		return p.sleep(ctx, rand.N(maxAnswerDelay), p.urgent)
+		return p.waitUnlessUrgent(ctx, rand.N(maxAnswerDelay))
 	}
 }
 
-// sleep waits for d, or until it is woken. It reports false if ctx ended.
-func (p *publisher) sleep(ctx context.Context, d time.Duration, woken <-chan struct{}) bool {
+// waitUnlessUrgent waits for d, or until there is an urgent report. It reports
+// false if ctx ended.
+func (p *publisher) waitUnlessUrgent(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return false
 	case <-timer.C:
-	case <-woken:
+	case <-p.urgent:
 	}
 	return true
 }
--- a/router/relay/limits_test.go
+++ b/router/relay/limits_test.go
@@ -7,16 +7,11 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/prometheus/client_golang/prometheus"
-	"go.uber.org/zap"
 
 	"cuminrock.example/fleet/catalog"
-	"cuminrock.example/fleet/egress"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
-	"cuminrock.example/fleet/retry"
 	"cuminrock.example/fleet/targetlimit"
-	"cuminrock.example/router/prepaid"
 )
 
 // targetLimits gives permits for some targets, and records answers.
@@ -35,32 +30,18 @@
 	l.answered = append(l.answered, perSecond)
 }
 
-// serveLimited sends a request through a relay with three targets.
-func serveLimited(limits *targetLimits, outcomes ...outcome) (*caller, *upstream) {
-	return serveLimitedWithin(context.Background(), limits, outcomes...)
-}
-
-func serveLimitedWithin(ctx context.Context, limits *targetLimits, outcomes ...outcome) (*caller, *upstream) {
+// serveLimited sends a request through a relay with four targets.
+func serveLimited(ctx context.Context, limits *targetLimits, outcomes ...outcome) (*caller, *upstream) {
 	up := &upstream{outcomes: outcomes}
-	route := &catalog.Route{Host: "h", Prefix: "/", Public: true, Kind: catalog.AtMostOnce, MaxAttempts: 2,
-		Shares: []catalog.Share{{Service: "s", Weight: 1}}, Timeout: time.Minute, LatencyGoal: time.Second}
-	c := catalog.New(catalog.Spec{Version: 1, Routes: []*catalog.Route{route}, Services: []*catalog.Service{{Name: "s"}}})
-	targets := placement.New("dc")
-	targets.Update([]placement.Target{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}, {ID: "c", Service: "s"}}, time.Now())
-	retries := retry.NewBudgets(1000, 10)
-	r := New(Options{
-		Catalog: func() *catalog.Catalog { return c }, Targets: targets, Retries: retries, Upstream: up, Limits: limits,
-		Budgets: &prepaid.Manager{}, Overloaded: neverOverloaded, Egress: egress.NewMeter(0), Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now,
-	})
-	out := &caller{}
-	r.Serve(ctx, &Request{ID: "1", HostName: "h", Path: "/x", Arrived: time.Now()}, out)
-	return out, up
+	r := newRelay(&catalog.Route{Kind: catalog.AtMostOnce, MaxAttempts: 2}, up)
+	r.Limits = limits
+	return serveWith(ctx, r, &Request{ID: "1"}), up
 }
 
 func TestRequestGoesToTheTargetWithAPermit(t *testing.T) {
 	is := is.New(t)
 	limits := &targetLimits{permitted: map[string]bool{"c": true}}
-	out, up := serveLimited(limits, good)
+	out, up := serveLimited(context.Background(), limits, good)
 	is.Equal(out.body, "good")
 	is.Equal(len(up.sends), 1)
 	is.Equal(up.sends[0].Target.ID, "c")
@@ -71,9 +52,9 @@
 func TestRequestWithoutAnyPermitIsRefused(t *testing.T) {
 	is := is.New(t)
 	limits := &targetLimits{}
-	out, up := serveLimited(limits)
+	out, up := serveLimited(context.Background(), limits)
 	is.Equal(len(up.sends), 0)
-	is.Equal(len(limits.asked), 3) // each target once
+	is.Equal(len(limits.asked), 4) // each target once
 	is.Equal(out.refused.Kind, errkind.NoTarget)
 	is.True(out.refused.RetryAfter > 0 && out.refused.RetryAfter <= 3*time.Second)
 }
@@ -82,13 +63,13 @@
 // another process at the target's address.
 func TestAnswersTellOfTheLimit(t *testing.T) {
 	is := is.New(t)
-	limits := &targetLimits{permitted: map[string]bool{"a": true, "b": true, "c": true}}
+	limits := &targetLimits{permitted: map[string]bool{"a": true, "b": true, "c": true, "d": true}}
 	busy := &Refusal{Status: http.StatusServiceUnavailable, Announcement: placement.Announcement{Limit: 2}}
-	serveLimited(limits, outcome{err: errkind.Wrap(errkind.TargetRefused, busy, "busy")}, outcome{status: 200, announcement: placement.Announcement{Limit: 3}})
+	serveLimited(context.Background(), limits, outcome{err: errkind.Wrap(errkind.TargetRefused, busy, "busy")}, outcome{status: 200, announcement: placement.Announcement{Limit: 3}})
 	is.Equal(limits.answered, []float64{2, 3})
 	limits.answered = nil
 	stranger := &Refusal{Status: http.StatusMisdirectedRequest, Misdirected: true}
-	serveLimited(limits, outcome{err: errkind.Wrap(errkind.TargetRefused, stranger, "not me")}, good)
+	serveLimited(context.Background(), limits, outcome{err: errkind.Wrap(errkind.TargetRefused, stranger, "not me")}, good)
 	is.Equal(limits.answered, []float64{0}) // of the good answer
 }
 
@@ -98,7 +79,7 @@
 	left, leave := context.WithCancel(context.Background())
 	leave()
 	limits := &targetLimits{}
-	_, up := serveLimitedWithin(left, limits)
+	_, up := serveLimited(left, limits)
 	is.Equal(len(up.sends), 0)
 	is.Equal(len(limits.asked), 1)
 }
--- a/router/relay/prompts_test.go
+++ b/router/relay/prompts_test.go
@@ -11,16 +11,11 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/prometheus/client_golang/prometheus"
-	"go.uber.org/zap"
 
 	"cuminrock.example/fleet/catalog"
-	"cuminrock.example/fleet/egress"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/quarantine"
-	"cuminrock.example/fleet/retry"
-	"cuminrock.example/router/prepaid"
 )
 
 // promptGuard records what it is told. It refuses prompts after a number of checks;
@@ -53,21 +48,10 @@
 // servePrompt sends a request with a prompt through a relay.
 func servePrompt(guard *promptGuard, route *catalog.Route, outcomes ...outcome) (*caller, *upstream) {
 	up := &upstream{outcomes: outcomes}
-	route.Host, route.Prefix, route.Public = "h", "/", true
-	route.Shares = []catalog.Share{{Service: "s", Weight: 1}}
-	route.Timeout, route.LatencyGoal = time.Minute, time.Second
-	c := catalog.New(catalog.Spec{Version: 1, Routes: []*catalog.Route{route}, Services: []*catalog.Service{{Name: "s"}}})
-	targets := placement.New("dc")
-	targets.Update([]placement.Target{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}, {ID: "c", Service: "s"}}, time.Now())
-	retries := retry.NewBudgets(1000, 10)
-	r := New(Options{
-		Catalog: func() *catalog.Catalog { return c }, Targets: targets, Retries: retries, Upstream: up, Prompts: guard, Limits: noLimits{},
-		Budgets: &prepaid.Manager{}, Overloaded: neverOverloaded, Egress: egress.NewMeter(0), Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now,
-	})
+	r := newRelay(route, up)
+	r.Prompts = guard
 	prompt := &Prompt{InputTokens: 30, MaxOutputTokens: 10, Parts: []PromptPart{{ID: "x", Tokens: 10}, {ID: "y", Tokens: 10}, {ID: "own", Tokens: 10}}}
-	out := &caller{}
-	r.Serve(context.Background(), &Request{ID: "1", HostName: "h", Path: "/x", Arrived: time.Now(), Prompt: prompt}, out)
-	return out, up
+	return serveWith(context.Background(), r, &Request{ID: "1", Prompt: prompt}), up
 }
 
 func resumable() *catalog.Route {
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -95,6 +95,11 @@
 // serve sends one request through a relay whose upstream has the given outcomes.
 func serve(route *catalog.Route, outcomes ...outcome) (*caller, *upstream) {
 	up := &upstream{outcomes: outcomes}
+	return serveWith(context.Background(), newRelay(route, up), &Request{ID: "1"}), up
+}
+
+// newRelay returns a relay with one route, to a service of four targets.
+func newRelay(route *catalog.Route, up *upstream) *Relay {
 	route.Host, route.Prefix, route.Public = "h", "/", true
 	route.Shares = []catalog.Share{{Service: "s", Weight: 1}}
 	route.Timeout, route.LatencyGoal = time.Minute, time.Second
@@ -105,13 +110,18 @@
 	for range 5 {
 		retries.ForService("s").Deposit()
 	}
-	r := New(Options{
+	return New(Options{
 		Catalog: func() *catalog.Catalog { return c }, Targets: targets, Retries: retries, Upstream: up, Limits: noLimits{},
 		Budgets: &prepaid.Manager{}, Overloaded: neverOverloaded, Egress: egress.NewMeter(0), Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now,
 	})
+}
+
+// serveWith sends a request through the relay.
+func serveWith(ctx context.Context, r *Relay, req *Request) *caller {
+	req.HostName, req.Path, req.Arrived = "h", "/x", time.Now()
 	out := &caller{}
-	r.Serve(context.Background(), &Request{ID: "1", HostName: "h", Path: "/x", Arrived: time.Now()}, out)
-	return out, up
+	r.Serve(ctx, req, out)
+	return out
 }
 
 func neverOverloaded(bool) bool { return false }
