--- a/router/crashwatch/publisher.go
+++ b/router/crashwatch/publisher.go
@@ -61,14 +61,27 @@
 // run writes the row whenever it is woken, until ctx ends.
 func (p *publisher) run(ctx context.Context) {
 	for p.awaitNews(ctx) {
-		for ctx.Err() == nil {
-			err := p.publish(ctx)
-			if err == nil {
-				break
-			}
-			p.watcher.Log.Warn("crash: can't store this gateway's report.", zap.Error(err))
-			wait.For(ctx, minRetryDelay+rand.N(maxRetryDelay-minRetryDelay))
+		p.publishUntilStored(ctx)
+	}
+}
+
+// publishUntilStored writes the row, again after each failure, until ctx ends. It
+// logs the first failure and the success after it.
+func (p *publisher) publishUntilStored(ctx context.Context) {
+	failed := false
+	for ctx.Err() == nil {
+		err := p.publish(ctx)
+		if err == nil {
+			break
 		}
+		if !failed {
+			p.watcher.Log.Warn("crash: can't store this gateway's report; trying again.", zap.Error(err))
+		}
+		failed = true
+		wait.For(ctx, minRetryDelay+rand.N(maxRetryDelay-minRetryDelay))
+	}
+	if failed && ctx.Err() == nil {
+		p.watcher.Log.Info("crash: stored this gateway's report after a failure.")
 	}
 }
 
