Give each subtest of the quarantine simulation its own seed

The subtests run in parallel and shared one scenario, so that all of them ran with the last seed: five (and 150 by hand) were one. Seen in equal outcomes of all seeds at 300 gateways.

--- a/fleet/quarantine/sim_test.go
+++ b/fleet/quarantine/sim_test.go
@@ -453,6 +453,7 @@
 		seeds = 1
 	}
 	for seed := range seeds {
+		sc := sc // the subtests run in parallel
 		sc.seed = seed
 		t.Run(fmt.Sprintf("gateways %d seed %d", sc.gateways, seed), func(t *testing.T) {
 			t.Parallel()
