--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -1,6 +1,7 @@
 // Package home decides which gateway is the home of a workspace in a data
 // centre: the one that takes the workspace's prepaid tokens from the platform
-// and reserves them for the others.
+// and reserves them for the others. The issuer of the permits for a target with a
+// limit (package targetlimit) is ranked alike, by the target's id.
 //
 // All gateways rank the registered ones of a data centre by a hash of the
 // workspace and the gateway's name, and use the first that responds. Gateways
@@ -151,13 +152,13 @@
 	}
 }
 
-// Pick returns a call to the workspace's home in a data centre: the first in
-// the ranking that responds and isn't excluded by name. It returns nil if there
-// is none. Other keys than workspaces are ranked alike.
-func (t *Table) Pick(workspace, dataCentre string, exclude []string, now time.Time) *Call {
+// Pick returns a call to the gateway that a key, such as a workspace, is assigned to
+// in a data centre: the first in the ranking that responds and isn't excluded by
+// name. It returns nil if there is none.
+func (t *Table) Pick(key, dataCentre string, exclude []string, now time.Time) *Call {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	best := t.first(workspace, dataCentre, func(g *gatewayState) bool {
+	best := t.first(key, dataCentre, func(g *gatewayState) bool {
 		return !slices.Contains(exclude, g.Name) && g.breaker.Accepts(now)
 	})
 	if best == nil {
--- a/fleet/quarantine/quarantine.go
+++ b/fleet/quarantine/quarantine.go
@@ -31,8 +31,8 @@
 	"cuminrock.example/fleet/placement"
 )
 
-// Probation is how long after the first part of an answer a crash may still be due
-// to the prompt. After that, the prompt's parts count as answered.
+// Probation is how long after an answer's first event a crash may still be due to the
+// prompt. After that, the prompt's parts count as answered.
 const Probation = 500 * time.Millisecond
 
 // Part identifies a prompt part by a hash of its id.
@@ -72,8 +72,9 @@
 	refusals atomic.Pointer[[]Refusal]
 }
 
-// Refusal is the decision to refuse prompts. It applies to prompts with its part
-// or, while the crashes don't tell several parts apart, with two of them.
+// Refusal is the decision to refuse prompts. It applies to prompts with its part.
+// While nothing tells several parts apart, it has all of them and applies to prompts
+// with two, so that answers to prompts with one can decide.
 type Refusal struct {
 	Parts []Part
 	// Crashes is the number of crashed processes, of which the last ended at LastMs.
