--- a/router/relay/limits_test.go
+++ b/router/relay/limits_test.go
@@ -73,13 +73,17 @@
 	is.Equal(limits.answered, []float64{0}) // of the good answer
 }
 
-// A caller that leaves while a permit is asked for says nothing about the target.
+// A caller that leaves while a permit is asked for says nothing about the target:
+// the next request asks for the same ones.
 func TestCallerThatLeavesDoesntDeferTheTarget(t *testing.T) {
 	is := is.New(t)
 	left, leave := context.WithCancel(context.Background())
 	leave()
 	limits := &targetLimits{}
-	_, up := serveLimited(left, limits)
-	is.Equal(len(up.sends), 0)
+	r := newRelay(&catalog.Route{Kind: catalog.AtMostOnce, MaxAttempts: 2}, &upstream{})
+	r.Limits = limits
+	serveWith(left, r, &Request{ID: "1"})
 	is.Equal(len(limits.asked), 1)
+	serveWith(context.Background(), r, &Request{ID: "2"})
+	is.Equal(len(limits.asked), 1+4) // all four targets, the first one included
 }
--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -76,119 +76,6 @@
 	a.lease.Done(result, p.relay.Now())
 }
 
-// sendToNextTarget sends the request to a target that wasn't tried yet. It skips
-// targets that can't be reached, up to maxUnreachableTargets.
-func (p *proxiedRequest) sendToNextTarget(ctx context.Context, resumeAfter string) (*attempt, *errkind.Error) {
-	for {
-		lease, failure := p.pickTarget(ctx)
-		if failure != nil {
-			return nil, failure
-		}
-		a, failure := p.send(ctx, lease, resumeAfter)
-		if failure == nil || failure.Kind != errkind.TargetUnreachable {
-			return a, failure
-		}
-		p.unreachableTargets++
-		if p.unreachableTargets >= maxUnreachableTargets || ctx.Err() != nil {
-			return nil, failure
-		}
-	}
-}
-
-// pickTarget picks a target for the next send. It skips targets that have no permit
-// left for it, up to maxDeniedPermits.
-func (p *proxiedRequest) pickTarget(ctx context.Context) (*placement.Lease, *errkind.Error) {
-	for denied := 0; ; denied++ {
-		refusal := p.refusePrompt()
-		if refusal != nil {
-			return nil, refusal
-		}
-		lease, err := p.relay.Targets.Pick(&placement.Request{
-			Service:      p.service.Name,
-			Affinity:     p.Prompt.affinityHash(),
-			SharedTokens: p.Prompt.sharedTokens(),
-			PromptTokens: p.Prompt.inputTokens(),
-			Exclude:      p.triedTargets,
-			Now:          p.relay.Now(),
-		})
-		if err != nil {
-			return nil, errkind.FromError(err)
-		}
-		permit := p.relay.Limits.Acquire(ctx, lease.Target())
-		if permit.Granted {
-			return lease, nil
-		}
-		if ctx.Err() != nil {
-			lease.Done(placement.Neutral, p.relay.Now())
-			return nil, p.interruptedError(ctx, ctx.Err())
-		}
-		lease.Defer(permit.RetryAfter, p.relay.Now())
-		if denied == maxDeniedPermits {
-			return nil, errkind.New(errkind.NoTarget, "the targets take no more requests now").WithRetryAfter(permit.RetryAfter)
-		}
-	}
-}
-
-// send sends the request to the leased target. An error ends the lease.
-func (p *proxiedRequest) send(ctx context.Context, lease *placement.Lease, resumeAfter string) (*attempt, *errkind.Error) {
-	target, sent := lease.Target(), p.relay.Now()
-	p.triedTargets = append(p.triedTargets, target.ID)
-	if source := lease.Source(); source != nil {
-		p.copiedFrom = append(p.copiedFrom, source.ID)
-	}
-	p.relay.Egress.Add(headerBytes+len(p.Body), sent)
-	response, err := p.relay.Upstream.Send(ctx, &UpstreamRequest{
-		Request:     p.Request,
-		Target:      target,
-		Source:      lease.Source(),
-		Workspace:   p.workspaceName(),
-		Deadline:    p.deadline,
-		Priority:    p.priority(),
-		ResumeAfter: resumeAfter,
-	})
-	if err != nil {
-		return nil, p.handleSendFailure(ctx, lease, sent, err)
-	}
-	p.sends++
-	p.mayHaveRun = true
-	if load := response.Load(); load != nil {
-		lease.ReportLoad(*load, p.relay.Now())
-	}
-	p.recordAnnouncement(lease, sent, response.Announcement())
-	return &attempt{lease: lease, response: response}, nil
-}
-
-// handleSendFailure records a failed send and ends the target's lease. It returns
-// the error for the request.
-func (p *proxiedRequest) handleSendFailure(ctx context.Context, lease *placement.Lease, sent time.Time, err error) *errkind.Error {
-	failure := errkind.FromError(err)
-	result := placementResult(ctx, err)
-	switch failure.Kind {
-	case errkind.TargetUnreachable:
-		result = placement.Unreachable
-	case errkind.TargetRefused:
-		p.sends++
-		result = placement.Refused
-		var refusal *Refusal
-		if errors.As(err, &refusal) && !refusal.Misdirected {
-			p.recordAnnouncement(lease, sent, refusal.Announcement)
-		}
-	default:
-		p.sends++
-		p.mayHaveRun = true
-		p.recordConnectionLoss(ctx, lease.Target(), err)
-	}
-	if ctx.Err() != nil {
-		failure = p.interruptedError(ctx, failure)
-		result = placementResult(ctx, err)
-	}
-	lease.Done(result, p.relay.Now())
-	p.relay.Log.Info("relay: a send failed.", zap.String("request", p.ID),
-		zap.String("target", lease.Target().ID), zap.Int("sends", p.sends),
-		zap.Stringer("kind", failure.Kind), zap.Strings("prompt_parts", p.Prompt.sharedPartIDs()), zap.Error(err))
-	return failure
-}
-
 // recordBreak records an answer that ended early.
 func (p *proxiedRequest) recordBreak(ctx context.Context, a *attempt, err error) {
 	var answering time.Duration
@@ -204,18 +91,6 @@
 		zap.Strings("prompt_parts", p.Prompt.sharedPartIDs()), zap.Error(err))
 }
 
-// recordAnnouncement records what the target says about its further use in an
-// answer to a request that was sent at a time.
-func (p *proxiedRequest) recordAnnouncement(lease *placement.Lease, sent time.Time, n placement.Announcement) {
-	p.relay.Limits.Answered(lease.Target(), n.Limit, sent)
-	if !n.Leaving && n.Quiet == 0 {
-		return
-	}
-	lease.Announce(n, p.relay.Now())
-	p.relay.Log.Info("relay: a target announced that it is leaving, or wants quiet.", zap.String("request", p.ID),
-		zap.String("target", lease.Target().ID), zap.Bool("leaving", n.Leaving), zap.Duration("quiet", n.Quiet))
-}
-
 // interruptedError returns the error of a request whose deadline has passed or
 // whose caller has disconnected.
 func (p *proxiedRequest) interruptedError(ctx context.Context, cause error) *errkind.Error {
