--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -28,6 +28,8 @@
 	relay       *Relay
 	writer      ResponseWriter
 	reservation prepaid.Reservation
+	// fingerprint is that of the admitted request.
+	fingerprint fingerprint
 	// promptParts are the parts that the prompt shares with other requests.
 	promptParts []quarantine.Part
 
@@ -87,7 +89,7 @@
 	}
 	p.relay.Metrics.Breaks.Inc()
 	p.relay.Log.Info("relay: an answer broke off.", zap.String("request", p.ID), zap.String("target", a.lease.Target().ID),
-		zap.Int64("events", p.events), zap.Duration("since_first_event", answering),
+		zap.Stringer("fingerprint", p.fingerprint), zap.Int64("events", p.events), zap.Duration("since_first_event", answering),
 		zap.Strings("prompt_parts", p.Prompt.sharedPartIDs()), zap.Error(err))
 }
 
@@ -165,7 +167,7 @@
 	}
 	if p.admittedRequest != nil {
 		fields = append(fields, zap.String("route", p.route.Name), zap.String("workspace", p.workspaceName()),
-			zap.Uint64("config", p.catalog.Version), zap.Int64("events", p.events), zap.Int64("consumed", p.consumedTokens), zap.Duration("first_byte", p.firstByte))
+			zap.Stringer("fingerprint", p.fingerprint), zap.Uint64("config", p.catalog.Version), zap.Int64("events", p.events), zap.Int64("consumed", p.consumedTokens), zap.Duration("first_byte", p.firstByte))
 	}
 	if err != nil {
 		fields = append(fields, zap.Error(err))
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -153,6 +153,7 @@
 	p.admittedRequest = a
 	ctx, cancel := context.WithDeadline(ctx, a.deadline)
 	defer cancel()
+	p.fingerprint = a.fingerprint()
 	p.promptParts = a.Prompt.sharedParts()
 	err = p.refusePrompt()
 	if err != nil {
