--- a/fleet/quarantine/evidence.go
+++ b/fleet/quarantine/evidence.go
@@ -34,7 +34,7 @@
 
 // evidence is what speaks against one part.
 type evidence struct {
-	part Part
+	trait Trait
 	// answeredMs is when the last known answer to a prompt with the part began; 0
 	// if there was none.
 	answeredMs int64
@@ -54,18 +54,18 @@
 
 // gather returns the evidence against each part that has crashes since its last
 // answer.
-func gather(crashes *crashRecords, answers map[Part]int64) []*evidence {
-	byPart := make(map[Part]*evidence)
+func gather(crashes *crashRecords, answers map[Trait]int64) []*evidence {
+	byPart := make(map[Trait]*evidence)
 	for _, c := range crashes.list {
 		endedMs := crashes.endedMs[c.Process]
-		for _, part := range c.Parts {
-			if endedMs <= answers[part] {
+		for _, trait := range c.Traits {
+			if endedMs <= answers[trait] {
 				continue
 			}
-			e := byPart[part]
+			e := byPart[trait]
 			if e == nil {
-				e = &evidence{part: part, answeredMs: answers[part]}
-				byPart[part] = e
+				e = &evidence{trait: trait, answeredMs: answers[trait]}
+				byPart[trait] = e
 			}
 			e.crashes = append(e.crashes, crashTime{process: c.Process, atMs: endedMs})
 		}
@@ -137,7 +137,7 @@
 
 // without returns the evidence that is left when some crashes have another cause.
 func (e *evidence) without(explained map[placement.Process]struct{}) *evidence {
-	left := &evidence{part: e.part, answeredMs: e.answeredMs}
+	left := &evidence{trait: e.trait, answeredMs: e.answeredMs}
 	for _, c := range e.crashes {
 		if _, found := explained[c.process]; !found {
 			left.crashes = append(left.crashes, c)
@@ -152,7 +152,7 @@
 	order := cmp.Or(
 		cmp.Compare(other.answeredMs, e.answeredMs),
 		cmp.Compare(len(e.crashes), len(other.crashes)),
-		cmp.Compare(other.part, e.part),
+		other.trait.Compare(e.trait),
 	)
 	return order > 0
 }
@@ -189,16 +189,16 @@
 		}
 	}
 	for _, e := range list {
-		if e.unexcused(nowMs) && !refusesPart(refusals, e.part) && len(refusals) < maxRefusals {
-			refusals = append(refusals, Refusal{Parts: []Part{e.part}, Crashes: len(e.crashes), LastMs: e.lastMs(), UntilMs: e.refusedUntil(nowMs, all)})
+		if e.unexcused(nowMs) && !refusesTrait(refusals, e.trait) && len(refusals) < maxRefusals {
+			refusals = append(refusals, Refusal{Traits: []Trait{e.trait}, Crashes: len(e.crashes), LastMs: e.lastMs(), UntilMs: e.refusedUntil(nowMs, all)})
 		}
 	}
 	return refusals
 }
 
-// refusesPart reports whether one of the refusals has the part.
-func refusesPart(refusals []Refusal, part Part) bool {
-	return slices.ContainsFunc(refusals, func(r Refusal) bool { return slices.Contains(r.Parts, part) })
+// refusesTrait reports whether one of the refusals has the part.
+func refusesTrait(refusals []Refusal, trait Trait) bool {
+	return slices.ContainsFunc(refusals, func(r Refusal) bool { return slices.Contains(r.Traits, trait) })
 }
 
 // sufficient returns the evidence that still suffices to refuse its part without
@@ -220,9 +220,9 @@
 	r := Refusal{Crashes: len(e.crashes), LastMs: e.lastMs(), UntilMs: e.refusedUntil(nowMs, all)}
 	for _, other := range others {
 		if e.indistinguishable(other) {
-			r.Parts = append(r.Parts, other.part)
+			r.Traits = append(r.Traits, other.trait)
 		}
 	}
-	slices.Sort(r.Parts)
+	slices.SortFunc(r.Traits, Trait.Compare)
 	return r
 }
--- a/fleet/quarantine/quarantine.go
+++ b/fleet/quarantine/quarantine.go
@@ -26,8 +26,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cuminrock.example/fleet/placement"
 )
 
@@ -35,25 +33,19 @@
 // prompt. After that, the prompt's parts count as answered.
 const Probation = 500 * time.Millisecond
 
-// Part identifies a prompt part by a hash of its id.
-type Part uint64
-
-// PartOf returns the part with an id.
-func PartOf(id string) Part { return Part(xxhash.Sum64String(id)) }
-
 // Crash is the end of a target's process. Parts are those of the prompts that it
 // was about to answer, or had answered for less than Probation.
 type Crash struct {
 	Process placement.Process
 	AtMs    int64
-	Parts   []Part
+	Traits  []Trait
 }
 
 // Report is what a gateway tells the others.
 type Report struct {
 	Crashes []Crash
 	// Answers has, for a part, when the last answer began that outlived Probation.
-	Answers map[Part]int64
+	Answers map[Trait]int64
 }
 
 // Table holds the reports of all gateways. It is safe for concurrent use.
@@ -67,7 +59,7 @@
 	crashes map[placement.Process]Crash
 	answers answerLog
 	// suspected are the parts with crashes since their last answer.
-	suspected map[Part]struct{}
+	suspected map[Trait]struct{}
 
 	refusals atomic.Pointer[[]Refusal]
 }
@@ -76,7 +68,7 @@
 // While nothing tells several parts apart, it has all of them and applies to prompts
 // with two, so that answers to prompts with one can decide.
 type Refusal struct {
-	Parts []Part
+	Traits []Trait
 	// Crashes is the number of crashed processes, of which the last ended at LastMs.
 	Crashes int
 	LastMs  int64
@@ -102,23 +94,23 @@
 // combine returns the combination of two records of one crash. The first may be
 // empty.
 func combine(a, b Crash) Crash {
-	if len(a.Parts) == 0 {
+	if len(a.Traits) == 0 {
 		return b
 	}
-	parts := slices.Concat(a.Parts, b.Parts)
-	slices.Sort(parts)
-	return Crash{Process: a.Process, AtMs: min(a.AtMs, b.AtMs), Parts: slices.Compact(parts)}
+	traits := slices.Concat(a.Traits, b.Traits)
+	slices.SortFunc(traits, Trait.Compare)
+	return Crash{Process: a.Process, AtMs: min(a.AtMs, b.AtMs), Traits: slices.Compact(traits)}
 }
 
 // RecordAnswer records that an answer to a prompt with the parts, which began at
 // beganMs, has outlived Probation. It reports whether that may change a decision.
-func (t *Table) RecordAnswer(parts []Part, beganMs int64) bool {
+func (t *Table) RecordAnswer(traits []Trait, beganMs int64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	relevant := false
-	for _, part := range parts {
-		t.answers.add(part, beganMs)
-		_, suspected := t.suspected[part]
+	for _, trait := range traits {
+		t.answers.add(trait, beganMs)
+		_, suspected := t.suspected[trait]
 		relevant = relevant || suspected
 	}
 	return relevant
@@ -149,9 +141,9 @@
 	maps.DeleteFunc(t.crashes, func(_ placement.Process, c Crash) bool { return c.AtMs <= nowMs-retention.Milliseconds() })
 	known := t.knownCrashes(nowMs)
 	list := gather(known, t.knownAnswers(known, true))
-	t.suspected = make(map[Part]struct{}, len(list))
+	t.suspected = make(map[Trait]struct{}, len(list))
 	for _, e := range list {
-		t.suspected[e.part] = struct{}{}
+		t.suspected[e.trait] = struct{}{}
 	}
 	refusals := decide(known, list, nowMs)
 	t.refusals.Store(&refusals)
@@ -159,9 +151,9 @@
 }
 
 // Refuses reports whether prompts with the parts are refused, and for how long.
-func (t *Table) Refuses(parts []Part, nowMs int64) (time.Duration, bool) {
+func (t *Table) Refuses(traits []Trait, nowMs int64) (time.Duration, bool) {
 	for _, r := range *t.refusals.Load() {
-		if nowMs < r.UntilMs && r.applies(parts) {
+		if nowMs < r.UntilMs && r.applies(traits) {
 			return time.Duration(r.UntilMs-nowMs) * time.Millisecond, true
 		}
 	}
@@ -169,14 +161,14 @@
 }
 
 // applies reports whether prompts with the parts are refused.
-func (r *Refusal) applies(parts []Part) bool {
+func (r *Refusal) applies(traits []Trait) bool {
 	found := 0
-	for _, part := range r.Parts {
-		if slices.Contains(parts, part) {
+	for _, trait := range r.Traits {
+		if slices.Contains(traits, trait) {
 			found++
 		}
 	}
-	return found >= min(len(r.Parts), 2)
+	return found >= min(len(r.Traits), 2)
 }
 
 // crashRecords are records of crashes, several of which may be of one process.
@@ -216,20 +208,20 @@
 // knownAnswers returns the last known answers of the parts in the crashes: those
 // of all reports and, if unreported is set, those that this gateway hasn't
 // reported.
-func (t *Table) knownAnswers(crashes *crashRecords, unreported bool) map[Part]int64 {
-	known := make(map[Part]int64)
+func (t *Table) knownAnswers(crashes *crashRecords, unreported bool) map[Trait]int64 {
+	known := make(map[Trait]int64)
 	for _, report := range t.reports {
-		for part, beganMs := range report.Answers {
-			known[part] = max(known[part], beganMs)
+		for trait, beganMs := range report.Answers {
+			known[trait] = max(known[trait], beganMs)
 		}
 	}
 	if !unreported {
 		return known
 	}
 	for _, c := range crashes.list {
-		for _, part := range c.Parts {
-			if beganMs, found := t.answers.last(part); found {
-				known[part] = max(known[part], beganMs)
+		for _, trait := range c.Traits {
+			if beganMs, found := t.answers.last(trait); found {
+				known[trait] = max(known[trait], beganMs)
 			}
 		}
 	}
--- a/fleet/quarantine/quarantine_test.go
+++ b/fleet/quarantine/quarantine_test.go
@@ -12,14 +12,25 @@
 
 const startMs = 1_000_000
 
+// part returns the trait of a prompt part.
+func part(hash int) Trait { return Trait{Kind: PromptPart, Hash: uint64(hash)} }
+
+func promptParts(hashes []int) []Trait {
+	var traits []Trait
+	for _, hash := range hashes {
+		traits = append(traits, part(hash))
+	}
+	return traits
+}
+
 // crashAt records a crash of a process of its own.
-func crashAt(t *Table, number int, atMs int64, parts ...Part) {
-	t.RecordCrash(Crash{Process: placement.Process{ID: fmt.Sprintf("p%d", number), StartTimeMs: 1}, AtMs: atMs, Parts: parts})
+func crashAt(t *Table, number int, atMs int64, parts ...int) {
+	t.RecordCrash(Crash{Process: placement.Process{ID: fmt.Sprintf("p%d", number), StartTimeMs: 1}, AtMs: atMs, Traits: promptParts(parts)})
 }
 
-func refuses(t *Table, nowMs int64, parts ...Part) bool {
+func refuses(t *Table, nowMs int64, parts ...int) bool {
 	t.Update(nowMs)
-	_, refused := t.Refuses(parts, nowMs)
+	_, refused := t.Refuses(promptParts(parts), nowMs)
 	return refused
 }
 
@@ -45,7 +56,7 @@
 	for i := range 2 * enoughCrashes {
 		crashAt(table, i, startMs, 1, 2)
 	}
-	table.RecordAnswer([]Part{2}, startMs-1000)
+	table.RecordAnswer([]Trait{part(2)}, startMs-1000)
 	is.True(refuses(table, startMs+1000, 1))
 	is.True(!refuses(table, startMs+1000, 2))
 	is.True(!refuses(table, startMs+singleWaveRefusal.Milliseconds(), 1))
@@ -58,7 +69,7 @@
 		crashAt(table, i, startMs+int64(i)*1000, 1)
 	}
 	is.True(refuses(table, startMs+5000, 1))
-	table.RecordAnswer([]Part{1}, startMs+4500)
+	table.RecordAnswer([]Trait{part(1)}, startMs+4500)
 	is.True(!refuses(table, startMs+6000, 1))
 }
 
@@ -66,7 +77,7 @@
 func TestRefusalOfPartThatWasAnsweredEnds(t *testing.T) {
 	is := is.New(t)
 	table := New("g")
-	table.RecordAnswer([]Part{1}, startMs-1000)
+	table.RecordAnswer([]Trait{part(1)}, startMs-1000)
 	for i := range enoughCrashes {
 		crashAt(table, i, startMs+int64(i)*1000, 1)
 	}
@@ -91,7 +102,7 @@
 	is.True(refuses(table, nowMs, 1, 2))
 	is.True(!refuses(table, nowMs, 1))
 	is.True(!refuses(table, nowMs, 2))
-	table.RecordAnswer([]Part{1}, nowMs)
+	table.RecordAnswer([]Trait{part(1)}, nowMs)
 	is.True(!refuses(table, nowMs+1000, 1))
 	is.True(refuses(table, nowMs+1000, 2))
 }
@@ -101,7 +112,7 @@
 	is := is.New(t)
 	table := New("g")
 	for i := range 2 * enoughCrashes {
-		parts := []Part{1}
+		parts := []int{1}
 		if i < minWaves {
 			parts = append(parts, 2)
 		}
@@ -117,12 +128,12 @@
 func TestReportIsBounded(t *testing.T) {
 	is := is.New(t)
 	table := New("g")
-	table.SetReport("g", Report{Crashes: []Crash{{Process: placement.Process{ID: "before"}, AtMs: startMs - 3000, Parts: []Part{1}}}})
+	table.SetReport("g", Report{Crashes: []Crash{{Process: placement.Process{ID: "before"}, AtMs: startMs - 3000, Traits: []Trait{part(1)}}}})
 	for i := range enoughCrashes - 1 {
 		crashAt(table, i, startMs+int64(i)*500, 1)
 	}
 	for i := range 3 * maxReportedCrashes {
-		crashAt(table, 100+i, startMs+5000+int64(i), Part(1000+i))
+		crashAt(table, 100+i, startMs+5000+int64(i), 1000+i)
 	}
 	nowMs := int64(startMs + 6000)
 	is.True(refuses(table, nowMs, 1))
@@ -136,13 +147,13 @@
 func TestAnswerLogForgetsTheOldest(t *testing.T) {
 	is := is.New(t)
 	var l answerLog
-	l.add(1, 7)
+	l.add(part(1), 7)
 	for i := range 2 * maxAnswersPerGeneration {
-		l.add(Part(10+i), 8)
+		l.add(part(10+i), 8)
 	}
-	_, found := l.last(1)
+	_, found := l.last(part(1))
 	is.True(!found)
-	_, found = l.last(Part(9 + 2*maxAnswersPerGeneration))
+	_, found = l.last(part(9 + 2*maxAnswersPerGeneration))
 	is.True(found)
 	is.True(len(l.recent)+len(l.older) <= 2*maxAnswersPerGeneration)
 }
@@ -151,7 +162,7 @@
 	is := is.New(t)
 	table := New("g")
 	for i := range 10 {
-		table.RecordCrash(Crash{Process: placement.Process{ID: "p"}, AtMs: startMs + int64(i)*500, Parts: []Part{1}})
+		table.RecordCrash(Crash{Process: placement.Process{ID: "p"}, AtMs: startMs + int64(i)*500, Traits: []Trait{part(1)}})
 	}
 	is.True(!refuses(table, startMs+time.Minute.Milliseconds(), 1))
 }
--- a/fleet/quarantine/report.go
+++ b/fleet/quarantine/report.go
@@ -37,7 +37,7 @@
 	}
 	list := slices.SortedFunc(maps.Values(own), func(a, b Crash) int {
 		return cmp.Or(
-			-compareBool(t.refusesAny(a.Parts), t.refusesAny(b.Parts)),
+			-compareBool(t.refusesAny(a.Traits), t.refusesAny(b.Traits)),
 			cmp.Compare(b.AtMs, a.AtMs),
 			cmp.Compare(a.Process.ID, b.Process.ID),
 			cmp.Compare(a.Process.StartTimeMs, b.Process.StartTimeMs),
@@ -47,9 +47,9 @@
 }
 
 // refusesAny reports whether one of the parts is refused.
-func (t *Table) refusesAny(parts []Part) bool {
+func (t *Table) refusesAny(traits []Trait) bool {
 	refusals := *t.refusals.Load()
-	return slices.ContainsFunc(parts, func(part Part) bool { return refusesPart(refusals, part) })
+	return slices.ContainsFunc(traits, func(trait Trait) bool { return refusesTrait(refusals, trait) })
 }
 
 // compareBool orders false before true.
@@ -67,25 +67,25 @@
 // reportedAnswers returns the answers that were reported before, those that clear
 // parts in doubt, and those that clear parts of the crashes to be reported. Of too
 // many, the newest are kept.
-func (t *Table) reportedAnswers(stored Report, reported []Crash, nowMs int64) map[Part]int64 {
-	answers := make(map[Part]int64)
-	for part, beganMs := range stored.Answers {
+func (t *Table) reportedAnswers(stored Report, reported []Crash, nowMs int64) map[Trait]int64 {
+	answers := make(map[Trait]int64)
+	for trait, beganMs := range stored.Answers {
 		if beganMs > nowMs-retention.Milliseconds() {
-			answers[part] = beganMs
+			answers[trait] = beganMs
 		}
 	}
-	own := make(map[Part]struct{})
+	own := make(map[Trait]struct{})
 	for _, c := range reported {
-		for _, part := range c.Parts {
-			own[part] = struct{}{}
+		for _, trait := range c.Traits {
+			own[trait] = struct{}{}
 		}
 	}
 	crashes := t.knownCrashes(nowMs)
 	for _, e := range gather(crashes, t.knownAnswers(crashes, false)) {
-		beganMs, answered := t.answers.last(e.part)
-		_, isOwn := own[e.part]
+		beganMs, answered := t.answers.last(e.trait)
+		_, isOwn := own[e.trait]
 		if answered && e.clearedBy(beganMs) && (isOwn || e.doubtful()) {
-			answers[e.part] = beganMs
+			answers[e.trait] = beganMs
 		}
 	}
 	return newest(answers, maxReportedAnswers)
@@ -103,16 +103,16 @@
 }
 
 // newest returns the newest answers, at most limit of them.
-func newest(answers map[Part]int64, limit int) map[Part]int64 {
+func newest(answers map[Trait]int64, limit int) map[Trait]int64 {
 	if len(answers) <= limit {
 		return answers
 	}
-	parts := slices.SortedFunc(maps.Keys(answers), func(a, b Part) int {
-		return cmp.Or(cmp.Compare(answers[b], answers[a]), cmp.Compare(a, b))
+	traits := slices.SortedFunc(maps.Keys(answers), func(a, b Trait) int {
+		return cmp.Or(cmp.Compare(answers[b], answers[a]), a.Compare(b))
 	})
-	kept := make(map[Part]int64, limit)
-	for _, part := range parts[:limit] {
-		kept[part] = answers[part]
+	kept := make(map[Trait]int64, limit)
+	for _, trait := range traits[:limit] {
+		kept[trait] = answers[trait]
 	}
 	return kept
 }
--- a/fleet/quarantine/sim_test.go
+++ b/fleet/quarantine/sim_test.go
@@ -105,8 +105,8 @@
 
 type simRequest struct {
 	gateway  *simGateway
-	parts    []Part
-	harmful  Part
+	parts    []Trait
+	harmful  Trait
 	target   *simTarget
 	beganMs  int64
 	attempts int
@@ -125,17 +125,17 @@
 	stored   []storedReport
 	// crashesBy counts the crashes by each harmful part, and fifthMs is when the
 	// fifth was.
-	crashesBy map[Part]int
-	fifthMs   map[Part]int64
+	crashesBy map[Trait]int
+	fifthMs   map[Trait]int64
 	// harmfulAfter counts the requests by part.
-	harmfulAfter map[Part]int
+	harmfulAfter map[Trait]int
 	// soundFromMs is when sound requests begin to count.
 	soundFromMs int64
 	outcome     outcome
 }
 
 func run(sc scenario) outcome {
-	s := &sim{scenario: sc, rng: rand.New(rand.NewPCG(sc.seed, 1)), crashesBy: make(map[Part]int), fifthMs: make(map[Part]int64), harmfulAfter: make(map[Part]int)}
+	s := &sim{scenario: sc, rng: rand.New(rand.NewPCG(sc.seed, 1)), crashesBy: make(map[Trait]int), fifthMs: make(map[Trait]int64), harmfulAfter: make(map[Trait]int)}
 	for i := range sc.gateways {
 		name := fmt.Sprintf("g%d", i)
 		s.gateways = append(s.gateways, &simGateway{name: name, table: New(name)})
@@ -237,27 +237,27 @@
 func (s *sim) anyGateway() *simGateway { return s.gateways[s.rng.IntN(len(s.gateways))] }
 
 // otherPart returns one of many parts, some of which are frequent.
-func (s *sim) otherPart() Part {
+func (s *sim) otherPart() Trait {
 	frequent := s.rng.IntN(3) == 0
 	if frequent {
-		return Part(1000 + s.rng.IntN(4))
+		return part(1000 + s.rng.IntN(4))
 	}
-	return Part(2000 + s.rng.IntN(400))
+	return part(2000 + s.rng.IntN(400))
 }
 
-func (s *sim) firstPart() Part { return Part(1 + s.rng.IntN(s.firstParts)) }
+func (s *sim) firstPart() Trait { return part(1 + s.rng.IntN(s.firstParts)) }
 
 func (s *sim) sendSound() {
-	s.send(&simRequest{gateway: s.anyGateway(), parts: []Part{s.firstPart(), s.otherPart()}})
+	s.send(&simRequest{gateway: s.anyGateway(), parts: []Trait{s.firstPart(), s.otherPart()}})
 }
 
 func (s *sim) sendHarmful(g *simGateway) {
-	harmful := Part(500 + s.rng.IntN(s.harmful))
-	s.send(&simRequest{gateway: g, parts: []Part{s.firstPart(), harmful, s.otherPart()}, harmful: harmful})
+	harmful := part(500 + s.rng.IntN(s.harmful))
+	s.send(&simRequest{gateway: g, parts: []Trait{s.firstPart(), harmful, s.otherPart()}, harmful: harmful})
 }
 
 // visible returns the parts that a gateway looks at.
-func (s *sim) visible(r *simRequest) []Part {
+func (s *sim) visible(r *simRequest) []Trait {
 	if s.firstPartOnly {
 		return r.parts[:1]
 	}
@@ -285,7 +285,7 @@
 }
 
 func (s *sim) countSound(r *simRequest, refused bool) {
-	if r.harmful != 0 || r.attempts > 0 {
+	if r.harmful != (Trait{}) || r.attempts > 0 {
 		return
 	}
 	counted := s.nowMs > max(s.soundFromMs, s.outageToMs+2*contactMs)
@@ -316,7 +316,7 @@
 		return
 	}
 	r.beganMs = s.nowMs
-	if r.harmful != 0 && s.nowMs >= s.harmfulFromMs {
+	if r.harmful != (Trait{}) && s.nowMs >= s.harmfulFromMs {
 		process := target.process
 		s.at(s.nowMs+30+s.rng.Int64N(70), func() {
 			if target.process == process && target.downTo <= s.nowMs {
@@ -383,7 +383,7 @@
 	r.target, r.beganMs = nil, 0
 	if began == 0 || s.nowMs-began < Probation.Milliseconds() {
 		s.at(s.nowMs+s.rng.Int64N(20), func() {
-			g.table.RecordCrash(Crash{Process: process, AtMs: atMs, Parts: s.visible(r)})
+			g.table.RecordCrash(Crash{Process: process, AtMs: atMs, Traits: s.visible(r)})
 			g.table.Update(s.nowMs)
 			s.publishLater(g, s.rng.Int64N(100))
 		})
--- a/router/crashwatch/crashwatch.go
+++ b/router/crashwatch/crashwatch.go
@@ -31,8 +31,8 @@
 	checkers = 8
 	// checkTimeout bounds the check of one target.
 	checkTimeout = 500 * time.Millisecond
-	// maxPartsPerCrash bounds the parts that are recorded for one answer.
-	maxPartsPerCrash = 32
+	// maxTraitsPerCrash bounds the traits that are recorded for one answer.
+	maxTraitsPerCrash = 32
 )
 
 // Options configures a Watcher. All fields are required.
@@ -64,7 +64,7 @@
 // lostAnswer is an answer that ended with its connection.
 type lostAnswer struct {
 	target placement.Target
-	parts  []quarantine.Part
+	traits []quarantine.Trait
 	// atMs is when the connection was lost.
 	atMs int64
 	// beganMs is set if the answer is complete unless its target crashed.
@@ -90,12 +90,12 @@
 
 // Refusal returns the error of a request whose prompt holds the parts, or nil if it
 // may be sent.
-func (w *Watcher) Refusal(parts []quarantine.Part) *errkind.Error {
+func (w *Watcher) Refusal(traits []quarantine.Trait) *errkind.Error {
 	nowMs, known := w.platformTime(w.Now())
 	if !known {
 		return nil
 	}
-	left, refused := w.table.Refuses(parts, nowMs)
+	left, refused := w.table.Refuses(traits, nowMs)
 	if !refused {
 		return nil
 	}
@@ -104,9 +104,9 @@
 
 // Answered records that an answer to a prompt with the parts, which began at the
 // given time, was complete or has outlived quarantine.Probation.
-func (w *Watcher) Answered(parts []quarantine.Part, began time.Time) {
+func (w *Watcher) Answered(traits []quarantine.Trait, began time.Time) {
 	beganMs, known := w.platformTime(began)
-	if known && w.table.RecordAnswer(parts, beganMs) {
+	if known && w.table.RecordAnswer(traits, beganMs) {
 		w.refresh()
 		w.publisher.wakeLater()
 	}
@@ -115,16 +115,16 @@
 // ConnectionLost records that a target's connection was lost before an answer to a
 // prompt with the parts was complete or had outlived quarantine.Probation. It
 // returns at once; the target is checked later.
-func (w *Watcher) ConnectionLost(target placement.Target, parts []quarantine.Part) {
-	w.enqueue(lostAnswer{target: target, parts: parts})
+func (w *Watcher) ConnectionLost(target placement.Target, traits []quarantine.Trait) {
+	w.enqueue(lostAnswer{target: target, traits: traits})
 }
 
 // AnsweredUnlessCrashed records that an answer ended with its connection, which
 // is how a target ends an answer without a length, and how one ends that crashed.
-func (w *Watcher) AnsweredUnlessCrashed(target placement.Target, parts []quarantine.Part, began time.Time) {
+func (w *Watcher) AnsweredUnlessCrashed(target placement.Target, traits []quarantine.Trait, began time.Time) {
 	beganMs, known := w.platformTime(began)
 	if known {
-		w.enqueue(lostAnswer{target: target, parts: parts, beganMs: beganMs})
+		w.enqueue(lostAnswer{target: target, traits: traits, beganMs: beganMs})
 	}
 }
 
@@ -135,11 +135,11 @@
 
 func (w *Watcher) enqueue(l lostAnswer) {
 	nowMs, known := w.platformTime(w.Now())
-	if !known || len(l.parts) == 0 {
+	if !known || len(l.traits) == 0 {
 		return
 	}
 	l.atMs = nowMs
-	l.parts = l.parts[:min(len(l.parts), maxPartsPerCrash)]
+	l.traits = l.traits[:min(len(l.traits), maxTraitsPerCrash)]
 	select {
 	case w.lost <- l:
 	default:
@@ -166,7 +166,7 @@
 		w.recordCrash(l)
 		return
 	}
-	if l.beganMs > 0 && w.table.RecordAnswer(l.parts, l.beganMs) {
+	if l.beganMs > 0 && w.table.RecordAnswer(l.traits, l.beganMs) {
 		w.refresh()
 		w.publisher.wakeLater()
 	}
@@ -175,8 +175,8 @@
 func (w *Watcher) recordCrash(l lostAnswer) {
 	w.Metrics.crashes.Inc()
 	process := l.target.Process()
-	w.table.RecordCrash(quarantine.Crash{Process: process, AtMs: l.atMs, Parts: l.parts})
-	w.Log.Info("crash: a target ended under a prompt.", zap.String("target", l.target.ID), zap.Int64("at_ms", l.atMs), zap.Int("parts", len(l.parts)))
+	w.table.RecordCrash(quarantine.Crash{Process: process, AtMs: l.atMs, Traits: l.traits})
+	w.Log.Info("crash: a target ended under a prompt.", zap.String("target", l.target.ID), zap.Int64("at_ms", l.atMs), zap.Int("parts", len(l.traits)))
 	w.refresh()
 	w.publisher.wake()
 }
@@ -193,15 +193,15 @@
 	w.refusals = w.table.Update(nowMs)
 	parts := 0
 	for _, r := range w.refusals {
-		parts += len(r.Parts)
+		parts += len(r.Traits)
 		if !contains(before, r) {
-			w.Log.Warn("crash: refusing prompts that crash targets.", zap.Uint64s("part_hashes", hashes(r.Parts)),
+			w.Log.Warn("crash: refusing prompts that crash targets.", zap.Uint64s("part_hashes", hashes(r.Traits)),
 				zap.Int("crashes", r.Crashes), zap.Int64("last_ms", r.LastMs), zap.Int64("until_ms", r.UntilMs))
 		}
 	}
 	for _, r := range before {
 		if !contains(w.refusals, r) {
-			w.Log.Info("crash: no longer refusing prompts as before.", zap.Uint64s("part_hashes", hashes(r.Parts)))
+			w.Log.Info("crash: no longer refusing prompts as before.", zap.Uint64s("part_hashes", hashes(r.Traits)))
 		}
 	}
 	w.Metrics.quarantined.Set(float64(parts))
--- a/router/crashwatch/crashwatch_test.go
+++ b/router/crashwatch/crashwatch_test.go
@@ -90,7 +90,7 @@
 	}
 }
 
-var harmful = []quarantine.Part{1, 2}
+var harmful = []quarantine.Trait{{Hash: 1}, {Hash: 2}}
 
 // crash makes a watcher lose the connection of an answer as its target ends.
 func (f *watchers) crash(w *Watcher, target int) {
@@ -112,7 +112,7 @@
 			is.True(refusal != nil)
 			is.Equal(refusal.Kind, errkind.PromptRefused)
 			is.True(refusal.RetryAfter > 0)
-			is.True(f.all[name].Refusal([]quarantine.Part{9}) == nil)
+			is.True(f.all[name].Refusal([]quarantine.Trait{{Hash: 9}}) == nil)
 		}
 		late := f.start("late")
 		is.True(late.Refusal(harmful) != nil)
--- a/router/crashwatch/reports.go
+++ b/router/crashwatch/reports.go
@@ -1,6 +1,7 @@
 package crashwatch
 
 import (
+	"maps"
 	"slices"
 
 	"go.uber.org/zap"
@@ -64,16 +65,16 @@
 	if err != nil {
 		return quarantine.Report{}, err
 	}
-	report := quarantine.Report{Answers: make(map[quarantine.Part]int64, len(message.Answers))}
+	report := quarantine.Report{Answers: make(map[quarantine.Trait]int64, len(message.Answers))}
 	for _, c := range message.Crashes {
 		crash := quarantine.Crash{Process: placement.Process{ID: c.TargetId, StartTimeMs: c.StartTimeMs}, AtMs: c.AtMs}
 		for _, part := range c.Parts {
-			crash.Parts = append(crash.Parts, quarantine.Part(part))
+			crash.Traits = append(crash.Traits, quarantine.Trait{Kind: quarantine.PromptPart, Hash: part})
 		}
 		report.Crashes = append(report.Crashes, crash)
 	}
 	for _, a := range message.Answers {
-		report.Answers[quarantine.Part(a.Part)] = a.BeganMs
+		report.Answers[quarantine.Trait{Kind: quarantine.PromptPart, Hash: a.Part}] = a.BeganMs
 	}
 	return report, nil
 }
@@ -83,34 +84,29 @@
 	message := &pb.GatewayReport{}
 	for _, c := range r.Crashes {
 		message.Crashes = append(message.Crashes, &pb.TargetCrash{
-			TargetId: c.Process.ID, StartTimeMs: c.Process.StartTimeMs, AtMs: c.AtMs, Parts: hashes(c.Parts),
+			TargetId: c.Process.ID, StartTimeMs: c.Process.StartTimeMs, AtMs: c.AtMs, Parts: hashes(c.Traits),
 		})
 	}
-	for _, part := range sortedParts(r.Answers) {
-		message.Answers = append(message.Answers, &pb.PartAnswer{Part: uint64(part), BeganMs: r.Answers[part]})
+	for _, trait := range sortedTraits(r.Answers) {
+		message.Answers = append(message.Answers, &pb.PartAnswer{Part: trait.Hash, BeganMs: r.Answers[trait]})
 	}
 	return proto.MarshalOptions{Deterministic: true}.Marshal(message)
 }
 
-func sortedParts(answers map[quarantine.Part]int64) []quarantine.Part {
-	parts := make([]quarantine.Part, 0, len(answers))
-	for part := range answers {
-		parts = append(parts, part)
-	}
-	slices.Sort(parts)
-	return parts
+func sortedTraits(answers map[quarantine.Trait]int64) []quarantine.Trait {
+	return slices.SortedFunc(maps.Keys(answers), quarantine.Trait.Compare)
 }
 
-// hashes returns the parts as numbers.
-func hashes(parts []quarantine.Part) []uint64 {
-	numbers := make([]uint64, 0, len(parts))
-	for _, part := range parts {
-		numbers = append(numbers, uint64(part))
+// hashes returns the hashes of the traits.
+func hashes(traits []quarantine.Trait) []uint64 {
+	numbers := make([]uint64, 0, len(traits))
+	for _, trait := range traits {
+		numbers = append(numbers, trait.Hash)
 	}
 	return numbers
 }
 
-// contains reports whether a refusal of the same parts is among the refusals.
+// contains reports whether a refusal of the same traits is among the refusals.
 func contains(refusals []quarantine.Refusal, r quarantine.Refusal) bool {
-	return slices.ContainsFunc(refusals, func(other quarantine.Refusal) bool { return slices.Equal(other.Parts, r.Parts) })
+	return slices.ContainsFunc(refusals, func(other quarantine.Refusal) bool { return slices.Equal(other.Traits, r.Traits) })
 }
--- a/router/relay/prompts.go
+++ b/router/relay/prompts.go
@@ -15,10 +15,10 @@
 // refusePrompt returns an error if requests with a part of the prompt crash
 // targets. It is asked before each send, as that may become known between two.
 func (p *proxiedRequest) refusePrompt() *errkind.Error {
-	if len(p.promptParts) == 0 {
+	if len(p.traits) == 0 {
 		return nil
 	}
-	refusal := p.relay.Prompts.Refusal(p.promptParts)
+	refusal := p.relay.Prompts.Refusal(p.traits)
 	if refusal != nil {
 		p.relay.Log.Info("relay: refusing a prompt that crashes targets.", zap.String("request", p.ID),
 			zap.Strings("prompt_parts", p.Prompt.sharedPartIDs()), zap.Duration("for", refusal.RetryAfter))
@@ -29,10 +29,10 @@
 // recordConnectionLoss records that the connection was lost before the prompt was
 // known to be harmless. Other errors don't suggest that the target has ended.
 func (p *proxiedRequest) recordConnectionLoss(ctx context.Context, target placement.Target, err error) {
-	if len(p.promptParts) == 0 || ctx.Err() != nil || !isConnectionLoss(err) {
+	if len(p.traits) == 0 || ctx.Err() != nil || !isConnectionLoss(err) {
 		return
 	}
-	p.relay.Prompts.ConnectionLost(target, p.promptParts)
+	p.relay.Prompts.ConnectionLost(target, p.traits)
 }
 
 // isConnectionLoss reports whether the other end closed or reset the connection.
@@ -43,7 +43,7 @@
 
 // recordComplete records that the whole answer has arrived.
 func (p *proxiedRequest) recordComplete(a *attempt) {
-	if len(p.promptParts) == 0 || a.outlivedProbation {
+	if len(p.traits) == 0 || a.outlivedProbation {
 		return
 	}
 	began := a.firstEventAt
@@ -51,8 +51,8 @@
 		began = p.relay.Now()
 	}
 	if a.response.EndsWithConnection() {
-		p.relay.Prompts.AnsweredUnlessCrashed(a.lease.Target(), p.promptParts, began)
+		p.relay.Prompts.AnsweredUnlessCrashed(a.lease.Target(), p.traits, began)
 		return
 	}
-	p.relay.Prompts.Answered(p.promptParts, began)
+	p.relay.Prompts.Answered(p.traits, began)
 }
--- a/router/relay/prompts_test.go
+++ b/router/relay/prompts_test.go
@@ -23,25 +23,25 @@
 type promptGuard struct {
 	refuseAfter, checks int
 	calls               []string
-	parts               []quarantine.Part
+	traits              []quarantine.Trait
 }
 
-func (g *promptGuard) Refusal(parts []quarantine.Part) *errkind.Error {
+func (g *promptGuard) Refusal(traits []quarantine.Trait) *errkind.Error {
 	g.checks++
-	g.parts = parts
+	g.traits = traits
 	if g.refuseAfter > 0 && g.checks > g.refuseAfter {
 		return errkind.New(errkind.PromptRefused, "refused").WithRetryAfter(time.Minute)
 	}
 	return nil
 }
 
-func (g *promptGuard) Answered([]quarantine.Part, time.Time) { g.calls = append(g.calls, "answered") }
+func (g *promptGuard) Answered([]quarantine.Trait, time.Time) { g.calls = append(g.calls, "answered") }
 
-func (g *promptGuard) ConnectionLost(target placement.Target, _ []quarantine.Part) {
+func (g *promptGuard) ConnectionLost(target placement.Target, _ []quarantine.Trait) {
 	g.calls = append(g.calls, "lost at "+target.Service)
 }
 
-func (g *promptGuard) AnsweredUnlessCrashed(placement.Target, []quarantine.Part, time.Time) {
+func (g *promptGuard) AnsweredUnlessCrashed(placement.Target, []quarantine.Trait, time.Time) {
 	g.calls = append(g.calls, "answered unless crashed")
 }
 
@@ -70,7 +70,7 @@
 	is.Equal(len(up.sends), 0)
 	is.Equal(out.refused.Kind, errkind.PromptRefused)
 	is.True(out.refused.RetryAfter > 0)
-	is.Equal(g.parts, []quarantine.Part{quarantine.PartOf("x"), quarantine.PartOf("y")}) // never the last
+	is.Equal(g.traits, []quarantine.Trait{quarantine.PromptPartTrait("x"), quarantine.PromptPartTrait("y")}) // never the last
 }
 
 // Guards against a request that crashes one target after the other: what became
--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -30,8 +30,8 @@
 	reservation prepaid.Reservation
 	// fingerprint is that of the admitted request.
 	fingerprint fingerprint
-	// promptParts are the parts that the prompt shares with other requests.
-	promptParts []quarantine.Part
+	// traits are what the request may have in common with others.
+	traits []quarantine.Trait
 
 	// triedTargets are the ids of the targets that were picked. sends counts the
 	// requests written to targets, and unreachableTargets the targets that
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -89,15 +89,15 @@
 type PromptGuard interface {
 	// Refusal returns an error of kind PromptRefused, or nil if the request may be
 	// sent.
-	Refusal(parts []quarantine.Part) *errkind.Error
+	Refusal(traits []quarantine.Trait) *errkind.Error
 	// Answered records that an answer, which began at the given time, was complete
 	// or has outlived quarantine.Probation.
-	Answered(parts []quarantine.Part, began time.Time)
+	Answered(traits []quarantine.Trait, began time.Time)
 	// ConnectionLost records that a target's connection was lost before that.
-	ConnectionLost(target placement.Target, parts []quarantine.Part)
+	ConnectionLost(target placement.Target, traits []quarantine.Trait)
 	// AnsweredUnlessCrashed records an answer that ended with its connection. It is
 	// complete unless the target has crashed.
-	AnsweredUnlessCrashed(target placement.Target, parts []quarantine.Part, began time.Time)
+	AnsweredUnlessCrashed(target placement.Target, traits []quarantine.Trait, began time.Time)
 }
 
 // TargetLimits keeps requests within the limits that targets name.
@@ -154,7 +154,7 @@
 	ctx, cancel := context.WithDeadline(ctx, a.deadline)
 	defer cancel()
 	p.fingerprint = a.fingerprint()
-	p.promptParts = a.Prompt.sharedParts()
+	p.traits = a.Prompt.traits()
 	err = p.refusePrompt()
 	if err != nil {
 		return err
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -91,14 +91,14 @@
 	return ids
 }
 
-// sharedParts returns the parts that other requests may share; none without a
-// prompt.
-func (p *Prompt) sharedParts() []quarantine.Part {
-	var parts []quarantine.Part
+// traits returns the traits of the parts that other requests may share; none
+// without a prompt.
+func (p *Prompt) traits() []quarantine.Trait {
+	var traits []quarantine.Trait
 	for _, id := range p.sharedPartIDs() {
-		parts = append(parts, quarantine.PartOf(id))
+		traits = append(traits, quarantine.PromptPartTrait(id))
 	}
-	return parts
+	return traits
 }
 
 // affinityHash returns a hash of the parts that other requests may share, all but
