--- a/fleet/errkind/errkind.go
+++ b/fleet/errkind/errkind.go
@@ -77,6 +77,8 @@
 	DeadlineInRun
 	// PromptRefused means that requests with a part of the prompt crash targets.
 	PromptRefused
+	// RequestRefused means that earlier attempts at the request crashed targets.
+	RequestRefused
 	// NoTarget means that the service has no target that accepts new work.
 	NoTarget
 	// TargetUnreachable means that the target couldn't be reached; nothing was
@@ -175,6 +177,7 @@
 	DeadlinePassed:      {"deadline_passed", http.StatusGatewayTimeout, codes.DeadlineExceeded, notRun, RetryLater},
 	DeadlineInRun:       {"deadline_in_run", http.StatusGatewayTimeout, codes.DeadlineExceeded, unknown, RetryQueryOutcome},
 	PromptRefused:       {"prompt_refused", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
+	RequestRefused:      {"request_refused", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
 	NoTarget:            {"no_target", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
 	TargetUnreachable:   {"target_unreachable", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
 	TargetRefused:       {"target_refused", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
--- a/fleet/quarantine/answerlog.go
+++ b/fleet/quarantine/answerlog.go
@@ -1,15 +1,15 @@
 package quarantine
 
-// maxAnswersPerGeneration bounds the parts in one generation of an answerLog.
+// maxAnswersPerGeneration bounds the traits in one generation of an answerLog.
 const maxAnswersPerGeneration = 10_000
 
-// answerLog holds when parts were last answered. It forgets the parts that were
+// answerLog holds when traits were last answered. It forgets those that were
 // answered longest ago, a generation at a time.
 type answerLog struct {
 	recent, older map[Trait]int64
 }
 
-// add records an answer to a prompt with the part.
+// add records an answer to a request with the trait.
 func (l *answerLog) add(trait Trait, beganMs int64) {
 	if l.recent == nil || len(l.recent) >= maxAnswersPerGeneration {
 		l.older, l.recent = l.recent, make(map[Trait]int64)
--- a/fleet/quarantine/fleet_test.go
+++ b/fleet/quarantine/fleet_test.go
@@ -14,11 +14,13 @@
 
 // Guards against incident inc1 (BUDGET): many gateways see one crash each.
 func TestHarmfulPartIsRefusedByTheFleet(t *testing.T) {
+	t.Parallel()
 	forEachSeed(t, small, checkRules)
 	forEachSeed(t, large, checkRules)
 }
 
 func TestSeveralHarmfulPartsAtOnce(t *testing.T) {
+	t.Parallel()
 	for _, sc := range []scenario{small, large} {
 		sc.harmful, sc.harmfulRate = 3, 2*sc.harmfulRate
 		forEachSeed(t, sc, checkRules)
@@ -28,6 +30,7 @@
 // Harmful requests come before any sound one was answered, and each sound one has
 // the same first part.
 func TestHarmfulPartFromTheStart(t *testing.T) {
+	t.Parallel()
 	for _, sc := range []scenario{small, large} {
 		sc.harmfulFromMs, sc.firstParts = 0, 1
 		forEachSeed(t, sc, checkRules)
@@ -35,6 +38,7 @@
 }
 
 func TestHarmfulPartThatWasHarmlessBefore(t *testing.T) {
+	t.Parallel()
 	sc := small
 	sc.onceHarmless = true
 	forEachSeed(t, sc, checkRules)
@@ -42,6 +46,7 @@
 
 // Targets crash for other causes all the time, with frequent parts in flight.
 func TestCrashesForOtherCausesRefuseNothingForLong(t *testing.T) {
+	t.Parallel()
 	for _, sc := range []scenario{small, large} {
 		sc.harmful, sc.harmfulRate, sc.otherCrashEveryMs = 0, 0, 400
 		forEachSeed(t, sc, func(t *testing.T, o outcome) {
@@ -53,6 +58,7 @@
 }
 
 func TestHarmfulPartAmongCrashesForOtherCauses(t *testing.T) {
+	t.Parallel()
 	sc := small
 	sc.otherCrashEveryMs = 700
 	forEachSeed(t, sc, checkRules)
@@ -60,6 +66,7 @@
 
 // All targets crash together: one moment, whatever the number of targets.
 func TestCrashOfAllTargetsRefusesNothing(t *testing.T) {
+	t.Parallel()
 	for _, sc := range []scenario{small, large} {
 		sc.harmful, sc.harmfulRate, sc.allCrashAtMs, sc.endMs = 0, 0, 5_000, 15_000
 		forEachSeed(t, sc, func(t *testing.T, o outcome) {
@@ -71,6 +78,7 @@
 }
 
 func TestGatewayThatStartsLateKnowsTheCrashes(t *testing.T) {
+	t.Parallel()
 	for _, sc := range []scenario{small, large} {
 		sc.lateFromMs = 15_000
 		forEachSeed(t, sc, checkRules)
@@ -80,6 +88,7 @@
 // The store is away while the part crashes targets. Later than contactMs after its
 // return the rules hold again.
 func TestCrashesDuringAnOutageOfTheStore(t *testing.T) {
+	t.Parallel()
 	for _, sc := range []scenario{small, large} {
 		sc.outageFromMs, sc.outageToMs = 4000, 12_000
 		forEachSeed(t, sc, checkRules)
@@ -89,6 +98,7 @@
 // The rules are broken by gateways that keep what they see to themselves, and by
 // gateways that refuse all prompts with the same first part.
 func TestPlantedFaultsBreakTheRules(t *testing.T) {
+	t.Parallel()
 	for _, sc := range []scenario{small, large} {
 		sc.unshared = true
 		forEachSeed(t, sc, func(t *testing.T, o outcome) {
--- a/fleet/quarantine/quarantine.go
+++ b/fleet/quarantine/quarantine.go
@@ -1,19 +1,22 @@
-// Package quarantine decides which prompt parts are refused because requests that
-// hold them crash targets.
+// Package quarantine decides which requests are refused because they crash targets.
 //
-// A gateway records the crashes of targets that it saw, with the parts of the
-// prompts that hadn't been answered for long at that moment, and the parts of
-// prompts that were answered without a crash. Gateways exchange these reports, as
-// each sees few crashes, and all decide alike from all reports:
+// A trait of a request may be harmful: a part of its prompt, which other requests hold
+// too, or the whole request, which comes again as another attempt. A gateway records
+// the crashes of targets that it saw, with the traits of the requests that hadn't been
+// answered for long at that moment, and the traits of requests that were answered
+// without a crash. Gateways exchange these reports, as each sees few crashes, and all
+// decide alike from all reports:
 //
-//   - A crash speaks against each part in its report. An answer clears its parts
-//     of all crashes before the answer began, since a harmful part crashes every
+//   - A crash speaks against each trait in its report. An answer clears its traits
+//     of all crashes before the answer began, since a harmful one crashes every
 //     target that begins to answer it.
-//   - A part is refused after enough crashes of different processes, at different
-//     moments, as targets that end together have a cause in common. Fewer suffice
-//     if the part was in most of the crashes meanwhile.
-//   - Crashes that a refused part explains don't count against others. So parts
-//     that share their requests with a harmful one aren't refused with it.
+//   - A prompt part is refused after enough crashes of different processes, at
+//     different moments, as targets that end together have a cause in common. Fewer
+//     suffice if the part was in most of the crashes meanwhile.
+//   - A request is refused after fewer crashes, as few requests are in several unless
+//     they cause them. While they may have another cause, it is tried now and then.
+//   - Crashes that a refused trait explains don't count against others. So traits
+//     of requests that were at the targets with a harmful one aren't refused with it.
 //
 // The package reads no clock: times are those of the platform's clock, which all
 // gateways share, in milliseconds.
@@ -30,21 +33,30 @@
 )
 
 // Probation is how long after an answer's first event a crash may still be due to the
-// prompt. After that, the prompt's parts count as answered.
+// request. After that, its traits count as answered.
 const Probation = 500 * time.Millisecond
 
-// Crash is the end of a target's process. Parts are those of the prompts that it
-// was about to answer, or had answered for less than Probation.
+// Exchange is an attempt at a request that was sent to a target.
+type Exchange struct {
+	Target placement.Target
+	Traits []Trait
+	SentAt time.Time
+}
+
+// Crash is the end of a target's process.
 type Crash struct {
 	Process placement.Process
 	AtMs    int64
-	Traits  []Trait
+	// SentMs has the traits of the requests that the process was about to answer, or
+	// had answered for less than Probation, and when the first request with each was
+	// sent; 0 if that is unknown.
+	SentMs map[Trait]int64
 }
 
 // Report is what a gateway tells the others.
 type Report struct {
 	Crashes []Crash
-	// Answers has, for a part, when the last answer began that outlived Probation.
+	// Answers has, for a trait, when the last answer began that outlived Probation.
 	Answers map[Trait]int64
 }
 
@@ -58,22 +70,26 @@
 	// yet.
 	crashes map[placement.Process]Crash
 	answers answerLog
-	// suspected are the parts with crashes since their last answer.
-	suspected map[Trait]struct{}
+	// unanswered are the traits with crashes since their last answer.
+	unanswered map[Trait]struct{}
 
 	refusals atomic.Pointer[[]Refusal]
 }
 
-// Refusal is the decision to refuse prompts. It applies to prompts with its part.
-// While nothing tells several parts apart, it has all of them and applies to prompts
-// with two, so that answers to prompts with one can decide.
+// Refusal is the decision to refuse requests. It applies to those with its trait.
+// While nothing tells several prompt parts apart, it has all of them and applies to
+// prompts with two, so that answers to prompts with one can decide.
 type Refusal struct {
 	Traits []Trait
 	// Crashes is the number of crashed processes, of which the last ended at LastMs.
 	Crashes int
 	LastMs  int64
-	// UntilMs is when the refusal ends unless there are further crashes.
-	UntilMs int64
+	// FromMs is when the refusal begins, and UntilMs when it ends unless there are
+	// further crashes.
+	FromMs, UntilMs int64
+	// TrialsFromMs is from when on each gateway may send a request now and then, as
+	// its answer may end the refusal; 0 for never.
+	TrialsFromMs int64
 }
 
 // New returns a table without reports for the gateway of the given name.
@@ -94,15 +110,20 @@
 // combine returns the combination of two records of one crash. The first may be
 // empty.
 func combine(a, b Crash) Crash {
-	if len(a.Traits) == 0 {
+	if len(a.SentMs) == 0 {
 		return b
 	}
-	traits := slices.Concat(a.Traits, b.Traits)
-	slices.SortFunc(traits, Trait.Compare)
-	return Crash{Process: a.Process, AtMs: min(a.AtMs, b.AtMs), Traits: slices.Compact(traits)}
+	sentMs := maps.Clone(a.SentMs)
+	for trait, ms := range b.SentMs {
+		known, found := sentMs[trait]
+		if !found || ms < known {
+			sentMs[trait] = ms
+		}
+	}
+	return Crash{Process: a.Process, AtMs: min(a.AtMs, b.AtMs), SentMs: sentMs}
 }
 
-// RecordAnswer records that an answer to a prompt with the parts, which began at
+// RecordAnswer records that an answer to a request with the traits, which began at
 // beganMs, has outlived Probation. It reports whether that may change a decision.
 func (t *Table) RecordAnswer(traits []Trait, beganMs int64) bool {
 	t.mu.Lock()
@@ -110,8 +131,8 @@
 	relevant := false
 	for _, trait := range traits {
 		t.answers.add(trait, beganMs)
-		_, suspected := t.suspected[trait]
-		relevant = relevant || suspected
+		_, unanswered := t.unanswered[trait]
+		relevant = relevant || unanswered
 	}
 	return relevant
 }
@@ -141,26 +162,41 @@
 	maps.DeleteFunc(t.crashes, func(_ placement.Process, c Crash) bool { return c.AtMs <= nowMs-retention.Milliseconds() })
 	known := t.knownCrashes(nowMs)
 	list := gather(known, t.knownAnswers(known, true))
-	t.suspected = make(map[Trait]struct{}, len(list))
+	t.unanswered = make(map[Trait]struct{}, len(list))
 	for _, e := range list {
-		t.suspected[e.trait] = struct{}{}
+		t.unanswered[e.trait] = struct{}{}
 	}
 	refusals := decide(known, list, nowMs)
 	t.refusals.Store(&refusals)
 	return refusals
 }
 
-// Refuses reports whether prompts with the parts are refused, and for how long.
-func (t *Table) Refuses(traits []Trait, nowMs int64) (time.Duration, bool) {
-	for _, r := range *t.refusals.Load() {
-		if nowMs < r.UntilMs && r.applies(traits) {
-			return time.Duration(r.UntilMs-nowMs) * time.Millisecond, true
+// Refuses returns the refusal that applies to requests with the traits and ends last;
+// nil if they aren't refused.
+func (t *Table) Refuses(traits []Trait, nowMs int64) *Refusal {
+	var last *Refusal
+	refusals := *t.refusals.Load()
+	for i := range refusals {
+		r := &refusals[i]
+		if r.inForce(nowMs) && r.applies(traits) && !r.allowsTrial(t.self, nowMs) && (last == nil || r.UntilMs > last.UntilMs) {
+			last = r
 		}
 	}
-	return 0, false
+	return last
+}
+
+// Kind returns the kind of the traits that are refused.
+func (r *Refusal) Kind() TraitKind { return r.Traits[0].Kind }
+
+// inForce reports whether the refusal has begun and hasn't ended.
+func (r *Refusal) inForce(nowMs int64) bool { return r.FromMs <= nowMs && nowMs < r.UntilMs }
+
+// allowsTrial reports whether a gateway may send a refused request now.
+func (r *Refusal) allowsTrial(gateway string, nowMs int64) bool {
+	return r.TrialsFromMs > 0 && nowMs >= r.TrialsFromMs && inTrialSlot(gateway, r.Traits[0], nowMs)
 }
 
-// applies reports whether prompts with the parts are refused.
+// applies reports whether requests with the traits are refused.
 func (r *Refusal) applies(traits []Trait) bool {
 	found := 0
 	for _, trait := range r.Traits {
@@ -205,7 +241,7 @@
 	return known
 }
 
-// knownAnswers returns the last known answers of the parts in the crashes: those
+// knownAnswers returns the last known answers of the traits in the crashes: those
 // of all reports and, if unreported is set, those that this gateway hasn't
 // reported.
 func (t *Table) knownAnswers(crashes *crashRecords, unreported bool) map[Trait]int64 {
@@ -219,7 +255,7 @@
 		return known
 	}
 	for _, c := range crashes.list {
-		for _, trait := range c.Traits {
+		for trait := range c.SentMs {
 			if beganMs, found := t.answers.last(trait); found {
 				known[trait] = max(known[trait], beganMs)
 			}
--- a/fleet/quarantine/quarantine_test.go
+++ b/fleet/quarantine/quarantine_test.go
@@ -23,15 +23,23 @@
 	return traits
 }
 
+// sentAt returns the traits as those of a request that was sent at a time.
+func sentAt(sentMs int64, traits ...Trait) map[Trait]int64 {
+	sent := make(map[Trait]int64)
+	for _, trait := range traits {
+		sent[trait] = sentMs
+	}
+	return sent
+}
+
 // crashAt records a crash of a process of its own.
 func crashAt(t *Table, number int, atMs int64, parts ...int) {
-	t.RecordCrash(Crash{Process: placement.Process{ID: fmt.Sprintf("p%d", number), StartTimeMs: 1}, AtMs: atMs, Traits: promptParts(parts)})
+	t.RecordCrash(Crash{Process: placement.Process{ID: fmt.Sprintf("p%d", number), StartTimeMs: 1}, AtMs: atMs, SentMs: sentAt(atMs-1, promptParts(parts)...)})
 }
 
 func refuses(t *Table, nowMs int64, parts ...int) bool {
 	t.Update(nowMs)
-	_, refused := t.Refuses(promptParts(parts), nowMs)
-	return refused
+	return t.Refuses(promptParts(parts), nowMs) != nil
 }
 
 func TestRefusalNeedsCrashesAtDifferentMoments(t *testing.T) {
@@ -128,7 +136,7 @@
 func TestReportIsBounded(t *testing.T) {
 	is := is.New(t)
 	table := New("g")
-	table.SetReport("g", Report{Crashes: []Crash{{Process: placement.Process{ID: "before"}, AtMs: startMs - 3000, Traits: []Trait{part(1)}}}})
+	table.SetReport("g", Report{Crashes: []Crash{{Process: placement.Process{ID: "before"}, AtMs: startMs - 3000, SentMs: sentAt(startMs, part(1))}}})
 	for i := range enoughCrashes - 1 {
 		crashAt(table, i, startMs+int64(i)*500, 1)
 	}
@@ -162,7 +170,7 @@
 	is := is.New(t)
 	table := New("g")
 	for i := range 10 {
-		table.RecordCrash(Crash{Process: placement.Process{ID: "p"}, AtMs: startMs + int64(i)*500, Traits: []Trait{part(1)}})
+		table.RecordCrash(Crash{Process: placement.Process{ID: "p"}, AtMs: startMs + int64(i)*500, SentMs: sentAt(startMs, part(1))})
 	}
 	is.True(!refuses(table, startMs+time.Minute.Milliseconds(), 1))
 }
--- a/fleet/quarantine/report.go
+++ b/fleet/quarantine/report.go
@@ -10,14 +10,14 @@
 	// maxReportedCrashes and maxReportedAnswers bound a report.
 	maxReportedCrashes = 20
 	maxReportedAnswers = 64
-	// doubtfulWaves and doubtfulCrashes are how much evidence against a part makes
-	// the gateways report their answers: a little less than what refuses it.
+	// doubtfulWaves and doubtfulCrashes are how much evidence against a prompt part
+	// makes the gateways report their answers: a little less than what refuses it.
 	doubtfulWaves   = minWaves - 1
 	doubtfulCrashes = enoughCrashes - 1
 )
 
 // Report returns what this gateway should tell the others: the crashes that it
-// saw, and the answers that clear parts which the known reports speak against.
+// saw, and the answers that clear traits which the known reports speak against.
 func (t *Table) Report(nowMs int64) Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -27,7 +27,7 @@
 }
 
 // reportedCrashes returns the crashes that this gateway saw, also in earlier runs.
-// Of too many, those of refused parts are kept, and the newest.
+// Of too many, those of refused traits are kept, and the newest.
 func (t *Table) reportedCrashes(stored Report, nowMs int64) []Crash {
 	own := maps.Clone(t.crashes)
 	for _, c := range stored.Crashes {
@@ -37,7 +37,7 @@
 	}
 	list := slices.SortedFunc(maps.Values(own), func(a, b Crash) int {
 		return cmp.Or(
-			-compareBool(t.refusesAny(a.Traits), t.refusesAny(b.Traits)),
+			-compareBool(t.refusesAny(a.SentMs), t.refusesAny(b.SentMs)),
 			cmp.Compare(b.AtMs, a.AtMs),
 			cmp.Compare(a.Process.ID, b.Process.ID),
 			cmp.Compare(a.Process.StartTimeMs, b.Process.StartTimeMs),
@@ -46,10 +46,16 @@
 	return list[:min(len(list), maxReportedCrashes)]
 }
 
-// refusesAny reports whether one of the parts is refused.
-func (t *Table) refusesAny(traits []Trait) bool {
-	refusals := *t.refusals.Load()
-	return slices.ContainsFunc(traits, func(trait Trait) bool { return refusesTrait(refusals, trait) })
+// refusesAny reports whether one of the traits is refused.
+func (t *Table) refusesAny(traits map[Trait]int64) bool {
+	for _, r := range *t.refusals.Load() {
+		for _, trait := range r.Traits {
+			if _, found := traits[trait]; found {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // compareBool orders false before true.
@@ -65,8 +71,8 @@
 }
 
 // reportedAnswers returns the answers that were reported before, those that clear
-// parts in doubt, and those that clear parts of the crashes to be reported. Of too
-// many, the newest are kept.
+// traits in doubt, and those that clear prompt parts of the crashes to be reported. Of
+// too many, the newest are kept.
 func (t *Table) reportedAnswers(stored Report, reported []Crash, nowMs int64) map[Trait]int64 {
 	answers := make(map[Trait]int64)
 	for trait, beganMs := range stored.Answers {
@@ -76,7 +82,7 @@
 	}
 	own := make(map[Trait]struct{})
 	for _, c := range reported {
-		for _, trait := range c.Traits {
+		for trait := range c.SentMs {
 			own[trait] = struct{}{}
 		}
 	}
@@ -84,21 +90,25 @@
 	for _, e := range gather(crashes, t.knownAnswers(crashes, false)) {
 		beganMs, answered := t.answers.last(e.trait)
 		_, isOwn := own[e.trait]
-		if answered && e.clearedBy(beganMs) && (isOwn || e.doubtful()) {
+		isOwnPart := isOwn && e.trait.Kind == PromptPart
+		if answered && e.clearedBy(beganMs) && (isOwnPart || e.doubtful()) {
 			answers[e.trait] = beganMs
 		}
 	}
 	return newest(answers, maxReportedAnswers)
 }
 
-// clearedBy reports whether an answer that began at a time clears the part of a
+// clearedBy reports whether an answer that began at a time clears the trait of a
 // crash, or is the first one known.
 func (e *evidence) clearedBy(beganMs int64) bool {
 	return e.answeredMs == 0 || beganMs >= e.crashes[0].atMs
 }
 
-// doubtful reports whether the evidence nearly suffices to refuse the part.
+// doubtful reports whether the evidence nearly suffices to refuse the trait.
 func (e *evidence) doubtful() bool {
+	if e.trait.Kind == WholeRequest {
+		return len(e.crashes) >= suspectCrashes
+	}
 	return e.waves() >= doubtfulWaves || e.answeredMs == 0 && len(e.crashes) >= doubtfulCrashes
 }
 
--- a/fleet/quarantine/sim_test.go
+++ b/fleet/quarantine/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -10,25 +11,48 @@
 	"cuminrock.example/fleet/placement"
 )
 
+// More seeds are run by hand.
+var (
+	smallSeeds = flag.Uint64("sim.small", 5, "seeds of simulations with few gateways")
+	largeSeeds = flag.Uint64("sim.large", 0, "seeds of simulations with hundreds of gateways; 0 runs one of a part of them")
+)
+
 // contactMs is the time after which the platform's rules hold gateways to what
 // others know.
-const contactMs = 4000
+const contactMs = 3000
 
-// freeCrashes is the number of crashes by a part after which requests with it
-// count.
-const freeCrashes = 5
+// freeCrashes is the number of crashes by a prompt part, and freeRequestCrashes that by
+// a request, after which requests with it count.
+const (
+	freeCrashes        = 5
+	freeRequestCrashes = 3
+)
 
-// scenario is a simulated deployment with prompts that crash targets. Rates are per
+// scenario is a simulated deployment with requests that crash targets. Rates are per
 // second, times in milliseconds.
 type scenario struct {
 	seed              uint64
 	gateways, targets int
 	soundRate         float64
 	harmfulRate       float64
-	// harmful is the number of harmful parts. Their requests come from harmfulFromMs
-	// on; each has one of firstParts as its first part, as sound requests do.
+	// harmful is the number of harmful parts, or of harmful requests if wholeRequests is
+	// set. Their requests come from harmfulFromMs on; each has one of firstParts as its
+	// first part, as sound requests do.
 	harmful       int
+	wholeRequests bool
 	harmfulFromMs int64
+	// hotRate is the rate of one sound request, which has the same prompt parts as the
+	// harmful requests.
+	hotRate float64
+	// plain means that requests have no prompts.
+	plain bool
+	// maxAttempts is the number of targets that an attempt of a caller is sent to.
+	maxAttempts int
+	// misdirectedShare is the share of sends that targets don't run, as another
+	// process is expected at their address.
+	misdirectedShare float64
+	// minWorkMs and maxWorkMs bound the time that an answer takes.
+	minWorkMs, maxWorkMs int64
 	// onceHarmless means that requests with these parts come from the start on, and
 	// crash targets only later.
 	onceHarmless bool
@@ -44,22 +68,28 @@
 	// 100 ms; 0 for none.
 	lateFromMs int64
 
-	// Planted faults: gateways that don't exchange reports, and gateways that look
-	// at the first part of a prompt alone.
-	unshared, firstPartOnly bool
+	// byHand leaves the scenario out unless seeds are asked for.
+	byHand bool
+
+	// Planted faults: gateways that don't exchange reports, that look at the first part
+	// of a prompt alone, that look at no whole requests, and that never learn of answers.
+	unshared, firstPartOnly, partsOnly, noAnswers bool
 }
 
 // outcome is what callers and targets saw.
 type outcome struct {
-	// harmfulAfter is the number of requests with one harmful part that reached
-	// targets later than contactMs after the fifth crash by it, or after the end of
-	// the outage if that is later; the largest of all harmful parts.
+	// harmfulAfter is the number of requests with one harmful trait that reached
+	// targets later than contactMs after the last free crash by it, or after the end
+	// of the outage if that is later; the largest of all harmful traits.
 	harmfulAfter int
 	crashes      int
 	// soundSent and soundRefused count the first sends of sound requests from 2 x
-	// contactMs after the last of the first five crashes by any harmful part on;
+	// contactMs after the last of the free crashes by any harmful trait on;
 	// refusedAtAll and sentAtAll count those of the whole run.
 	soundSent, soundRefused, refusedAtAll, sentAtAll int
+	// hotSent and hotRefused count those of the hot request in the whole run;
+	// hotRefusedLate counts the refused ones among soundRefused.
+	hotSent, hotRefused, hotRefusedLate int
 }
 
 type simEvent struct {
@@ -104,13 +134,16 @@
 }
 
 type simRequest struct {
-	gateway  *simGateway
-	parts    []Trait
-	harmful  Trait
-	target   *simTarget
-	beganMs  int64
-	attempts int
-	done     bool
+	gateway *simGateway
+	traits  []Trait
+	harmful Trait
+	// hot is set for the hot request, isRetry for a caller's second attempt.
+	hot, isRetry bool
+	target       *simTarget
+	// sentMs and beganMs are when the last attempt was sent and when its answer began.
+	sentMs, beganMs int64
+	attempts        int
+	done            bool
 }
 
 // sim runs a scenario.
@@ -123,11 +156,13 @@
 	gateways []*simGateway
 	targets  []*simTarget
 	stored   []storedReport
-	// crashesBy counts the crashes by each harmful part, and fifthMs is when the
-	// fifth was.
-	crashesBy map[Trait]int
-	fifthMs   map[Trait]int64
-	// harmfulAfter counts the requests by part.
+	// crashesBy counts the crashes by each harmful trait, and lastFreeMs is when the
+	// last free one was.
+	crashesBy  map[Trait]int
+	lastFreeMs map[Trait]int64
+	// lastFingerprint is that of the last request that came only once.
+	lastFingerprint int
+	// harmfulAfter counts the requests by trait.
 	harmfulAfter map[Trait]int
 	// soundFromMs is when sound requests begin to count.
 	soundFromMs int64
@@ -135,7 +170,7 @@
 }
 
 func run(sc scenario) outcome {
-	s := &sim{scenario: sc, rng: rand.New(rand.NewPCG(sc.seed, 1)), crashesBy: make(map[Trait]int), fifthMs: make(map[Trait]int64), harmfulAfter: make(map[Trait]int)}
+	s := &sim{scenario: sc, rng: rand.New(rand.NewPCG(sc.seed, 1)), crashesBy: make(map[Trait]int), lastFreeMs: make(map[Trait]int64), harmfulAfter: make(map[Trait]int)}
 	for i := range sc.gateways {
 		name := fmt.Sprintf("g%d", i)
 		s.gateways = append(s.gateways, &simGateway{name: name, table: New(name)})
@@ -158,6 +193,7 @@
 // schedule schedules what comes from outside.
 func (s *sim) schedule() {
 	s.every(s.soundRate, 0, s.sendSound)
+	s.every(s.hotRate, 0, s.sendHot)
 	harmfulFromMs := s.harmfulFromMs
 	if s.onceHarmless {
 		harmfulFromMs = 0
@@ -247,26 +283,59 @@
 
 func (s *sim) firstPart() Trait { return part(1 + s.rng.IntN(s.firstParts)) }
 
+// request returns a request with the trait and, unless requests are plain, the parts.
+func (s *sim) request(g *simGateway, fingerprint Trait, parts ...Trait) *simRequest {
+	r := &simRequest{gateway: g, traits: []Trait{fingerprint}}
+	if !s.plain {
+		r.traits = append(r.traits, parts...)
+	}
+	return r
+}
+
+// newFingerprint returns the trait of a request that comes only once.
+func (s *sim) newFingerprint() Trait {
+	s.lastFingerprint++
+	return RequestTrait(uint64(1_000_000 + s.lastFingerprint))
+}
+
 func (s *sim) sendSound() {
-	s.send(&simRequest{gateway: s.anyGateway(), parts: []Trait{s.firstPart(), s.otherPart()}})
+	s.send(s.request(s.anyGateway(), s.newFingerprint(), s.firstPart(), s.otherPart()))
+}
+
+// sendHot sends the hot request.
+func (s *sim) sendHot() {
+	r := s.request(s.anyGateway(), RequestTrait(1), part(1), part(1000))
+	r.hot = true
+	s.send(r)
 }
 
 func (s *sim) sendHarmful(g *simGateway) {
-	harmful := part(500 + s.rng.IntN(s.harmful))
-	s.send(&simRequest{gateway: g, parts: []Trait{s.firstPart(), harmful, s.otherPart()}, harmful: harmful})
+	number := s.rng.IntN(s.harmful)
+	var r *simRequest
+	if s.wholeRequests {
+		r = s.request(g, RequestTrait(uint64(500+number)), part(1), part(1000))
+		r.harmful = r.traits[0]
+	} else {
+		r = s.request(g, s.newFingerprint(), s.firstPart(), part(500+number), s.otherPart())
+		r.harmful = part(500 + number)
+	}
+	s.send(r)
 }
 
-// visible returns the parts that a gateway looks at.
+// visible returns the traits that a gateway looks at.
 func (s *sim) visible(r *simRequest) []Trait {
-	if s.firstPartOnly {
-		return r.parts[:1]
+	switch {
+	case s.firstPartOnly:
+		return r.traits[1:2]
+	case s.partsOnly:
+		return r.traits[1:]
 	}
-	return r.parts
+	return r.traits
 }
 
 // send sends a request to a random target that accepts connections.
 func (s *sim) send(r *simRequest) {
-	_, refused := r.gateway.table.Refuses(s.visible(r), s.nowMs)
+	refused := r.gateway.table.Refuses(s.visible(r), s.nowMs) != nil
 	s.countSound(r, refused)
 	if refused {
 		return
@@ -277,33 +346,72 @@
 		return
 	}
 	r.attempts++
-	r.target, r.beganMs = up[s.rng.IntN(len(up))], 0
-	r.target.inFlight = append(r.target.inFlight, r)
 	s.countHarmful(r)
+	if s.rng.Float64() < s.misdirectedShare {
+		s.at(s.nowMs+2, func() { s.resend(r) })
+		return
+	}
+	r.target, r.sentMs, r.beganMs = up[s.rng.IntN(len(up))], s.nowMs, 0
+	r.target.inFlight = append(r.target.inFlight, r)
 	target := r.target
-	s.at(s.nowMs+30+s.rng.Int64N(200), func() { s.begin(r, target) })
+	s.at(s.nowMs+s.beginDelay(), func() { s.begin(r, target) })
+}
+
+// resend sends a request to a further target if it may be. Otherwise its caller tries
+// once more, at any gateway.
+func (s *sim) resend(r *simRequest) {
+	if r.attempts < s.maxAttempts {
+		s.send(r)
+		return
+	}
+	s.retry(r)
+}
+
+// retry makes the caller of a failed request try again, unless it has. Requests that
+// share a harmful part are no two alike.
+func (s *sim) retry(r *simRequest) {
+	if r.isRetry || !s.wholeRequests {
+		return
+	}
+	again := &simRequest{gateway: s.anyGateway(), traits: r.traits, harmful: r.harmful, hot: r.hot, isRetry: true}
+	s.at(s.nowMs+10+s.rng.Int64N(200), func() { s.send(again) })
+}
+
+// beginDelay returns the time until an answer begins.
+func (s *sim) beginDelay() int64 {
+	if s.plain {
+		return 1 + s.rng.Int64N(5)
+	}
+	return 30 + s.rng.Int64N(200)
 }
 
 func (s *sim) countSound(r *simRequest, refused bool) {
-	if r.harmful != (Trait{}) || r.attempts > 0 {
+	if r.harmful != (Trait{}) || r.attempts > 0 || r.isRetry {
 		return
 	}
 	counted := s.nowMs > max(s.soundFromMs, s.outageToMs+2*contactMs)
-	s.outcome.sentAtAll++
+	count := func(all, hot, late *int) {
+		*all++
+		if r.hot {
+			*hot++
+		}
+		if counted {
+			*late++
+		}
+	}
 	if refused {
-		s.outcome.refusedAtAll++
+		count(&s.outcome.refusedAtAll, &s.outcome.hotRefused, &s.outcome.soundRefused)
+	} else {
+		count(&s.outcome.sentAtAll, &s.outcome.hotSent, &s.outcome.soundSent)
 	}
-	switch {
-	case counted && refused:
-		s.outcome.soundRefused++
-	case counted:
-		s.outcome.soundSent++
+	if refused && counted && s.soundFromMs > 0 && r.hot {
+		s.outcome.hotRefusedLate++
 	}
 }
 
 func (s *sim) countHarmful(r *simRequest) {
-	fifthMs, counted := s.fifthMs[r.harmful]
-	if counted && s.nowMs > max(fifthMs, s.outageToMs)+contactMs {
+	lastFreeMs, counted := s.lastFreeMs[r.harmful]
+	if counted && s.nowMs > max(lastFreeMs, s.outageToMs)+contactMs {
 		s.harmfulAfter[r.harmful]++
 		s.outcome.harmfulAfter = max(s.outcome.harmfulAfter, s.harmfulAfter[r.harmful])
 	}
@@ -326,7 +434,7 @@
 		})
 		return
 	}
-	took := 200 + s.rng.Int64N(4000)
+	took := s.minWorkMs + s.rng.Int64N(s.maxWorkMs-s.minWorkMs)
 	if took > Probation.Milliseconds() {
 		s.at(s.nowMs+Probation.Milliseconds(), func() { s.answered(r, target) })
 	}
@@ -341,10 +449,14 @@
 
 func (s *sim) countCrash(r *simRequest) {
 	s.crashesBy[r.harmful]++
-	if s.crashesBy[r.harmful] == freeCrashes {
-		s.fifthMs[r.harmful] = s.nowMs
+	free := freeCrashes
+	if s.wholeRequests {
+		free = freeRequestCrashes
+	}
+	if s.crashesBy[r.harmful] == free {
+		s.lastFreeMs[r.harmful] = s.nowMs
 	}
-	if s.crashesBy[r.harmful] <= freeCrashes {
+	if s.crashesBy[r.harmful] <= free {
 		s.soundFromMs = s.nowMs + 2*contactMs
 		s.outcome.soundSent, s.outcome.soundRefused = 0, 0
 	}
@@ -355,12 +467,24 @@
 		return
 	}
 	g := r.gateway
-	if g.table.RecordAnswer(s.visible(r), r.beganMs) {
+	if s.noAnswers {
+		return
+	}
+	if g.table.RecordAnswer(s.visible(r), s.answerTime(r)) {
 		g.table.Update(s.nowMs)
 		s.publishLater(g, s.rng.Int64N(1000))
 	}
 }
 
+// answerTime returns when the answer began, as the gateway sees it: a plain one is
+// seen when it is complete.
+func (s *sim) answerTime(r *simRequest) int64 {
+	if s.plain {
+		return s.nowMs
+	}
+	return r.beganMs
+}
+
 // crash ends a target. It is back after some seconds, as a new process.
 func (s *sim) crash(target *simTarget) {
 	if target.downTo > s.nowMs {
@@ -376,21 +500,23 @@
 	}
 }
 
-// lose ends a request whose target crashed. It is sent once more.
+// lose ends a request whose target crashed. It may be sent once more.
 func (s *sim) lose(r *simRequest, process placement.Process) {
 	g, atMs := r.gateway, s.nowMs
 	began := r.beganMs
+	sentMs := make(map[Trait]int64)
+	for _, trait := range s.visible(r) {
+		sentMs[trait] = r.sentMs
+	}
 	r.target, r.beganMs = nil, 0
 	if began == 0 || s.nowMs-began < Probation.Milliseconds() {
 		s.at(s.nowMs+s.rng.Int64N(20), func() {
-			g.table.RecordCrash(Crash{Process: process, AtMs: atMs, Traits: s.visible(r)})
+			g.table.RecordCrash(Crash{Process: process, AtMs: atMs, SentMs: sentMs})
 			g.table.Update(s.nowMs)
 			s.publishLater(g, s.rng.Int64N(100))
 		})
 	}
-	if r.attempts < 2 {
-		s.at(s.nowMs+5, func() { s.send(r) })
-	}
+	s.at(s.nowMs+5, func() { s.resend(r) })
 }
 
 // publishLater stores a gateway's report after a delay, and gives it to the others.
@@ -429,12 +555,31 @@
 
 // small and large are the sizes of deployments.
 var (
-	small = scenario{gateways: 7, targets: 12, soundRate: 30, harmfulRate: 3, harmful: 1, harmfulFromMs: 5000, firstParts: 3, endMs: 40_000}
-	large = scenario{gateways: 300, targets: 265, soundRate: 300, harmfulRate: 6, harmful: 1, harmfulFromMs: 5000, firstParts: 3, endMs: 22_000}
+	small = scenario{gateways: 7, targets: 12, soundRate: 30, harmfulRate: 3, harmful: 1, harmfulFromMs: 5000, firstParts: 3,
+		maxAttempts: 2, minWorkMs: 200, maxWorkMs: 4200, endMs: 40_000}
+	large = scenario{gateways: 300, targets: 265, soundRate: 300, harmfulRate: 6, harmful: 1, harmfulFromMs: 5000, firstParts: 3,
+		maxAttempts: 2, minWorkMs: 200, maxWorkMs: 4200, endMs: 22_000}
 )
 
-// maxHarmfulAfter is the number of requests with a harmful part that may reach
-// targets later than contactMs after its fifth crash.
+// engines returns a deployment with harmful requests that have prompts.
+func engines(sc scenario) scenario {
+	sc.wholeRequests = true
+	sc.misdirectedShare = 0.05
+	return sc
+}
+
+// plainService returns one with harmful requests to a service without prompts, whose
+// few targets answer fast.
+func plainService(sc scenario) scenario {
+	sc = engines(sc)
+	sc.plain = true
+	sc.targets = 3 + sc.targets/50
+	sc.minWorkMs, sc.maxWorkMs = 5, 40
+	return sc
+}
+
+// maxHarmfulAfter is the number of requests with a harmful trait that may reach
+// targets later than contactMs after the last free crash by it.
 const maxHarmfulAfter = 3
 
 func (o outcome) check(t *testing.T) {
@@ -448,9 +593,13 @@
 }
 
 func forEachSeed(t *testing.T, sc scenario, check func(t *testing.T, o outcome)) {
-	seeds := uint64(5)
-	if sc.gateways > 100 {
-		seeds = 1
+	seeds := *smallSeeds
+	switch {
+	case sc.gateways <= 100:
+	case sc.byHand:
+		seeds = *largeSeeds
+	default:
+		seeds = max(*largeSeeds, 1)
 	}
 	for seed := range seeds {
 		sc := sc // the subtests run in parallel
--- a/router/crashwatch/crashwatch.go
+++ b/router/crashwatch/crashwatch.go
@@ -1,9 +1,9 @@
-// Package crashwatch finds out, together with the other gateways, which prompt
-// parts crash targets, and refuses prompts that hold them.
+// Package crashwatch finds out, together with the other gateways, which requests and
+// which parts of prompts crash targets, and refuses them.
 //
 // When the connection of an answer is lost, the gateway checks whether the target
 // still accepts connections. If not, its process has ended, which is recorded with
-// the parts of the prompt unless the answer had been running for a while. The
+// the traits of the request unless the answer had been running for a while. The
 // gateways exchange what they saw through rows of the platform's store, and package
 // quarantine decides. While the store is unavailable, each gateway decides from
 // what it knows, and reports the rest afterwards.
@@ -18,7 +18,6 @@
 	"go.uber.org/zap"
 
 	"cuminrock.example/fleet/errkind"
-	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/quarantine"
 	"cuminrock.example/router/platformclient"
 )
@@ -49,7 +48,7 @@
 	Now               func() time.Time
 }
 
-// Watcher refuses prompts and records how answers end. It is safe for concurrent
+// Watcher refuses requests and records how answers end. It is safe for concurrent
 // use.
 type Watcher struct {
 	Options
@@ -63,8 +62,7 @@
 
 // lostAnswer is an answer that ended with its connection.
 type lostAnswer struct {
-	target placement.Target
-	traits []quarantine.Trait
+	quarantine.Exchange
 	// atMs is when the connection was lost.
 	atMs int64
 	// beganMs is set if the answer is complete unless its target crashed.
@@ -88,21 +86,24 @@
 	running.Wait()
 }
 
-// Refusal returns the error of a request whose prompt holds the parts, or nil if it
-// may be sent.
+// Refusal returns the error of a request with the traits, or nil if it may be sent.
 func (w *Watcher) Refusal(traits []quarantine.Trait) *errkind.Error {
 	nowMs, known := w.platformTime(w.Now())
 	if !known {
 		return nil
 	}
-	left, refused := w.table.Refuses(traits, nowMs)
-	if !refused {
+	refusal := w.table.Refuses(traits, nowMs)
+	if refusal == nil {
 		return nil
 	}
+	left := time.Duration(refusal.UntilMs-nowMs) * time.Millisecond
+	if refusal.Kind() == quarantine.WholeRequest {
+		return errkind.New(errkind.RequestRefused, "earlier attempts at this request crashed targets").WithRetryAfter(left)
+	}
 	return errkind.New(errkind.PromptRefused, "requests with a part of this prompt crash targets").WithRetryAfter(left)
 }
 
-// Answered records that an answer to a prompt with the parts, which began at the
+// Answered records that an answer to a request with the traits, which began at the
 // given time, was complete or has outlived quarantine.Probation.
 func (w *Watcher) Answered(traits []quarantine.Trait, began time.Time) {
 	beganMs, known := w.platformTime(began)
@@ -112,19 +113,20 @@
 	}
 }
 
-// ConnectionLost records that a target's connection was lost before an answer to a
-// prompt with the parts was complete or had outlived quarantine.Probation. It
-// returns at once; the target is checked later.
-func (w *Watcher) ConnectionLost(target placement.Target, traits []quarantine.Trait) {
-	w.enqueue(lostAnswer{target: target, traits: traits})
+// ConnectionLost records that a target's connection was lost before the answer was
+// complete or had outlived quarantine.Probation. It returns at once; the target is
+// checked later.
+func (w *Watcher) ConnectionLost(e quarantine.Exchange) {
+	w.enqueue(lostAnswer{Exchange: e})
 }
 
-// AnsweredUnlessCrashed records that an answer ended with its connection, which
-// is how a target ends an answer without a length, and how one ends that crashed.
-func (w *Watcher) AnsweredUnlessCrashed(target placement.Target, traits []quarantine.Trait, began time.Time) {
+// AnsweredUnlessCrashed records that an answer, which began at the given time, ended
+// with its connection, which is how a target ends an answer without a length, and how
+// one ends that crashed.
+func (w *Watcher) AnsweredUnlessCrashed(e quarantine.Exchange, began time.Time) {
 	beganMs, known := w.platformTime(began)
 	if known {
-		w.enqueue(lostAnswer{target: target, traits: traits, beganMs: beganMs})
+		w.enqueue(lostAnswer{Exchange: e, beganMs: beganMs})
 	}
 }
 
@@ -135,11 +137,11 @@
 
 func (w *Watcher) enqueue(l lostAnswer) {
 	nowMs, known := w.platformTime(w.Now())
-	if !known || len(l.traits) == 0 {
+	if !known {
 		return
 	}
 	l.atMs = nowMs
-	l.traits = l.traits[:min(len(l.traits), maxTraitsPerCrash)]
+	l.Traits = l.Traits[:min(len(l.Traits), maxTraitsPerCrash)]
 	select {
 	case w.lost <- l:
 	default:
@@ -162,11 +164,11 @@
 func (w *Watcher) check(ctx context.Context, l lostAnswer) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	if w.ConnectionRefused(ctx, l.target.Address) {
+	if w.ConnectionRefused(ctx, l.Target.Address) {
 		w.recordCrash(l)
 		return
 	}
-	if l.beganMs > 0 && w.table.RecordAnswer(l.traits, l.beganMs) {
+	if l.beganMs > 0 && w.table.RecordAnswer(l.Traits, l.beganMs) {
 		w.refresh()
 		w.publisher.wakeLater()
 	}
@@ -174,9 +176,16 @@
 
 func (w *Watcher) recordCrash(l lostAnswer) {
 	w.Metrics.crashes.Inc()
-	process := l.target.Process()
-	w.table.RecordCrash(quarantine.Crash{Process: process, AtMs: l.atMs, Traits: l.traits})
-	w.Log.Info("crash: a target ended under a prompt.", zap.String("target", l.target.ID), zap.Int64("at_ms", l.atMs), zap.Int("parts", len(l.traits)))
+	crash := quarantine.Crash{Process: l.Target.Process(), AtMs: l.atMs, SentMs: make(map[quarantine.Trait]int64)}
+	// Without the time, the attempt counts as one that was sent long ago.
+	sentMs, _ := w.platformTime(l.SentAt)
+	for _, trait := range l.Traits {
+		crash.SentMs[trait] = sentMs
+	}
+	w.table.RecordCrash(crash)
+	w.Log.Info("crash: a target ended under a request.", zap.String("target", l.Target.ID), zap.Int64("at_ms", l.atMs),
+		zap.Int64("sent_ms", sentMs), fingerprintField(l.Traits),
+		zap.Int("parts", len(hashes(l.Traits, quarantine.PromptPart))))
 	w.refresh()
 	w.publisher.wake()
 }
@@ -191,18 +200,16 @@
 	defer w.mu.Unlock()
 	before := w.refusals
 	w.refusals = w.table.Update(nowMs)
-	parts := 0
 	for _, r := range w.refusals {
-		parts += len(r.Traits)
 		if !contains(before, r) {
-			w.Log.Warn("crash: refusing prompts that crash targets.", zap.Uint64s("part_hashes", hashes(r.Traits)),
-				zap.Int("crashes", r.Crashes), zap.Int64("last_ms", r.LastMs), zap.Int64("until_ms", r.UntilMs))
+			w.Log.Warn("crash: refusing requests that crash targets.", hashField(r.Traits), zap.Int("crashes", r.Crashes),
+				zap.Int64("last_ms", r.LastMs), zap.Int64("from_ms", r.FromMs), zap.Int64("until_ms", r.UntilMs), zap.Int64("trials_from_ms", r.TrialsFromMs))
 		}
 	}
 	for _, r := range before {
 		if !contains(w.refusals, r) {
-			w.Log.Info("crash: no longer refusing prompts as before.", zap.Uint64s("part_hashes", hashes(r.Traits)))
+			w.Log.Info("crash: no longer refusing requests as before.", hashField(r.Traits))
 		}
 	}
-	w.Metrics.quarantined.Set(float64(parts))
+	w.Metrics.count(w.refusals)
 }
--- a/router/crashwatch/crashwatch_test.go
+++ b/router/crashwatch/crashwatch_test.go
@@ -92,9 +92,14 @@
 
 var harmful = []quarantine.Trait{{Hash: 1}, {Hash: 2}}
 
+// lose makes a watcher lose the connection of an attempt that was just sent.
+func (f *watchers) lose(w *Watcher, target int, traits []quarantine.Trait) {
+	w.ConnectionLost(quarantine.Exchange{Target: placement.Target{ID: fmt.Sprintf("t%d", target), StartTimeMs: 1}, Traits: traits, SentAt: time.Now()})
+}
+
 // crash makes a watcher lose the connection of an answer as its target ends.
 func (f *watchers) crash(w *Watcher, target int) {
-	w.ConnectionLost(placement.Target{ID: fmt.Sprintf("t%d", target), StartTimeMs: 1}, harmful)
+	f.lose(w, target, harmful)
 	f.pass(400 * time.Millisecond)
 }
 
@@ -119,6 +124,41 @@
 	}, "a", "b", "c")
 }
 
+// A request without a prompt is refused after fewer crashes, with its own kind of error.
+func TestGatewaysRefuseARequestTogether(t *testing.T) {
+	inFleet(t, func(f *watchers) {
+		is := is.New(t)
+		request := []quarantine.Trait{quarantine.RequestTrait(7)}
+		for i, name := range []string{"a", "b", "a"} {
+			f.lose(f.all[name], i, request)
+			f.pass(400 * time.Millisecond)
+		}
+		f.pass(time.Second)
+		for _, w := range []*Watcher{f.all["a"], f.all["b"], f.start("late")} {
+			is.Equal(w.Refusal(request).Kind, errkind.RequestRefused)
+			is.True(w.Refusal([]quarantine.Trait{quarantine.RequestTrait(8)}) == nil)
+			is.True(w.Refusal([]quarantine.Trait{{Kind: quarantine.PromptPart, Hash: 7}}) == nil)
+		}
+	}, "a", "b")
+}
+
+// A request that was lost with several targets at once, and answered by another gateway
+// since, isn't refused.
+func TestAnswerClearsARequestEverywhere(t *testing.T) {
+	inFleet(t, func(f *watchers) {
+		is := is.New(t)
+		request := []quarantine.Trait{quarantine.RequestTrait(7)}
+		for i := range 3 {
+			f.lose(f.all["a"], i, request)
+		}
+		f.pass(2500 * time.Millisecond)
+		is.True(f.all["a"].Refusal(request) != nil)
+		f.all["b"].Answered(request, time.Now())
+		f.pass(2 * time.Second)
+		is.True(f.all["a"].Refusal(request) == nil)
+	}, "a", "b")
+}
+
 // A target that still accepts connections has lost a connection, not ended.
 func TestLostConnectionOfARunningTargetIsNoCrash(t *testing.T) {
 	inFleet(t, func(f *watchers) {
@@ -137,12 +177,12 @@
 		is := is.New(t)
 		a := f.all["a"]
 		for i := range 6 {
-			a.AnsweredUnlessCrashed(placement.Target{ID: fmt.Sprintf("t%d", i)}, harmful, time.Now())
+			a.AnsweredUnlessCrashed(quarantine.Exchange{Target: placement.Target{ID: fmt.Sprintf("t%d", i)}, Traits: harmful}, time.Now())
 			f.pass(400 * time.Millisecond)
 		}
 		is.True(a.Refusal(harmful) != nil)
 		f.accepting = true
-		a.AnsweredUnlessCrashed(placement.Target{ID: "t9"}, harmful, time.Now())
+		a.AnsweredUnlessCrashed(quarantine.Exchange{Target: placement.Target{ID: "t9"}, Traits: harmful}, time.Now())
 		f.pass(400 * time.Millisecond)
 		is.True(a.Refusal(harmful) == nil)
 	}, "a")
@@ -247,7 +287,7 @@
 	metrics := NewMetrics(prometheus.NewRegistry())
 	w := New(Options{Gateway: "a", Clock: storeClock{}, Metrics: metrics, Log: zap.NewNop(), Now: time.Now})
 	for range maxPendingChecks + 1 {
-		w.ConnectionLost(placement.Target{ID: "t"}, harmful)
+		w.ConnectionLost(quarantine.Exchange{Target: placement.Target{ID: "t"}, Traits: harmful})
 	}
 	is.Equal(len(w.lost), maxPendingChecks)
 }
--- a/router/crashwatch/reports.go
+++ b/router/crashwatch/reports.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
@@ -65,47 +66,92 @@
 	if err != nil {
 		return quarantine.Report{}, err
 	}
-	report := quarantine.Report{Answers: make(map[quarantine.Trait]int64, len(message.Answers))}
+	report := quarantine.Report{Answers: make(map[quarantine.Trait]int64)}
 	for _, c := range message.Crashes {
-		crash := quarantine.Crash{Process: placement.Process{ID: c.TargetId, StartTimeMs: c.StartTimeMs}, AtMs: c.AtMs}
-		for _, part := range c.Parts {
-			crash.Traits = append(crash.Traits, quarantine.Trait{Kind: quarantine.PromptPart, Hash: part})
-		}
-		report.Crashes = append(report.Crashes, crash)
+		report.Crashes = append(report.Crashes, decodeCrash(c))
 	}
 	for _, a := range message.Answers {
 		report.Answers[quarantine.Trait{Kind: quarantine.PromptPart, Hash: a.Part}] = a.BeganMs
 	}
+	for _, a := range message.RequestAnswers {
+		report.Answers[quarantine.RequestTrait(a.Fingerprint)] = a.BeganMs
+	}
 	return report, nil
 }
 
+func decodeCrash(c *pb.TargetCrash) quarantine.Crash {
+	sentMs := make(map[quarantine.Trait]int64, len(c.Parts)+len(c.Requests))
+	for _, part := range c.Parts {
+		sentMs[quarantine.Trait{Kind: quarantine.PromptPart, Hash: part}] = 0
+	}
+	for _, r := range c.Requests {
+		sentMs[quarantine.RequestTrait(r.Fingerprint)] = r.SentMs
+	}
+	return quarantine.Crash{Process: placement.Process{ID: c.TargetId, StartTimeMs: c.StartTimeMs}, AtMs: c.AtMs, SentMs: sentMs}
+}
+
 // encodeReport encodes a row. Equal reports have equal rows.
 func encodeReport(r quarantine.Report) ([]byte, error) {
 	message := &pb.GatewayReport{}
 	for _, c := range r.Crashes {
-		message.Crashes = append(message.Crashes, &pb.TargetCrash{
-			TargetId: c.Process.ID, StartTimeMs: c.Process.StartTimeMs, AtMs: c.AtMs, Parts: hashes(c.Traits),
-		})
+		message.Crashes = append(message.Crashes, encodeCrash(c))
 	}
 	for _, trait := range sortedTraits(r.Answers) {
-		message.Answers = append(message.Answers, &pb.PartAnswer{Part: trait.Hash, BeganMs: r.Answers[trait]})
+		beganMs := r.Answers[trait]
+		if trait.Kind == quarantine.WholeRequest {
+			message.RequestAnswers = append(message.RequestAnswers, &pb.RequestAnswer{Fingerprint: trait.Hash, BeganMs: beganMs})
+		} else {
+			message.Answers = append(message.Answers, &pb.PartAnswer{Part: trait.Hash, BeganMs: beganMs})
+		}
 	}
 	return proto.MarshalOptions{Deterministic: true}.Marshal(message)
 }
 
-func sortedTraits(answers map[quarantine.Trait]int64) []quarantine.Trait {
-	return slices.SortedFunc(maps.Keys(answers), quarantine.Trait.Compare)
+func encodeCrash(c quarantine.Crash) *pb.TargetCrash {
+	message := &pb.TargetCrash{TargetId: c.Process.ID, StartTimeMs: c.Process.StartTimeMs, AtMs: c.AtMs}
+	for _, trait := range sortedTraits(c.SentMs) {
+		if trait.Kind == quarantine.WholeRequest {
+			message.Requests = append(message.Requests, &pb.LostRequest{Fingerprint: trait.Hash, SentMs: c.SentMs[trait]})
+		} else {
+			message.Parts = append(message.Parts, trait.Hash)
+		}
+	}
+	return message
+}
+
+func sortedTraits(times map[quarantine.Trait]int64) []quarantine.Trait {
+	return slices.SortedFunc(maps.Keys(times), quarantine.Trait.Compare)
 }
 
-// hashes returns the hashes of the traits.
-func hashes(traits []quarantine.Trait) []uint64 {
-	numbers := make([]uint64, 0, len(traits))
+// hashes returns the hashes of the traits of a kind.
+func hashes(traits []quarantine.Trait, kind quarantine.TraitKind) []uint64 {
+	var numbers []uint64
 	for _, trait := range traits {
-		numbers = append(numbers, trait.Hash)
+		if trait.Kind == kind {
+			numbers = append(numbers, trait.Hash)
+		}
 	}
 	return numbers
 }
 
+// hashField returns the log field for the traits of a refusal, which are of one kind.
+func hashField(traits []quarantine.Trait) zap.Field {
+	if traits[0].Kind == quarantine.WholeRequest {
+		return fingerprintField(traits)
+	}
+	return zap.Uint64s("part_hashes", hashes(traits, quarantine.PromptPart))
+}
+
+// fingerprintField returns the log field for the requests among the traits, written as
+// in the lines of requests.
+func fingerprintField(traits []quarantine.Trait) zap.Field {
+	var fingerprints []string
+	for _, hash := range hashes(traits, quarantine.WholeRequest) {
+		fingerprints = append(fingerprints, strconv.FormatUint(hash, 16))
+	}
+	return zap.Strings("fingerprints", fingerprints)
+}
+
 // contains reports whether a refusal of the same traits is among the refusals.
 func contains(refusals []quarantine.Refusal, r quarantine.Refusal) bool {
 	return slices.ContainsFunc(refusals, func(other quarantine.Refusal) bool { return slices.Equal(other.Traits, r.Traits) })
--- a/router/relay/prompts_test.go
+++ b/router/relay/crashes_test.go
@@ -14,19 +14,18 @@
 
 	"cuminrock.example/fleet/catalog"
 	"cuminrock.example/fleet/errkind"
-	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/quarantine"
 )
 
-// promptGuard records what it is told. It refuses prompts after a number of checks;
+// crashGuard records what it is told. It refuses requests after a number of checks;
 // never if that is 0.
-type promptGuard struct {
+type crashGuard struct {
 	refuseAfter, checks int
 	calls               []string
 	traits              []quarantine.Trait
 }
 
-func (g *promptGuard) Refusal(traits []quarantine.Trait) *errkind.Error {
+func (g *crashGuard) Refusal(traits []quarantine.Trait) *errkind.Error {
 	g.checks++
 	g.traits = traits
 	if g.refuseAfter > 0 && g.checks > g.refuseAfter {
@@ -35,21 +34,21 @@
 	return nil
 }
 
-func (g *promptGuard) Answered([]quarantine.Trait, time.Time) { g.calls = append(g.calls, "answered") }
+func (g *crashGuard) Answered([]quarantine.Trait, time.Time) { g.calls = append(g.calls, "answered") }
 
-func (g *promptGuard) ConnectionLost(target placement.Target, _ []quarantine.Trait) {
-	g.calls = append(g.calls, "lost at "+target.Service)
+func (g *crashGuard) ConnectionLost(e quarantine.Exchange) {
+	g.calls = append(g.calls, "lost at "+e.Target.Service)
 }
 
-func (g *promptGuard) AnsweredUnlessCrashed(placement.Target, []quarantine.Trait, time.Time) {
+func (g *crashGuard) AnsweredUnlessCrashed(quarantine.Exchange, time.Time) {
 	g.calls = append(g.calls, "answered unless crashed")
 }
 
 // servePrompt sends a request with a prompt through a relay.
-func servePrompt(guard *promptGuard, route *catalog.Route, outcomes ...outcome) (*caller, *upstream) {
+func servePrompt(guard *crashGuard, route *catalog.Route, outcomes ...outcome) (*caller, *upstream) {
 	up := &upstream{outcomes: outcomes}
 	r := newRelay(route, up)
-	r.Prompts = guard
+	r.Crashes = guard
 	prompt := &Prompt{InputTokens: 30, MaxOutputTokens: 10, Parts: []PromptPart{{ID: "x", Tokens: 10}, {ID: "y", Tokens: 10}, {ID: "own", Tokens: 10}}}
 	return serveWith(context.Background(), r, &Request{ID: "1", Prompt: prompt}), up
 }
@@ -65,19 +64,21 @@
 
 func TestRefusedPromptIsNotSent(t *testing.T) {
 	is := is.New(t)
-	g := &promptGuard{refuseAfter: 1, checks: 1}
+	g := &crashGuard{refuseAfter: 1, checks: 1}
 	out, up := servePrompt(g, resumable(), good)
 	is.Equal(len(up.sends), 0)
 	is.Equal(out.refused.Kind, errkind.PromptRefused)
 	is.True(out.refused.RetryAfter > 0)
-	is.Equal(g.traits, []quarantine.Trait{quarantine.PromptPartTrait("x"), quarantine.PromptPartTrait("y")}) // never the last
+	is.Equal(g.traits[:2], []quarantine.Trait{quarantine.PromptPartTrait("x"), quarantine.PromptPartTrait("y")}) // never the last
+	is.Equal(len(g.traits), 3)
+	is.Equal(g.traits[2].Kind, quarantine.WholeRequest)
 }
 
 // Guards against a request that crashes one target after the other: what became
 // known since its last send holds for the next.
 func TestPromptRefusedSinceTheLastSendIsNotSentAgain(t *testing.T) {
 	is := is.New(t)
-	g := &promptGuard{refuseAfter: 2} // checked on arrival and before the send
+	g := &crashGuard{refuseAfter: 2} // checked on arrival and before the send
 	out, up := servePrompt(g, resumable(), connectionLost(syscall.ECONNRESET), good)
 	is.Equal(len(up.sends), 1)
 	is.Equal(out.refused.Kind, errkind.TargetFailed) // it may have run
@@ -87,12 +88,12 @@
 func TestLostConnectionsAreReported(t *testing.T) {
 	is := is.New(t)
 	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
-		g := &promptGuard{}
+		g := &crashGuard{}
 		servePrompt(g, &catalog.Route{Kind: catalog.Stream, MaxAttempts: 1}, connectionLost(cause))
 		is.Equal(g.calls, []string{"lost at s"})
 	}
 	for _, cause := range []error{syscall.ETIMEDOUT, errors.New("the response isn't HTTP")} {
-		g := &promptGuard{}
+		g := &crashGuard{}
 		servePrompt(g, &catalog.Route{Kind: catalog.Stream, MaxAttempts: 1}, connectionLost(cause))
 		is.Equal(len(g.calls), 0)
 	}
@@ -112,15 +113,36 @@
 		{catalog.AtMostOnce, outcome{status: 200, body: "x", truncated: true}, "lost at s"},
 		{catalog.AtMostOnce, outcome{status: 200, body: "x", endsWithConnection: true}, "answered unless crashed"},
 	} {
-		g := &promptGuard{}
+		g := &crashGuard{}
 		servePrompt(g, &catalog.Route{Kind: c.kind, MaxAttempts: 1}, c.outcome)
 		is.Equal(g.calls, []string{c.want})
 	}
 }
 
+// Guards against incident inc1 of issue 28: connections lost under requests without a
+// prompt weren't reported.
+func TestRequestsWithoutAPromptAreReported(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		outcome outcome
+		want    string
+	}{
+		{connectionLost(io.ErrUnexpectedEOF), "lost at s"},
+		{outcome{status: 200, body: "x"}, "answered"},
+	} {
+		g := &crashGuard{}
+		r := newRelay(&catalog.Route{Kind: catalog.AtMostOnce, MaxAttempts: 1}, &upstream{outcomes: []outcome{c.outcome}})
+		r.Crashes = g
+		serveWith(context.Background(), r, &Request{ID: "1"})
+		is.Equal(g.calls, []string{c.want})
+		is.Equal(len(g.traits), 1)
+		is.Equal(g.traits[0].Kind, quarantine.WholeRequest)
+	}
+}
+
 // A target's own error says nothing about the prompt.
 func TestErrorResponseIsNoAnswerToThePrompt(t *testing.T) {
-	g := &promptGuard{}
+	g := &crashGuard{}
 	servePrompt(g, &catalog.Route{Kind: catalog.AtMostOnce, MaxAttempts: 1}, outcome{status: 500, body: "x"})
 	is.New(t).Equal(len(g.calls), 0)
 }
@@ -128,7 +150,7 @@
 // A stream that breaks after it has run for a while clears its prompt.
 func TestAnswerThatOutlivesProbationClearsThePrompt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := &promptGuard{}
+		g := &crashGuard{}
 		out, _ := servePrompt(g, &catalog.Route{Kind: catalog.Stream, MaxAttempts: 1},
 			outcome{status: 200, body: firstEvents + lastEvents, truncated: true, pause: quarantine.Probation / 2})
 		is := is.New(t)
--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -58,11 +58,13 @@
 
 // attempt is one send to a target that has responded.
 type attempt struct {
-	lease    *placement.Lease
+	lease *placement.Lease
+	// sent is when the request was sent.
+	sent     time.Time
 	response UpstreamResponse
 	// firstEventAt is when the first event of the stream arrived; zero before it.
 	firstEventAt time.Time
-	// outlivedProbation is set once the prompt is known not to crash the target.
+	// outlivedProbation is set once the request is known not to crash the target.
 	outlivedProbation bool
 	finished          bool
 }
@@ -85,7 +87,7 @@
 		answering = p.relay.Now().Sub(a.firstEventAt)
 	}
 	if !a.outlivedProbation {
-		p.recordConnectionLoss(ctx, a.lease.Target(), err)
+		p.recordConnectionLoss(ctx, a.lease.Target(), a.sent, err)
 	}
 	p.relay.Metrics.Breaks.Inc()
 	p.relay.Log.Info("relay: an answer broke off.", zap.String("request", p.ID), zap.String("target", a.lease.Target().ID),
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -63,7 +63,7 @@
 	Budgets  Budgets
 	Retries  *retry.Budgets
 	Upstream Upstream
-	Prompts  PromptGuard
+	Crashes  CrashGuard
 	Limits   TargetLimits
 	// Overloaded reports whether this router has more work than processor time or
 	// its link allow, so that new requests should be refused; urgent ones are
@@ -84,20 +84,19 @@
 	Reserve(ctx context.Context, id string, w *catalog.Workspace, tokens int64, rank int, maxWait time.Duration) (prepaid.Reservation, error)
 }
 
-// PromptGuard refuses prompts that crash targets, and is told how answers end. It
-// is told the parts that a prompt shares with others.
-type PromptGuard interface {
-	// Refusal returns an error of kind PromptRefused, or nil if the request may be
-	// sent.
+// CrashGuard refuses requests that crash targets, and is told how answers end.
+type CrashGuard interface {
+	// Refusal returns an error of kind RequestRefused or PromptRefused, or nil if a
+	// request with the traits may be sent.
 	Refusal(traits []quarantine.Trait) *errkind.Error
 	// Answered records that an answer, which began at the given time, was complete
 	// or has outlived quarantine.Probation.
 	Answered(traits []quarantine.Trait, began time.Time)
 	// ConnectionLost records that a target's connection was lost before that.
-	ConnectionLost(target placement.Target, traits []quarantine.Trait)
+	ConnectionLost(e quarantine.Exchange)
 	// AnsweredUnlessCrashed records an answer that ended with its connection. It is
 	// complete unless the target has crashed.
-	AnsweredUnlessCrashed(target placement.Target, traits []quarantine.Trait, began time.Time)
+	AnsweredUnlessCrashed(e quarantine.Exchange, began time.Time)
 }
 
 // TargetLimits keeps requests within the limits that targets name.
@@ -154,8 +153,8 @@
 	ctx, cancel := context.WithDeadline(ctx, a.deadline)
 	defer cancel()
 	p.fingerprint = a.fingerprint()
-	p.traits = a.Prompt.traits()
-	err = p.refusePrompt()
+	p.traits = append(a.Prompt.traits(), quarantine.RequestTrait(uint64(p.fingerprint)))
+	err = p.refuseHarmful()
 	if err != nil {
 		return err
 	}
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -111,7 +111,7 @@
 		retries.ForService("s").Deposit()
 	}
 	return New(Options{
-		Catalog: func() *catalog.Catalog { return c }, Targets: targets, Retries: retries, Upstream: up, Limits: noLimits{},
+		Catalog: func() *catalog.Catalog { return c }, Targets: targets, Retries: retries, Upstream: up, Limits: noLimits{}, Crashes: &crashGuard{},
 		Budgets: &prepaid.Manager{}, Overloaded: neverOverloaded, Egress: egress.NewMeter(0), Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now,
 	})
 }
@@ -263,7 +263,7 @@
 	c := catalog.New(catalog.Spec{Routes: []*catalog.Route{route, urgent}, Services: []*catalog.Service{{Name: "s"}}})
 	r := New(Options{
 		Catalog: func() *catalog.Catalog { return c }, Targets: placement.New("dc"), Retries: retry.NewBudgets(1000, 10), Limits: noLimits{},
-		Overloaded: func(urgent bool) bool { return !urgent }, Egress: egress.NewMeter(0),
+		Crashes: &crashGuard{}, Overloaded: func(urgent bool) bool { return !urgent }, Egress: egress.NewMeter(0),
 		Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now,
 	})
 	out := &caller{}
--- a/router/relay/send.go
+++ b/router/relay/send.go
@@ -34,7 +34,7 @@
 // left for it, up to maxDeniedPermits.
 func (p *proxiedRequest) pickTarget(ctx context.Context) (*placement.Lease, *errkind.Error) {
 	for denied := 0; ; denied++ {
-		refusal := p.refusePrompt()
+		refusal := p.refuseHarmful()
 		if refusal != nil {
 			return nil, refusal
 		}
@@ -90,7 +90,7 @@
 		lease.ReportLoad(*load, p.relay.Now())
 	}
 	p.recordAnnouncement(lease, sent, response.Announcement())
-	return &attempt{lease: lease, response: response}, nil
+	return &attempt{lease: lease, sent: sent, response: response}, nil
 }
 
 // handleSendFailure records a failed send and ends the target's lease. It returns
@@ -111,7 +111,7 @@
 	default:
 		p.sends++
 		p.mayHaveRun = true
-		p.recordConnectionLoss(ctx, lease.Target(), err)
+		p.recordConnectionLoss(ctx, lease.Target(), sent, err)
 	}
 	if ctx.Err() != nil {
 		failure = p.interruptedError(ctx, failure)
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -92,7 +92,7 @@
 	}
 	if !a.outlivedProbation && now.Sub(a.firstEventAt) >= quarantine.Probation {
 		a.outlivedProbation = true
-		p.relay.Prompts.Answered(p.traits, a.firstEventAt)
+		p.relay.Crashes.Answered(p.traits, a.firstEventAt)
 	}
 	a.lease.RecordProgress(now)
 }
