Read and log the versions of targets, and which attempt a caller's stream began as

Lines of targets, sends and breaks have it now; the line of a request that takes a stream up has the attempt that began it, and the event after which it goes on.

--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -30,6 +30,8 @@
 	Service    string
 	Address    string
 	DataCentre string
+	// Version is that of the target's software; empty if it is unknown.
+	Version string
 	// Leaving targets get no new requests.
 	Leaving bool
 }
--- a/router/gateway/view.go
+++ b/router/gateway/view.go
@@ -158,7 +158,7 @@
 	v.current[row.Key] = target
 	if !had || old != target {
 		v.gateway.log.Info("targets: registered.", zap.String("target", target.ID), zap.String("service", target.Service),
-			zap.String("address", target.Address), zap.Bool("leaving", target.Leaving))
+			zap.String("address", target.Address), zap.String("version", target.Version), zap.Bool("leaving", target.Leaving))
 	}
 }
 
--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -91,7 +91,7 @@
 	}
 	p.relay.Metrics.Breaks.Inc()
 	p.relay.Log.Info("relay: an answer broke off.", zap.String("request", p.ID), zap.String("target", a.lease.Target().ID),
-		zap.Stringer("fingerprint", p.fingerprint), zap.Int64("events", p.events), zap.Duration("since_first_event", answering),
+		zap.String("version", a.lease.Target().Version), zap.Stringer("fingerprint", p.fingerprint), zap.Int64("events", p.events), zap.Duration("since_first_event", answering),
 		zap.Strings("prompt_parts", p.Prompt.sharedPartIDs()), zap.Error(err))
 }
 
@@ -171,6 +171,9 @@
 		fields = append(fields, zap.String("route", p.route.Name), zap.String("workspace", p.workspaceName()),
 			zap.Stringer("fingerprint", p.fingerprint), zap.Uint64("config", p.catalog.Version), zap.Int64("events", p.events), zap.Int64("consumed", p.consumedTokens), zap.Duration("first_byte", p.firstByte))
 	}
+	if req.ResumeAfter != "" {
+		fields = append(fields, zap.String("resumes", req.Resumes), zap.String("resume_after", req.ResumeAfter))
+	}
 	if err != nil {
 		fields = append(fields, zap.Error(err))
 	}
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -37,6 +37,9 @@
 	// ResumeAfter is the id of the last event of the stream that the caller has
 	// received; empty for a new stream.
 	ResumeAfter string
+	// Resumes is the id of the attempt that brought the stream's first event; empty for
+	// a new stream, or if the caller doesn't tell.
+	Resumes string
 }
 
 // Prompt describes the tokens of a request, as stated by the caller.
--- a/router/relay/send.go
+++ b/router/relay/send.go
@@ -119,7 +119,7 @@
 	}
 	lease.Done(result, p.relay.Now())
 	p.relay.Log.Info("relay: a send failed.", zap.String("request", p.ID),
-		zap.String("target", lease.Target().ID), zap.Int("sends", p.sends),
+		zap.String("target", lease.Target().ID), zap.String("version", lease.Target().Version), zap.Int("sends", p.sends),
 		zap.Stringer("kind", failure.Kind), zap.Stringer("fingerprint", p.fingerprint), zap.Strings("prompt_parts", p.Prompt.sharedPartIDs()), zap.Error(err))
 	return failure
 }
