--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -111,13 +111,14 @@
 	relay   *relay.Relay
 	budgets *prepaid.Manager
 	// peers is nil if the gateway has no listener for others.
-	peers   *peers
-	targets *placement.Table
-	crashes *crashwatch.Watcher
-	limits  *targetlimit.Limiter
-	lag     lag.Monitor
-	egress  *egress.Meter
-	catalog atomic.Pointer[catalog.Catalog]
+	peers        *peers
+	targets      *placement.Table
+	targetCounts targetCounts
+	crashes      *crashwatch.Watcher
+	limits       *targetlimit.Limiter
+	lag          lag.Monitor
+	egress       *egress.Meter
+	catalog      atomic.Pointer[catalog.Catalog]
 
 	callers         *callerConns
 	callerServer    *http.Server
@@ -144,6 +145,7 @@
 	debug.SetMemoryLimit(int64(settings.MemoryMib) << 20 * memoryPermille / permille)
 	g := &Gateway{settings: settings, platform: p, log: log, registry: prometheus.NewRegistry()}
 	g.targets = placement.New(settings.DataCentre)
+	g.targetCounts = newTargetCounts(g.registry)
 	g.callers = newCallerConns(int(settings.FileDescriptors), func() time.Duration { return g.Limits().IdleTimeout })
 	g.egress = egress.NewMeter(settings.LinkMbps)
 	g.budgets = prepaid.NewManager(prepaid.Options{
--- a/router/gateway/view.go
+++ b/router/gateway/view.go
@@ -116,6 +116,7 @@
 	targets := slices.Collect(maps.Values(v.current))
 	targets = slices.AppendSeq(targets, maps.Values(v.lapsed))
 	v.gateway.targets.Update(targets, time.Now())
+	v.gateway.targetCounts.set(targets)
 	v.gateway.hasTarget.Store(len(targets) > 0)
 }
 
