--- a/router/crashwatch/crashwatch.go
+++ b/router/crashwatch/crashwatch.go
@@ -19,6 +19,7 @@
 
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/quarantine"
+	"cuminrock.example/router/ownrow"
 	"cuminrock.example/router/platformclient"
 )
 
@@ -54,7 +55,7 @@
 	Options
 	table     *quarantine.Table
 	lost      chan lostAnswer
-	publisher *publisher
+	publisher *ownrow.Row
 
 	mu       sync.Mutex
 	refusals []quarantine.Refusal
@@ -82,7 +83,7 @@
 	for range checkers {
 		running.Go(func() { w.checkLost(ctx) })
 	}
-	running.Go(func() { w.publisher.run(ctx) })
+	running.Go(func() { w.publisher.Run(ctx) })
 	running.Wait()
 }
 
@@ -117,10 +118,10 @@
 	switch w.table.RecordAnswer(traits, beganMs) {
 	case quarantine.ClearsRefusal:
 		w.refresh()
-		w.publisher.wake()
+		w.publisher.Wake()
 	case quarantine.ClearsEvidence:
 		w.refresh()
-		w.publisher.wakeLater()
+		w.publisher.WakeLater()
 	}
 }
 
@@ -197,7 +198,7 @@
 		zap.Int64("sent_ms", sentMs), fingerprintField(l.Traits),
 		zap.Int("parts", len(hashes(l.Traits, quarantine.PromptPart))))
 	w.refresh()
-	w.publisher.wake()
+	w.publisher.Wake()
 }
 
 // refresh decides anew which parts are refused, and logs what has changed.
--- a/router/crashwatch/reports.go
+++ b/router/crashwatch/reports.go
@@ -29,7 +29,7 @@
 		}
 	}
 	w.table.Retain(listed)
-	w.publisher.listed(own)
+	w.publisher.Listed(own)
 	w.Tick()
 }
 
@@ -44,8 +44,8 @@
 // Tick drops what is too old. It is called from time to time.
 func (w *Watcher) Tick() {
 	w.refresh()
-	if w.publisher.hasNews() {
-		w.publisher.wakeLater()
+	if w.publisher.HasNews() {
+		w.publisher.WakeLater()
 	}
 }
 
