Let a stream go on only at the version that began it

Cause: a target's version wasn't read, so that a stream went on at whatever target was picked, within an answer and when its caller took it up, mostly at another gateway. The class: what must hold for one stream was known, if at all, to the gateway that began it.

Now the version of the target that sent the first event binds all further sends of the answer. Each gateway keeps the origins of its resumable streams in a row of the store that outlives it; a gateway that doesn't know a stream reads the rows, in one read for all that wait, and refuses the stream if none has it. Weighed: a row or call for each stream (calls grow with streams); asking other gateways (those that are gone don't answer); choosing the version by a hash of the attempt's id (a guess while versions come and go); following all rows (bytes grow with the square of the gateways).

The relay's test targets have a version now, as entries do; a stream of unknown version isn't gone on with, which has a test.

The gateway's tests of target lists were red since the metric of targets (its registry was missing in their set-up); mended here.

--- a/fleet/errkind/errkind.go
+++ b/fleet/errkind/errkind.go
@@ -77,6 +77,9 @@
 	DeadlineInRun
 	// PromptRefused means that requests with a part of the prompt crash targets.
 	PromptRefused
+	// OriginUnknown means that it isn't known which version of a service's software
+	// began the stream that the caller takes up.
+	OriginUnknown
 	// RequestRefused means that earlier attempts at the request crashed targets.
 	RequestRefused
 	// NoTarget means that the service has no target that accepts new work.
@@ -177,6 +180,7 @@
 	DeadlinePassed:      {"deadline_passed", http.StatusGatewayTimeout, codes.DeadlineExceeded, notRun, RetryLater},
 	DeadlineInRun:       {"deadline_in_run", http.StatusGatewayTimeout, codes.DeadlineExceeded, unknown, RetryQueryOutcome},
 	PromptRefused:       {"prompt_refused", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
+	OriginUnknown:       {"origin_unknown", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
 	RequestRefused:      {"request_refused", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
 	NoTarget:            {"no_target", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
 	TargetUnreachable:   {"target_unreachable", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -36,6 +36,8 @@
 	// SharedTokens is the size of those parts and PromptTokens that of the
 	// whole prompt.
 	SharedTokens, PromptTokens int64
+	// Version restricts the choice to targets of one version; empty means all.
+	Version string
 	// Exclude lists the ids of targets that this request has already tried.
 	Exclude []string
 	Now     time.Time
@@ -110,7 +112,7 @@
 func (t *Table) candidates(r *Request, healthy bool) []*targetState {
 	var candidates []*targetState
 	for _, s := range t.services[r.Service] {
-		if !s.acceptsNew(r.Now) || slices.Contains(r.Exclude, s.target.ID) {
+		if !r.allows(s) || !s.acceptsNew(r.Now) {
 			continue
 		}
 		if healthy && !t.available(s, r.Now) {
@@ -121,6 +123,11 @@
 	return candidates
 }
 
+// allows reports whether the request may be sent to the target.
+func (r *Request) allows(s *targetState) bool {
+	return (r.Version == "" || s.target.Version == r.Version) && !slices.Contains(r.Exclude, s.target.ID)
+}
+
 // available reports whether neither the target nor its data centre is suspect,
 // the target has not just refused a request, and the data centre isn't silent.
 func (t *Table) available(s *targetState, now time.Time) bool {
--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -53,6 +53,8 @@
 	lastPlacement map[uint64]placementRecord
 	// past holds what targets announced that are no longer listed.
 	past map[Process]pastTarget
+	// versions has, by service and version, when a target of it was last listed.
+	versions map[string]map[string]time.Time
 }
 
 // targetState is a target and what the table knows about it.
@@ -85,7 +87,7 @@
 
 // New returns a table without targets for a router in the given data centre.
 func New(dataCentre string) *Table {
-	return &Table{dataCentre: dataCentre, services: make(map[string][]*targetState), byID: make(map[string]*targetState), dataCentres: make(map[string]*dataCentreState), lastPlacement: make(map[uint64]placementRecord), past: make(map[Process]pastTarget)}
+	return &Table{dataCentre: dataCentre, services: make(map[string][]*targetState), byID: make(map[string]*targetState), dataCentres: make(map[string]*dataCentreState), lastPlacement: make(map[uint64]placementRecord), past: make(map[Process]pastTarget), versions: make(map[string]map[string]time.Time)}
 }
 
 // Update replaces the list of targets. A target whose process still runs at the
@@ -112,6 +114,7 @@
 		t.services[target.Service] = append(t.services[target.Service], s)
 	}
 	t.rememberPast(old, now)
+	t.recordVersions(targets, now)
 }
 
 // Len returns the number of known targets.
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -38,6 +38,7 @@
 	"cuminrock.example/router/platformclient"
 	"cuminrock.example/router/prepaid"
 	"cuminrock.example/router/relay"
+	"cuminrock.example/router/streamorigin"
 	"cuminrock.example/router/targetlimit"
 )
 
@@ -115,6 +116,7 @@
 	targets      *placement.Table
 	targetCounts targetCounts
 	crashes      *crashwatch.Watcher
+	origins      *streamorigin.Registry
 	limits       *targetlimit.Limiter
 	lag          lag.Monitor
 	egress       *egress.Meter
@@ -162,6 +164,7 @@
 		Gateway: settings.Name, Tables: p.Tables, Clock: p.Clock, ConnectionRefused: p.ConnectionRefused,
 		Metrics: crashwatch.NewMetrics(g.registry), Log: log, Now: time.Now,
 	})
+	g.origins = streamorigin.New(streamorigin.Options{Gateway: settings.Name, Tables: p.Tables, Clock: p.Clock, Log: log, Now: time.Now})
 	g.limits = newLimiter(g)
 	g.relay = relay.New(relay.Options{
 		Catalog:    g.catalog.Load,
@@ -170,6 +173,7 @@
 		Retries:    retry.NewBudgets(int(settings.Retries.Ratio*retryRatioShare*permille), retryBurst),
 		Upstream:   p.Upstream,
 		Crashes:    g.crashes,
+		Origins:    g.origins,
 		Limits:     g.limits,
 		Overloaded: g.overloaded,
 		Egress:     g.egress,
--- a/router/gateway/watch.go
+++ b/router/gateway/watch.go
@@ -60,6 +60,7 @@
 		g.watchTable(ctx, g.platform.Targets.Table, newTargetView(g), targetsWatch)
 	})
 	g.wg.Go(func() { g.crashes.Run(ctx) })
+	g.wg.Go(func() { g.origins.Run(ctx) })
 	g.wg.Go(func() { g.limits.Run(ctx) })
 	g.wg.Go(func() {
 		g.watchTable(ctx, crashwatch.Table, &reportView{crashes: g.crashes}, reportsWatch)
--- a/router/gateway/watch_test.go
+++ b/router/gateway/watch_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
@@ -27,7 +28,7 @@
 func TestListLogsOnlyChangedTargets(t *testing.T) {
 	is := is.New(t)
 	core, logs := observer.New(zapcore.InfoLevel)
-	g := &Gateway{log: zap.New(core), targets: placement.New("z")}
+	g := &Gateway{targetCounts: newTargetCounts(prometheus.NewRegistry()), log: zap.New(core), targets: placement.New("z")}
 	g.platform.Targets.Parse = func(id string, value []byte) (placement.Target, error) {
 		return placement.Target{ID: id, Service: "s", Address: string(value)}, nil
 	}
--- a/router/ownrow/row.go
+++ b/router/ownrow/row.go
@@ -48,6 +48,8 @@
 	// UrgentDelay and LaterDelay bound the random delays before the row is written
 	// after Wake and after WakeLater.
 	UrgentDelay, LaterDelay time.Duration
+	// Gap is the least time between two writes.
+	Gap time.Duration
 	// Subject begins the log lines.
 	Subject string
 	Log     *zap.Logger
@@ -89,6 +91,7 @@
 func (r *Row) Run(ctx context.Context) {
 	for r.awaitNews(ctx) {
 		r.writeUntilStored(ctx)
+		wait.For(ctx, r.Gap)
 	}
 }
 
--- /dev/null
+++ b/router/relay/origin_test.go
@@ -0,0 +1,170 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminrock.example/fleet/catalog"
+	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/placement"
+	"cuminrock.example/fleet/streamorigin"
+)
+
+// originLog is a StreamOrigins of one gateway.
+type originLog struct {
+	versions map[streamorigin.Stream]string
+	broke    int
+}
+
+func (l *originLog) Began(s streamorigin.Stream, version string, _ time.Time) {
+	if l.versions == nil {
+		l.versions = make(map[streamorigin.Stream]string)
+	}
+	l.versions[s] = version
+}
+
+func (l *originLog) BrokeOff() { l.broke++ }
+
+func (l *originLog) Version(_ context.Context, s streamorigin.Stream) (string, bool) {
+	version, known := l.versions[s]
+	return version, known
+}
+
+// brokenStream is a stream that breaks after its first events.
+var brokenStream = outcome{status: 200, body: firstEvents, truncated: true}
+
+// newVersionedRelay returns a relay to one target of each of the versions.
+func newVersionedRelay(origins *originLog, versions []string, outcomes ...outcome) (*Relay, *upstream) {
+	up := &upstream{outcomes: outcomes}
+	r := newRelay(resumable(), up)
+	r.Origins = origins
+	var targets []placement.Target
+	for i, version := range versions {
+		targets = append(targets, placement.Target{ID: string(rune('a' + i)), Service: "s", Version: version})
+	}
+	r.Targets = placement.New("dc")
+	r.Targets.Update(targets, time.Now())
+	return r, up
+}
+
+func (u *upstream) versions() []string {
+	var versions []string
+	for _, s := range u.sends {
+		versions = append(versions, s.Target.Version)
+	}
+	return versions
+}
+
+// Guards against incident second1 of issue 28 (ORDER), within one answer.
+func TestAnswerGoesOnAtItsVersionOnly(t *testing.T) {
+	is := is.New(t)
+	for range 20 {
+		r, up := newVersionedRelay(&originLog{}, []string{"v1", "v2", "v1", "v2"}, brokenStream, brokenStream, brokenStream)
+		out := serveWith(context.Background(), r, &Request{ID: "1"})
+		is.True(out.aborted)
+		is.Equal(len(up.sends), 2) // the version's last target is used up
+		is.Equal(up.sends[0].Target.Version, up.sends[1].Target.Version)
+	}
+}
+
+// Before its first event, a stream has no version.
+func TestAnswerWithoutEventsMayGoAnywhere(t *testing.T) {
+	is := is.New(t)
+	origins := &originLog{}
+	r, up := newVersionedRelay(origins, []string{"v1", "v2"}, outcome{status: 200, truncated: true}, outcome{status: 200, body: firstEvents + lastEvents})
+	out := serveWith(context.Background(), r, &Request{ID: "1"})
+	is.True(out.finished)
+	is.Equal(len(up.sends), 2)
+	is.Equal(origins.versions[streamorigin.StreamOf("", "1")], up.versions()[1])
+}
+
+// An unknown version is that of no other target, even of one whose entry has none either.
+func TestAnswerOfUnknownVersionIsNotGoneOnWith(t *testing.T) {
+	is := is.New(t)
+	origins := &originLog{}
+	r, up := newVersionedRelay(origins, []string{"", ""}, brokenStream)
+	is.True(serveWith(context.Background(), r, &Request{ID: "1"}).aborted)
+	is.Equal(len(up.sends), 1)
+	is.Equal(len(origins.versions), 0)
+	is.Equal(origins.broke, 1)
+}
+
+// A stream that was taken up keeps the name of its first attempt, through any number of
+// takeovers.
+func TestTakeoversGoOnAtTheFirstVersion(t *testing.T) {
+	is := is.New(t)
+	origins := &originLog{}
+	origins.Began(streamorigin.StreamOf("", "1"), "v2", time.Time{})
+	for i := range 5 {
+		r, up := newVersionedRelay(origins, []string{"v1", "v2", "v1"}, brokenStream)
+		serveWith(context.Background(), r, &Request{ID: string(rune('2' + i)), Resumes: "1", ResumeAfter: "3"})
+		is.Equal(up.versions(), []string{"v2"})
+		is.Equal(len(origins.versions), 1)
+	}
+}
+
+// A gateway that doesn't know where a stream began sends it nowhere, whatever versions
+// there are, and says that it didn't run.
+func TestTakeoverOfUnknownStreamIsRefused(t *testing.T) {
+	is := is.New(t)
+	for _, versions := range [][]string{{"v1", "v1"}, {"v1", "v2"}} {
+		r, up := newVersionedRelay(&originLog{}, versions, brokenStream)
+		out := serveWith(context.Background(), r, &Request{ID: "2", Resumes: "1", ResumeAfter: "3"})
+		is.Equal(out.refused.Kind, errkind.OriginUnknown)
+		is.Equal(len(up.sends), 0)
+	}
+}
+
+func TestTakeoverAfterTheLastTargetOfItsVersionIsRefused(t *testing.T) {
+	is := is.New(t)
+	origins := &originLog{}
+	origins.Began(streamorigin.StreamOf("", "1"), "v0", time.Time{})
+	r, up := newVersionedRelay(origins, []string{"v1", "v2"}, brokenStream)
+	out := serveWith(context.Background(), r, &Request{ID: "2", Resumes: "1", ResumeAfter: "3"})
+	is.Equal(out.refused.Kind, errkind.NoTarget)
+	is.Equal(len(up.sends), 0)
+}
+
+// A caller that doesn't name the attempt goes on if there was one version only.
+func TestTakeoverWithoutItsAttempt(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		versions []string
+		sends    int
+	}{{[]string{"v1", "v1"}, 1}, {[]string{"v1", "v2"}, 0}, {[]string{"v1", ""}, 0}} {
+		r, up := newVersionedRelay(&originLog{}, c.versions, outcome{status: 200, body: lastEvents})
+		serveWith(context.Background(), r, &Request{ID: "2", ResumeAfter: "3"})
+		is.Equal(len(up.sends), c.sends)
+	}
+	r, up := newVersionedRelay(&originLog{}, []string{"v1", "v2"}, outcome{status: 200, body: lastEvents})
+	r.Targets.Update([]placement.Target{{ID: "b", Service: "s", Version: "v2"}}, time.Now())
+	serveWith(context.Background(), r, &Request{ID: "2", ResumeAfter: "3"})
+	is.Equal(len(up.sends), 0) // it may have begun at v1, which is gone
+}
+
+// A target that starts again under its id, at another version, is another target.
+func TestTargetThatRestartsAtAnotherVersion(t *testing.T) {
+	is := is.New(t)
+	origins := &originLog{}
+	origins.Began(streamorigin.StreamOf("", "1"), "v1", time.Time{})
+	r, up := newVersionedRelay(origins, []string{"v1"}, brokenStream)
+	r.Targets.Update([]placement.Target{{ID: "a", StartTimeMs: 2, Service: "s", Version: "v2"}}, time.Now())
+	out := serveWith(context.Background(), r, &Request{ID: "2", Resumes: "1", ResumeAfter: "3"})
+	is.Equal(out.refused.Kind, errkind.NoTarget)
+	is.Equal(len(up.sends), 0)
+}
+
+// A route whose streams can't be resumed records nothing.
+func TestOriginsOfOtherStreamsAreNotRecorded(t *testing.T) {
+	is := is.New(t)
+	origins := &originLog{}
+	r, _ := newVersionedRelay(origins, []string{"v1"}, brokenStream)
+	r.Catalog().Route("h", "/x").Resumable = false
+	serveWith(context.Background(), r, &Request{ID: "1"})
+	is.Equal(len(origins.versions), 0)
+	is.Equal(origins.broke, 0)
+	is.Equal(r.Catalog().Route("h", "/x").Kind, catalog.Stream)
+}
--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -44,6 +44,8 @@
 	unreachableTargets int
 	// mayHaveRun is true when a target may have run the request.
 	mayHaveRun bool
+	// origin is where the stream began.
+	origin origin
 	// events counts the stream events forwarded to the caller.
 	events int64
 	// consumedTokens is the number of tokens billed.
@@ -114,6 +116,9 @@
 	if ctx.Err() != nil || p.sends >= p.route.MaxAttempts || p.unreachableTargets >= maxUnreachableTargets {
 		return false
 	}
+	if p.origin.begun && p.origin.version == "" {
+		return false // no other target is known to have the same version
+	}
 	switch failure.Kind {
 	case errkind.TargetRefused:
 	case errkind.TargetFailed, errkind.TargetSilent:
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -26,6 +26,7 @@
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/quarantine"
 	"cuminrock.example/fleet/retry"
+	"cuminrock.example/fleet/streamorigin"
 	"cuminrock.example/fleet/targetlimit"
 	"cuminrock.example/router/prepaid"
 )
@@ -64,6 +65,7 @@
 	Retries  *retry.Budgets
 	Upstream Upstream
 	Crashes  CrashGuard
+	Origins  StreamOrigins
 	Limits   TargetLimits
 	// Overloaded reports whether this router has more work than processor time or
 	// its link allow, so that new requests should be refused; urgent ones are
@@ -99,6 +101,18 @@
 	AnsweredUnlessCrashed(e quarantine.Exchange, began time.Time)
 }
 
+// StreamOrigins knows at which versions streams began.
+type StreamOrigins interface {
+	// Began records that a stream, which must end by a deadline, has begun or gone on at
+	// a version.
+	Began(s streamorigin.Stream, version string, deadline time.Time)
+	// BrokeOff records that a stream broke off, so that its caller may take it up.
+	BrokeOff()
+	// Version returns the version that began a stream; false if that can't be found
+	// out.
+	Version(ctx context.Context, s streamorigin.Stream) (string, bool)
+}
+
 // TargetLimits keeps requests within the limits that targets name.
 type TargetLimits interface {
 	// Acquire asks for a permit to send one request to a target.
@@ -158,6 +172,10 @@
 	if err != nil {
 		return err
 	}
+	err = p.findOrigin(ctx)
+	if err != nil {
+		return err
+	}
 	r.Retries.ForService(a.service.Name).Deposit()
 	reservation, err := r.reserve(ctx, a)
 	if err != nil {
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -105,13 +105,13 @@
 	route.Timeout, route.LatencyGoal = time.Minute, time.Second
 	c := catalog.New(catalog.Spec{Version: 1, Routes: []*catalog.Route{route}, Services: []*catalog.Service{{Name: "s"}}})
 	targets := placement.New("dc")
-	targets.Update([]placement.Target{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}, {ID: "c", Service: "s"}, {ID: "d", Service: "s"}}, time.Now())
+	targets.Update([]placement.Target{{ID: "a", Service: "s", Version: "v1"}, {ID: "b", Service: "s", Version: "v1"}, {ID: "c", Service: "s", Version: "v1"}, {ID: "d", Service: "s", Version: "v1"}}, time.Now())
 	retries := retry.NewBudgets(1000, 10)
 	for range 5 {
 		retries.ForService("s").Deposit()
 	}
 	return New(Options{
-		Catalog: func() *catalog.Catalog { return c }, Targets: targets, Retries: retries, Upstream: up, Limits: noLimits{}, Crashes: &crashGuard{},
+		Catalog: func() *catalog.Catalog { return c }, Targets: targets, Retries: retries, Upstream: up, Limits: noLimits{}, Origins: &originLog{}, Crashes: &crashGuard{},
 		Budgets: &prepaid.Manager{}, Overloaded: neverOverloaded, Egress: egress.NewMeter(0), Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now,
 	})
 }
--- a/router/relay/send.go
+++ b/router/relay/send.go
@@ -43,6 +43,7 @@
 			Affinity:     p.Prompt.affinityHash(),
 			SharedTokens: p.Prompt.sharedTokens(),
 			PromptTokens: p.Prompt.inputTokens(),
+			Version:      p.origin.version,
 			Exclude:      p.triedTargets,
 			Now:          p.relay.Now(),
 		})
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -44,6 +44,9 @@
 		}
 		p.outcome = "broken off: " + failure.Kind.String()
 		p.writer.Abort()
+		if p.route.Resumable {
+			p.relay.Origins.BrokeOff()
+		}
 		return nil
 	}
 }
@@ -134,6 +137,9 @@
 	if !p.writeHeaderOnce(a) {
 		return false
 	}
+	if p.events == 0 {
+		p.recordOrigin(a.lease.Target())
+	}
 	p.events++
 	if p.writer.WriteBody(event.Raw) != nil {
 		return p.abortForCaller()
