Don't go on with a stream whose target was replaced under its id

If another process is listed under the id by the first event, the stream's version counts as unknown. TestStreamOfAReplacedTargetIsNotGoneOnWith failed before: the stream went on and was recorded at the old version. An entry that is out of date until after the first event isn't noticed.

--- a/fleet/placement/versions.go
+++ b/fleet/placement/versions.go
@@ -20,6 +20,15 @@
 	}
 }
 
+// Replaced reports whether another process is listed under the id of a target that was
+// picked.
+func (t *Table) Replaced(target Target) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.byID[target.ID]
+	return s != nil && s.target.Process() != target.Process()
+}
+
 // SoleVersion returns the only version that targets of the service had in the last
 // pastRetention; false if there were several, or one is unknown.
 func (t *Table) SoleVersion(service string) (string, bool) {
--- a/router/relay/origin.go
+++ b/router/relay/origin.go
@@ -44,9 +44,14 @@
 	return streamorigin.StreamOf(p.workspaceName(), p.ID)
 }
 
-// recordOrigin records that a target sends the first event of this answer.
+// recordOrigin records that a target sends the first event of this answer. If another
+// process has taken the target's place, it isn't known which of them sends it.
 func (p *proxiedRequest) recordOrigin(target placement.Target) {
-	p.origin = origin{begun: true, version: target.Version}
+	p.origin = origin{begun: true}
+	if p.relay.Targets.Replaced(target) {
+		return
+	}
+	p.origin.version = target.Version
 	if p.route.Resumable && target.Version != "" {
 		p.relay.Origins.Began(p.stream(), target.Version, p.deadline)
 	}
--- a/router/relay/origin_test.go
+++ b/router/relay/origin_test.go
@@ -157,6 +157,20 @@
 	is.Equal(len(up.sends), 0)
 }
 
+// The entry of a target was out of date: the process that answers may have another
+// version than the one that was picked.
+func TestStreamOfAReplacedTargetIsNotGoneOnWith(t *testing.T) {
+	is := is.New(t)
+	origins := &originLog{}
+	r, up := newVersionedRelay(origins, []string{"v1", "v1"}, brokenStream)
+	up.onSend = func(s *UpstreamRequest) {
+		r.Targets.Update([]placement.Target{{ID: s.Target.ID, StartTimeMs: 2, Service: "s", Version: "v2"}, {ID: "c", Service: "s", Version: "v1"}}, time.Now())
+	}
+	is.True(serveWith(context.Background(), r, &Request{ID: "1"}).aborted)
+	is.Equal(len(up.sends), 1)
+	is.Equal(len(origins.versions), 0)
+}
+
 // A route whose streams can't be resumed records nothing.
 func TestOriginsOfOtherStreamsAreNotRecorded(t *testing.T) {
 	is := is.New(t)
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -27,6 +27,8 @@
 type upstream struct {
 	outcomes []outcome
 	sends    []UpstreamRequest
+	// onSend is called with each request if it is set.
+	onSend func(s *UpstreamRequest)
 }
 
 type outcome struct {
@@ -44,6 +46,9 @@
 
 func (u *upstream) Send(_ context.Context, s *UpstreamRequest) (UpstreamResponse, error) {
 	u.sends = append(u.sends, *s)
+	if u.onSend != nil {
+		u.onSend(s)
+	}
 	o := u.outcomes[len(u.sends)-1]
 	if o.err != nil {
 		return nil, o.err
