Let the system choose the ports of the gateways in tests

Cause: the ports were found by listening and closing again, and the system may give out one of them twice; a run of 200,000 such choices of three gave two the same in 81, that is about one in eighty runs of the package, which starts 30 gateways alone.

--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -104,10 +104,11 @@
 
 // Gateway is a running router on a hosting platform.
 type Gateway struct {
-	settings *pb.GatewaySettings
-	platform Platform
-	log      *zap.Logger
-	registry *prometheus.Registry
+	settings  *pb.GatewaySettings
+	platform  Platform
+	log       *zap.Logger
+	registry  *prometheus.Registry
+	addresses Addresses
 
 	relay   *relay.Relay
 	budgets *prepaid.Manager
@@ -145,7 +146,7 @@
 	}
 	openedAt := time.Now()
 	debug.SetMemoryLimit(int64(settings.MemoryMib) << 20 * memoryPermille / permille)
-	g := &Gateway{settings: settings, platform: p, log: log, registry: prometheus.NewRegistry()}
+	g := &Gateway{settings: settings, platform: p, log: log, registry: prometheus.NewRegistry(), addresses: lis.addresses()}
 	g.targets = placement.New(settings.DataCentre)
 	g.targetCounts = newTargetCounts(g.registry)
 	g.callers = newCallerConns(int(settings.FileDescriptors), func() time.Duration { return g.Limits().IdleTimeout })
--- a/router/gateway/listeners.go
+++ b/router/gateway/listeners.go
@@ -36,6 +36,23 @@
 	return l, nil
 }
 
+// Addresses are host:port of a gateway's listeners, with the ports that were chosen where
+// the settings have 0. Peer is empty without one.
+type Addresses struct {
+	Caller, Readiness, Metrics, Peer string
+}
+
+// Addresses returns where the gateway listens.
+func (g *Gateway) Addresses() Addresses { return g.addresses }
+
+func (l *listeners) addresses() Addresses {
+	a := Addresses{Caller: l.caller.Addr().String(), Readiness: l.readiness.Addr().String(), Metrics: l.metrics.Addr().String()}
+	if l.peer != nil {
+		a.Peer = l.peer.Addr().String()
+	}
+	return a
+}
+
 func (l *listeners) close() {
 	for _, lis := range []net.Listener{l.caller, l.readiness, l.metrics, l.peer} {
 		if lis != nil {
