--- a/fleet/quarantine/quarantine.go
+++ b/fleet/quarantine/quarantine.go
@@ -24,7 +24,6 @@
 
 import (
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -76,22 +75,6 @@
 	refusals atomic.Pointer[[]Refusal]
 }
 
-// Refusal is the decision to refuse requests. It applies to those with its trait.
-// While nothing tells several prompt parts apart, it has all of them and applies to
-// prompts with two, so that answers to prompts with one can decide.
-type Refusal struct {
-	Traits []Trait
-	// Crashes is the number of crashed processes, of which the last ended at LastMs.
-	Crashes int
-	LastMs  int64
-	// FromMs is when the refusal begins, and UntilMs when it ends unless there are
-	// further crashes.
-	FromMs, UntilMs int64
-	// TrialsFromMs is from when on each gateway may send a request now and then, as
-	// its answer may end the refusal; 0 for never.
-	TrialsFromMs int64
-}
-
 // New returns a table without reports for the gateway of the given name.
 func New(self string) *Table {
 	t := &Table{self: self, reports: make(map[string]Report), crashes: make(map[placement.Process]Crash)}
@@ -202,47 +185,6 @@
 	return last
 }
 
-// Kind returns the kind of the traits that are refused.
-func (r *Refusal) Kind() TraitKind { return r.Traits[0].Kind }
-
-// inForce reports whether the refusal has begun and hasn't ended.
-func (r *Refusal) inForce(nowMs int64) bool { return r.FromMs <= nowMs && nowMs < r.UntilMs }
-
-// allowsTrial reports whether a gateway may send a refused request now.
-func (r *Refusal) allowsTrial(gateway string, nowMs int64) bool {
-	return r.TrialsFromMs > 0 && nowMs >= r.TrialsFromMs && inTrialSlot(gateway, r.Traits[0], nowMs)
-}
-
-// applies reports whether requests with the traits are refused.
-func (r *Refusal) applies(traits []Trait) bool {
-	found := 0
-	for _, trait := range r.Traits {
-		if slices.Contains(traits, trait) {
-			found++
-		}
-	}
-	return found >= min(len(r.Traits), 2)
-}
-
-// crashRecords are records of crashes, several of which may be of one process.
-// endedMs is the earliest time of each process's crash.
-type crashRecords struct {
-	list    []Crash
-	endedMs map[placement.Process]int64
-}
-
-// add adds the crashes that still count.
-func (r *crashRecords) add(c Crash, nowMs int64) {
-	if c.AtMs <= nowMs-retention.Milliseconds() {
-		return
-	}
-	r.list = append(r.list, c)
-	endedMs, found := r.endedMs[c.Process]
-	if !found || c.AtMs < endedMs {
-		r.endedMs[c.Process] = c.AtMs
-	}
-}
-
 // knownCrashes returns the crashes of all reports that still count, and those that
 // this gateway saw.
 func (t *Table) knownCrashes(nowMs int64) *crashRecords {
