Permits for cold targets, from three gateways in a ranking

A service with coldPerS has targets that take few requests while they are cold. The gateway reads coldRemainingMs of entries and X-Cold-Ms of answers; a request to a target that counts as cold needs a permit from one of the first three gateways in the target's ranking. A target whose state is in doubt counts as cold until a later entry says otherwise. Other services' targets need no permits, as before.

--- a/fleet/catalog/catalog.go
+++ b/fleet/catalog/catalog.go
@@ -112,6 +112,16 @@
 	Name string
 	// Engine is nil for services that do not generate tokens.
 	Engine *Engine
+	// ColdStart is nil for services whose targets take all requests from the start on.
+	ColdStart *ColdStart
+}
+
+// ColdStart describes targets that take few requests for a while after their start.
+type ColdStart struct {
+	// Period is how long a target stays cold; 0 if that isn't known.
+	Period time.Duration
+	// PerSecond is the number of requests a second that a cold target takes.
+	PerSecond float64
 }
 
 // Engine describes the model engines of a service.
--- a/fleet/placement/announcement.go
+++ b/fleet/placement/announcement.go
@@ -26,6 +26,9 @@
 	// MaxRefusals is the number of requests a second that a brittle target may have to
 	// turn away without falling over; 0 if it isn't brittle.
 	MaxRefusals int
+	// ColdFor is how long the target stays cold, and ColdKnown is set if it says so.
+	ColdFor   time.Duration
+	ColdKnown bool
 }
 
 // announced is what a process of a target has announced. It holds whatever the
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -40,7 +40,9 @@
 	Version string
 	// Exclude lists the ids of targets that this request has already tried.
 	Exclude []string
-	Now     time.Time
+	// Avoid reports the targets that are picked only if there is no other; nil for none.
+	Avoid func(Target) bool
+	Now   time.Time
 }
 
 // Lease is a request's slot at a target. Its holder must call Done exactly
@@ -86,7 +88,7 @@
 		}
 		return nil, errkind.New(errkind.NoTarget, "no target of the service accepts new requests").WithRetryAfter(retryAfter)
 	}
-	s, preferred := t.choose(candidates, r)
+	s, preferred := t.choose(r.withoutAvoided(candidates), r)
 	pendingPromptTokens := r.PromptTokens
 	if preferred != nil {
 		pendingPromptTokens -= r.SharedTokens
@@ -150,6 +152,24 @@
 	return (r.Version == "" || s.target.Version == r.Version) && !slices.Contains(r.Exclude, s.target.ID)
 }
 
+// withoutAvoided returns the candidates that the request doesn't avoid, or all if there
+// are none.
+func (r *Request) withoutAvoided(candidates []*targetState) []*targetState {
+	if r.Avoid == nil {
+		return candidates
+	}
+	kept := make([]*targetState, 0, len(candidates))
+	for _, s := range candidates {
+		if !r.Avoid(s.target) {
+			kept = append(kept, s)
+		}
+	}
+	if len(kept) == 0 {
+		return candidates
+	}
+	return kept
+}
+
 // available reports whether neither the target nor its data centre is suspect,
 // the target has not just refused a request, and the data centre isn't silent.
 func (t *Table) available(s *targetState, now time.Time) bool {
--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -34,6 +34,9 @@
 	Version string
 	// Leaving targets get no new requests.
 	Leaving bool
+	// ColdFor is how long the target stays cold, as its entry says: it takes few
+	// requests until then. 0 means that it isn't cold.
+	ColdFor time.Duration
 }
 
 // Load is the number of requests that a target reports about itself.
--- a/fleet/targetlimit/issuer.go
+++ b/fleet/targetlimit/issuer.go
@@ -52,6 +52,8 @@
 	Issuer string
 	// RetryAfter is when to ask again, if none was granted.
 	RetryAfter time.Duration
+	// Cold is set if the target counts as cold.
+	Cold bool
 }
 
 // Acquire issues a permit for a request to a target that takes perSecond requests a
--- a/router/forward/forward.go
+++ b/router/forward/forward.go
@@ -19,6 +19,8 @@
 	"net/http"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
@@ -91,12 +93,17 @@
 }
 
 func encodeAnnouncement(a placement.Announcement) *pb.TargetAnnouncement {
-	return &pb.TargetAnnouncement{Leaving: a.Leaving, QuietMs: a.Quiet.Milliseconds(), LimitPerSecond: a.Limit, MaxRefusals: int64(a.MaxRefusals)}
+	out := &pb.TargetAnnouncement{Leaving: a.Leaving, QuietMs: a.Quiet.Milliseconds(), LimitPerSecond: a.Limit, MaxRefusals: int64(a.MaxRefusals)}
+	if a.ColdKnown {
+		out.ColdMs = proto.Int64(a.ColdFor.Milliseconds())
+	}
+	return out
 }
 
 func decodeAnnouncement(a *pb.TargetAnnouncement) placement.Announcement {
 	return placement.Announcement{
 		Leaving: a.GetLeaving(), Quiet: time.Duration(a.GetQuietMs()) * time.Millisecond, Limit: a.GetLimitPerSecond(), MaxRefusals: int(a.GetMaxRefusals()),
+		ColdFor: time.Duration(a.GetColdMs()) * time.Millisecond, ColdKnown: a != nil && a.ColdMs != nil,
 	}
 }
 
--- a/router/gateway/peers.go
+++ b/router/gateway/peers.go
@@ -12,6 +12,7 @@
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/home"
+	fleetlimit "cuminrock.example/fleet/targetlimit"
 	"cuminrock.example/router/homebudget"
 	"cuminrock.example/router/peerconn"
 	"cuminrock.example/router/platformclient"
@@ -54,6 +55,7 @@
 // that has no listener for others are its own.
 func newLimiter(g *Gateway) *targetlimit.Limiter {
 	opts := targetlimit.Options{
+		Alone: g.peers == nil, Cold: g.coldRule,
 		Homes: home.New(home.Gateway{Name: g.settings.Name, DataCentre: g.settings.DataCentre}), Clock: g.platform.Clock,
 		Metrics: targetlimit.NewMetrics(g.registry), Log: g.log, Now: time.Now,
 	}
@@ -66,6 +68,19 @@
 	return limiter
 }
 
+// coldRule returns what the configuration says of the cold targets of a service.
+func (g *Gateway) coldRule(service string) fleetlimit.ColdRule {
+	c := g.catalog.Load()
+	if c == nil {
+		return fleetlimit.ColdRule{}
+	}
+	s := c.Service(service)
+	if s == nil || s.ColdStart == nil {
+		return fleetlimit.ColdRule{}
+	}
+	return fleetlimit.ColdRule{Bound: s.ColdStart.PerSecond*g.settings.ColdOvershoot + g.settings.ColdStartSlack, Period: s.ColdStart.Period}
+}
+
 // start serves other gateways and follows their register until ctx ends.
 func (p *peers) start(ctx context.Context, g *Gateway, lis net.Listener) {
 	g.wg.Go(func() {
@@ -76,7 +91,7 @@
 	})
 	g.wg.Go(func() { p.budgets.Run(ctx) })
 	g.wg.Go(func() { p.registrar.run(ctx) })
-	view := &gatewayView{peers: p, forward: g.forward, log: g.log, known: make(map[string]home.Gateway)}
+	view := &gatewayView{peers: p, forward: g.forward, limits: g.limits, log: g.log, known: make(map[string]home.Gateway)}
 	g.wg.Go(func() { g.watchTable(ctx, gatewaysTable, view, gatewaysWatch) })
 }
 
@@ -96,6 +111,7 @@
 type gatewayView struct {
 	peers   *peers
 	forward *forwarder
+	limits  *targetlimit.Limiter
 	log     *zap.Logger
 	known   map[string]home.Gateway
 }
@@ -116,6 +132,7 @@
 		addresses[gateway.PeerAddress] = struct{}{}
 	}
 	v.peers.homes.Update(registered)
+	v.limits.SetGateways(registered)
 	v.peers.conns.Retain(addresses)
 	v.forward.update(registered, addresses)
 	if v.known[v.peers.homes.Self().Name] != v.peers.homes.Self() {
--- a/router/gateway/target_view.go
+++ b/router/gateway/target_view.go
@@ -38,6 +38,7 @@
 	for _, row := range rows {
 		v.applyRow(row, before)
 	}
+	v.gateway.limits.ReplaceTargets(slices.Collect(maps.Values(v.current)))
 	v.logGone(before)
 	v.lapsed = findLapsed(before, v.current)
 	v.lapsedUntil = time.Now().Add(lapsedGracePeriod)
@@ -51,6 +52,11 @@
 	for _, row := range rows {
 		delete(v.lapsed, row.Key)
 		v.applyRow(row, v.current)
+		if target, listed := v.current[row.Key]; listed {
+			v.gateway.limits.WriteTarget(target)
+		} else {
+			v.gateway.limits.DeleteTarget(row.Key)
+		}
 	}
 	v.updateTable()
 }
@@ -109,6 +115,7 @@
 		return
 	}
 	v.current[row.Key] = target
+	old.ColdFor = target.ColdFor // counts down with each entry
 	if !had || old != target {
 		v.gateway.log.Info("targets: registered.", zap.String("target", target.ID), zap.String("service", target.Service),
 			zap.String("address", target.Address), zap.String("version", target.Version), zap.Bool("leaving", target.Leaving))
--- a/router/gateway/watch_test.go
+++ b/router/gateway/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
@@ -9,8 +10,10 @@
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 
+	"cuminrock.example/fleet/home"
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/router/platformclient"
+	"cuminrock.example/router/targetlimit"
 )
 
 func TestRelistDelayGrowsToItsBound(t *testing.T) {
@@ -32,6 +35,7 @@
 	g.platform.Targets.Parse = func(id string, value []byte) (placement.Target, error) {
 		return placement.Target{ID: id, Service: "s", Address: string(value)}, nil
 	}
+	g.limits = targetlimit.New(targetlimit.Options{Homes: home.New(home.Gateway{Name: "g"}), Now: time.Now})
 	v := newTargetView(g)
 	v.replace([]platformclient.Entry{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("1")}, {Key: "c", Value: []byte("1")}})
 	is.Equal(logs.FilterMessage("targets: registered.").Len(), 3)
--- a/router/relay/limits_test.go
+++ b/router/relay/limits_test.go
@@ -17,6 +17,7 @@
 // targetLimits gives permits for some targets, and records answers.
 type targetLimits struct {
 	permitted map[string]bool
+	cold      map[string]bool
 	asked     []string
 	answered  []float64
 	released  []uint64
@@ -25,9 +26,11 @@
 
 func (l *targetLimits) Acquire(_ context.Context, target placement.Target, _ time.Duration) targetlimit.Permit {
 	l.asked = append(l.asked, target.ID)
-	return targetlimit.Permit{Granted: l.permitted[target.ID], ID: uint64(len(l.asked)), RetryAfter: 3 * time.Second}
+	return targetlimit.Permit{Granted: l.permitted[target.ID], ID: uint64(len(l.asked)), RetryAfter: 3 * time.Second, Cold: l.cold[target.ID]}
 }
 
+func (l *targetLimits) Cold(target placement.Target) bool { return l.cold[target.ID] }
+
 func (l *targetLimits) Release(_ placement.Target, p targetlimit.Permit, o targetlimit.Outcome) {
 	l.released = append(l.released, p.ID)
 	l.outcomes = append(l.outcomes, o)
--- a/router/relay/options.go
+++ b/router/relay/options.go
@@ -79,6 +79,8 @@
 	// Acquire asks for a permit to send one request, which ends within a time, to a
 	// target. A granted permit ends with Release.
 	Acquire(ctx context.Context, target placement.Target, lifetime time.Duration) targetlimit.Permit
+	// Cold reports whether a target counts as cold, which takes few requests.
+	Cold(target placement.Target) bool
 	// Release tells how the request of a permit ended.
 	Release(target placement.Target, p targetlimit.Permit, o targetlimit.Outcome)
 	// Answered records what a target says in an answer to a request that was sent at a
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -137,6 +137,7 @@
 func (noLimits) Acquire(context.Context, placement.Target, time.Duration) targetlimit.Permit {
 	return targetlimit.Permit{Granted: true}
 }
+func (noLimits) Cold(placement.Target) bool                                                    { return false }
 func (noLimits) Answered(placement.Target, placement.Announcement, *placement.Load, time.Time) {}
 func (noLimits) Release(placement.Target, targetlimit.Permit, targetlimit.Outcome)             {}
 
--- a/router/relay/send.go
+++ b/router/relay/send.go
@@ -34,6 +34,7 @@
 // pickTarget picks a target for the next send. It skips targets that have no permit
 // left for it, up to maxDeniedPermits.
 func (p *proxiedRequest) pickTarget(ctx context.Context) (*slot, *errkind.Error) {
+	var avoid func(placement.Target) bool
 	for denied := 0; ; denied++ {
 		refusal := p.refuseHarmful()
 		if refusal != nil {
@@ -46,6 +47,7 @@
 			PromptTokens: p.Prompt.inputTokens(),
 			Version:      p.origin.version,
 			Exclude:      p.triedTargets,
+			Avoid:        avoid,
 			Now:          p.relay.Now(),
 		})
 		if err != nil {
@@ -60,6 +62,9 @@
 			return nil, p.interruptedError(ctx, ctx.Err())
 		}
 		lease.Defer(permit.RetryAfter, p.relay.Now())
+		if permit.Cold {
+			avoid = p.relay.Limits.Cold // there may be as many cold targets as after a cut
+		}
 		if denied == maxDeniedPermits {
 			return nil, errkind.New(errkind.NoTarget, "the targets take no more requests now").WithRetryAfter(permit.RetryAfter)
 		}
--- a/router/settings/defaults.go
+++ b/router/settings/defaults.go
@@ -28,6 +28,8 @@
 	defaultRetryPermille    = 100
 	defaultConnectionMaxAge = 60 * time.Second
 	defaultLogLevel         = "info"
+	// defaultColdOvershoot lets cold targets get no more than what they take.
+	defaultColdOvershoot = 1
 )
 
 // ApplyDefaults sets the fields that are left out.
--- a/router/settings/gateway.go
+++ b/router/settings/gateway.go
@@ -28,6 +28,7 @@
 	ensureMessage(&s.Doors)
 	ensureMessage(&s.Retries)
 	ensureMessage(&s.Times)
+	setDefault(&s.ColdOvershoot, defaultColdOvershoot)
 	setDefault(&ensureMessage(&s.Log).Level, defaultLogLevel)
 	if faults := ValidateGateway(s); len(faults) > 0 {
 		return nil, faults
@@ -53,6 +54,10 @@
 	}
 	c.checkPositive("times.stop_s", s.Times.StopS)
 	c.checkPositive("memory_mib", float64(s.MemoryMib))
+	c.checkPositive("cold_overshoot", s.ColdOvershoot)
+	if s.ColdStartSlack < 0 {
+		c.addFault("cold_start_slack", "must not be negative")
+	}
 	if s.LinkMbps < 0 {
 		c.addFault("link_mbps", "must not be negative")
 	}
--- a/router/targetlimit/limiter.go
+++ b/router/targetlimit/limiter.go
@@ -1,5 +1,5 @@
 // Package targetlimit keeps the requests that all gateways together send to a target
-// within the limits that the target names.
+// within the limits that the target names, and within what a cold target takes.
 //
 // For each target one gateway issues permits: the first in the ranking of its data
 // centre's gateways by a hash of the target's id (package home). The others ask it
@@ -7,7 +7,8 @@
 // exchanges what both heard last of the limit. A gateway that gets no response asks
 // the next one, which issues fewer permits as long as it isn't the first in its own
 // ranking; without any response, nothing is sent. The issuer of permits for a brittle
-// target is told when their requests end.
+// target is told when their requests end. Permits for cold targets come from the first
+// three gateways in the ranking only.
 package targetlimit
 
 import (
@@ -33,6 +34,10 @@
 	callTimeout = 150 * time.Millisecond
 	// unreachableRetryAfter is when to ask again if no gateway responded.
 	unreachableRetryAfter = 500 * time.Millisecond
+	// maxColdPermitAge is the longest time that a call for a permit for a cold target may
+	// have taken: a request that is sent later could arrive together with those of later
+	// permits.
+	maxColdPermitAge = 250 * time.Millisecond
 	// maxPendingNews bounds the changed limits that the issuer is still to be told.
 	// Calls for permits tell them, too.
 	maxPendingNews = 64
@@ -50,9 +55,14 @@
 	Release(ctx context.Context, address string, req *pb.ReleasePermitsRequest) error
 }
 
-// Options configures a Limiter. All fields are required.
+// Options configures a Limiter. All fields but Cold are required.
 type Options struct {
-	Homes   *home.Table
+	Homes *home.Table
+	// Alone is set if there are no other gateways that could issue permits.
+	Alone bool
+	// Cold returns what the configuration says of the cold targets of a service; nil means
+	// that no service has any.
+	Cold    func(service string) targetlimit.ColdRule
 	Peers   Peers
 	Clock   platformclient.Clock
 	Metrics *Metrics
@@ -68,6 +78,9 @@
 	issuer   *targetlimit.Issuer
 	rooms    *targetlimit.Rooms
 	reports  *reports
+	cold     *targetlimit.ColdBook
+	colds    *targetlimit.ColdIssuer
+	ranking  *targetlimit.Ranking
 	news     chan placement.Target
 	releases chan release
 }
@@ -81,7 +94,11 @@
 
 // New returns a limiter that knows of no limits.
 func New(opts Options) *Limiter {
+	if opts.Cold == nil {
+		opts.Cold = func(string) targetlimit.ColdRule { return targetlimit.ColdRule{} }
+	}
 	return &Limiter{
+		cold: targetlimit.NewColdBook(), colds: targetlimit.NewColdIssuer(), ranking: targetlimit.NewRanking(opts.Homes.Self().Name),
 		Options: opts, book: targetlimit.NewBook(), issuer: targetlimit.NewIssuer(), rooms: targetlimit.NewRooms(rand.Uint64() / 2), reports: newReports(),
 		news: make(chan placement.Target, maxPendingNews), releases: make(chan release, maxPendingReleases),
 	}
@@ -111,6 +128,7 @@
 // Answered records what a target says in an answer to a request that was sent at a
 // time, and the load that it reports there; nil for no report.
 func (l *Limiter) Answered(target placement.Target, said placement.Announcement, load *placement.Load, sent time.Time) {
+	l.answeredCold(target, said, sent)
 	limit := targetlimit.Limit{PerSecond: said.Limit, MaxRefusals: said.MaxRefusals}
 	if !limit.Named() && !l.book.LimitOf(target).Named() {
 		return
@@ -136,8 +154,12 @@
 }
 
 // Acquire asks for a permit to send one request, which ends within a time, to a target.
-// Targets without a known limit need none. The permit ends with Release.
+// Targets without a known limit that aren't cold need none. The permit ends with Release.
 func (l *Limiter) Acquire(ctx context.Context, target placement.Target, lifetime time.Duration) targetlimit.Permit {
+	coldBound, _ := l.coldBound(target)
+	if coldBound > 0 {
+		return l.acquireCold(ctx, target, lifetime)
+	}
 	if !l.book.LimitOf(target).Named() {
 		return targetlimit.Permit{Granted: true}
 	}
@@ -158,8 +180,11 @@
 		tried = append(tried, call.Gateway().Name)
 		if call.Gateway().Name == l.Homes.Self().Name {
 			call.Succeeded()
+			if l.leavesColdToOthers(target) {
+				continue
+			}
 			l.rooms.Learn(target.Process(), l.reports.get(target.Process(), l.Now()), l.Now())
-			return l.issue(target, newsOnly, lifetime)
+			return l.issue(target, newsOnly, lifetime, 0)
 		}
 		permit, err := l.askAt(ctx, call, target, newsOnly, lifetime)
 		if err == nil {
@@ -207,13 +232,17 @@
 	return false
 }
 
-// issue issues a permit here.
-func (l *Limiter) issue(target placement.Target, newsOnly bool, lifetime time.Duration) targetlimit.Permit {
+// issue issues a permit here. If coldBound is above 0, the target counts as cold at the
+// gateway that asks, and may get so many requests in any second.
+func (l *Limiter) issue(target placement.Target, newsOnly bool, lifetime time.Duration, coldBound float64) targetlimit.Permit {
 	limit := l.book.LimitOf(target)
 	permit := targetlimit.Permit{Granted: true}
-	if newsOnly || !limit.Named() {
+	if newsOnly {
 		return permit
 	}
+	if cold := l.issueCold(target, coldBound); !cold.Granted || !limit.Named() {
+		return cold
+	}
 	fallback, now := l.isFallback(target), l.Now()
 	if limit.MaxRefusals > 0 {
 		permit = l.rooms.Acquire(target.Process(), limit.MaxRefusals, fallback, lifetime, now)
@@ -233,11 +262,13 @@
 func (l *Limiter) askAt(ctx context.Context, call *home.Call, target placement.Target, newsOnly bool, lifetime time.Duration) (targetlimit.Permit, error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	began := l.Now()
 	load, loadAgeMs := encodeReport(l.reports.get(target.Process(), l.Now()))
+	coldBound, _ := l.coldBound(target)
 	resp, err := l.Peers.Acquire(callCtx, call.Gateway().PeerAddress, &pb.AcquirePermitRequest{
 		TargetId: target.ID, StartTimeMs: target.StartTimeMs, DataCentre: target.DataCentre,
 		Limit: encodeLimit(l.book.LimitOf(target)), NewsOnly: newsOnly, Service: target.Service, LifetimeMs: lifetime.Milliseconds(),
-		Load: load, LoadAgeMs: loadAgeMs,
+		Load: load, LoadAgeMs: loadAgeMs, ColdBound: coldBound, ColdPeriod: l.encodeCold(target.Process()),
 	})
 	switch {
 	case err == nil:
@@ -251,6 +282,10 @@
 		return targetlimit.Permit{}, err
 	}
 	l.book.Learn(target.Process(), decodeLimit(resp.Limit))
+	l.learnCold(target.Process(), resp.ColdPeriod)
+	if coldBound > 0 && l.Now().Sub(began) > maxColdPermitAge {
+		return targetlimit.Permit{RetryAfter: unreachableRetryAfter}, nil
+	}
 	return targetlimit.Permit{Granted: resp.Granted, ID: resp.Permit, Issuer: call.Gateway().PeerAddress, RetryAfter: time.Duration(resp.RetryAfterMs) * time.Millisecond}, nil
 }
 
--- a/router/targetlimit/server.go
+++ b/router/targetlimit/server.go
@@ -26,10 +26,11 @@
 	s.limiter.book.LearnService(req.Service, limit)
 	s.limiter.book.Learn(target.Process(), limit)
 	s.limiter.rooms.Learn(target.Process(), decodeReport(req.Load, req.LoadAgeMs), s.limiter.Now())
-	permit := s.limiter.issue(target, req.NewsOnly, time.Duration(req.LifetimeMs)*time.Millisecond)
+	s.limiter.learnCold(target.Process(), req.ColdPeriod)
+	permit := s.limiter.issue(target, req.NewsOnly, time.Duration(req.LifetimeMs)*time.Millisecond, req.ColdBound)
 	return &pb.AcquirePermitResponse{
 		Granted: permit.Granted, Permit: permit.ID, RetryAfterMs: permit.RetryAfter.Milliseconds(),
-		Limit: encodeLimit(s.limiter.book.Limit(target.Process())),
+		Limit: encodeLimit(s.limiter.book.Limit(target.Process())), ColdPeriod: s.limiter.encodeCold(target.Process()),
 	}, nil
 }
 
