--- a/fleet/targetlimit/cold.go
+++ b/fleet/targetlimit/cold.go
@@ -268,18 +268,20 @@
 	// longer than the second of the bound by the time that a request takes from its permit
 	// to the target: a call between gateways, a connection, and sending the body.
 	permitSpan = 1500 * time.Millisecond
-	// coldPause is how long an issuer issues none at first: another issuer, or gateways
-	// that didn't know of the cold period, may have sent requests in the last second.
-	coldPause = time.Second
+	// cautiousFor is how long an issuer issues only half of its share at first: another
+	// issuer, or gateways that didn't know of the cold period, may have sent requests in the
+	// last second. Issuing none refused all requests of a service whose targets turned cold
+	// together.
+	cautiousFor = time.Second
 	// mainColdShare and fallbackColdShare are the parts of the bound that the main issuer
 	// and a fallback issuer issue in permitSpan. One main issuer and three fallback issuers
 	// stay within the bound, and so do two main issuers, or one whose requests of two spans
 	// arrive in one second after a delay.
 	mainColdShare     = 0.46
 	fallbackColdShare = 0.12
-	// minFallbackBound is the least bound with which fallback issuers issue at all: one
-	// request each from four issuers stays within it.
-	minFallbackBound = 4
+	// minFallbackBound is the least bound with which fallback issuers issue at all: two
+	// requests from the main issuer and one from each of three others stay within it.
+	minFallbackBound = 5
 	// maxColdRetryAfter bounds how long a gateway that got no permit leaves the target out,
 	// which may be warm by then.
 	maxColdRetryAfter = 2 * time.Second
@@ -328,8 +330,8 @@
 	for len(w.issuedAt) > 0 && now.Sub(w.issuedAt[0]) >= span {
 		w.issuedAt = w.issuedAt[1:]
 	}
-	opensAt := latest(w.createdAt, since).Add(coldPause)
-	if len(w.issuedAt) < most && !now.Before(opensAt) {
+	opensAt := latest(w.createdAt, since).Add(cautiousFor)
+	if now.Before(opensAt) && len(w.issuedAt) < most/2 || !now.Before(opensAt) && len(w.issuedAt) < most {
 		w.issuedAt = append(w.issuedAt, now)
 		w.waiting = 0
 		return Permit{Granted: true}
--- a/router/relay/limits_test.go
+++ b/router/relay/limits_test.go
@@ -58,6 +58,17 @@
 	is.Equal(limits.released, []uint64{uint64(len(limits.asked))})
 }
 
+// After a cold target without a permit a request goes to a target that isn't cold, however
+// many cold ones look emptier.
+func TestRequestAvoidsColdTargetsAfterADenial(t *testing.T) {
+	is := is.New(t)
+	limits := &targetLimits{permitted: map[string]bool{"d": true}, cold: map[string]bool{"a": true, "b": true, "c": true}}
+	out, up := serveLimited(context.Background(), limits, good)
+	is.Equal(out.body, "good")
+	is.Equal(up.sends[0].Target.ID, "d")
+	is.True(len(limits.asked) <= 2)
+}
+
 // Without any permit the request is refused at once, as not run, and the caller is
 // told when to come back.
 func TestRequestWithoutAnyPermitIsRefused(t *testing.T) {
--- a/router/settings/gateway_test.go
+++ b/router/settings/gateway_test.go
@@ -16,6 +16,8 @@
 	is.NoErr(err)
 	is.Equal(s.Times.StopS, 8.0)
 	is.Equal(s.Log.Level, "info")
+	is.Equal(s.ColdOvershoot, 1.0) // the safest choice
+	is.Equal(s.ColdStartSlack, 0.0)
 }
 
 func TestFaultsOfGatewaySettingsAreNamed(t *testing.T) {
@@ -28,6 +30,9 @@
 	is.True(strings.Contains(err.Error(), "doors.peer"))
 	_, err = ParseGateway([]byte(strings.Replace(validGatewaySettings, `"memory_mib"`, `"link_mbps":-1,"memory_mib"`, 1)))
 	is.True(strings.Contains(err.Error(), "link_mbps"))
+	_, err = ParseGateway([]byte(strings.Replace(validGatewaySettings, `"memory_mib"`, `"cold_overshoot":-1,"cold_start_slack":-1,"memory_mib"`, 1)))
+	is.True(strings.Contains(err.Error(), "cold_overshoot"))
+	is.True(strings.Contains(err.Error(), "cold_start_slack"))
 	_, err = ParseGateway([]byte(strings.Replace(validGatewaySettings, "0.2", "2", 1)))
 	is.True(strings.Contains(err.Error(), "retries.ratio"))
 	_, err = ParseGateway([]byte(strings.Replace(validGatewaySettings, `"name"`, `"nome"`, 1)))
--- a/router/targetlimit/limiter_test.go
+++ b/router/targetlimit/limiter_test.go
@@ -63,16 +63,22 @@
 	toldAt time.Time
 }
 
+// network finds the gateways that one of them reaches.
+type network interface {
+	// reach returns the limiter at an address, or nil if the caller doesn't reach it.
+	reach(caller, address string) *Limiter
+}
+
 // fleetPeers is the other gateways as one of them reaches them.
 type fleetPeers struct {
-	fleet  *limitFleet
+	network
 	caller string
 }
 
 // Acquire implements Peers.
 func (p *fleetPeers) Acquire(ctx context.Context, address string, req *pb.AcquirePermitRequest) (*pb.AcquirePermitResponse, error) {
 	time.Sleep(time.Duration(1+rand.N(3)) * time.Millisecond)
-	limiter := p.fleet.reach(p.caller, address)
+	limiter := p.reach(p.caller, address)
 	if limiter == nil {
 		<-ctx.Done()
 		return nil, errDead
@@ -83,7 +89,7 @@
 // Release implements Peers.
 func (p *fleetPeers) Release(ctx context.Context, address string, req *pb.ReleasePermitsRequest) error {
 	time.Sleep(time.Duration(1+rand.N(3)) * time.Millisecond)
-	limiter := p.fleet.reach(p.caller, address)
+	limiter := p.reach(p.caller, address)
 	if limiter == nil {
 		<-ctx.Done()
 		return errDead
@@ -92,7 +98,7 @@
 	return err
 }
 
-// reach returns the limiter at an address, or nil if the caller doesn't reach it.
+// reach implements network.
 func (f *limitFleet) reach(caller, address string) *Limiter {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -127,7 +133,7 @@
 		homes.Update(registered)
 	}
 	g := &limitGateway{Gateway: self, limiter: New(Options{
-		Homes: homes, Peers: &fleetPeers{fleet: f, caller: self.Name}, Clock: localClock{}, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now,
+		Homes: homes, Peers: &fleetPeers{network: f, caller: self.Name}, Clock: localClock{}, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Now: time.Now,
 	})}
 	f.set(func() { f.gateways = append(f.gateways, g) })
 	go g.limiter.Run(f.ctx)
