--- a/router/relay/limits_test.go
+++ b/router/relay/limits_test.go
@@ -17,6 +17,7 @@
 // targetLimits gives permits for some targets, and records answers.
 type targetLimits struct {
 	permitted map[string]bool
+	cold      map[string]bool
 	asked     []string
 	answered  []float64
 	released  []uint64
@@ -25,9 +26,11 @@
 
 func (l *targetLimits) Acquire(_ context.Context, target placement.Target, _ time.Duration) targetlimit.Permit {
 	l.asked = append(l.asked, target.ID)
-	return targetlimit.Permit{Granted: l.permitted[target.ID], ID: uint64(len(l.asked)), RetryAfter: 3 * time.Second}
+	return targetlimit.Permit{Granted: l.permitted[target.ID], ID: uint64(len(l.asked)), RetryAfter: 3 * time.Second, Cold: l.cold[target.ID]}
 }
 
+func (l *targetLimits) Cold(target placement.Target) bool { return l.cold[target.ID] }
+
 func (l *targetLimits) Release(_ placement.Target, p targetlimit.Permit, o targetlimit.Outcome) {
 	l.released = append(l.released, p.ID)
 	l.outcomes = append(l.outcomes, o)
@@ -55,6 +58,17 @@
 	is.Equal(limits.released, []uint64{uint64(len(limits.asked))})
 }
 
+// After a cold target without a permit a request goes to a target that isn't cold, however
+// many cold ones look emptier.
+func TestRequestAvoidsColdTargetsAfterADenial(t *testing.T) {
+	is := is.New(t)
+	limits := &targetLimits{permitted: map[string]bool{"d": true}, cold: map[string]bool{"a": true, "b": true, "c": true}}
+	out, up := serveLimited(context.Background(), limits, good)
+	is.Equal(out.body, "good")
+	is.Equal(up.sends[0].Target.ID, "d")
+	is.True(len(limits.asked) <= 2)
+}
+
 // Without any permit the request is refused at once, as not run, and the caller is
 // told when to come back.
 func TestRequestWithoutAnyPermitIsRefused(t *testing.T) {
