Evacuate data centres on the operator's request

Rows evacuate/ZONE in table op had no effect: targets there got requests like others.

fleet/location decides from the rows which data centres are evacuated, fleet/placement leaves their targets out of picks, copies and forwarded requests. Evacuations are applied before the configuration that makes a gateway ready. Without evacuated data centres the order of picks is unchanged (TestPicksWithoutLocationsAreAsBefore).

--- a/fleet/placement/announcement.go
+++ b/fleet/placement/announcement.go
@@ -91,14 +91,14 @@
 
 // untilAccepting returns the time until the first of the service's targets that
 // asked for quiet, or reached its limit, takes requests again; 0 if none of them
-// did.
-func (t *Table) untilAccepting(service string, now time.Time) time.Duration {
+// did. Those in data centres that the request may not be sent to don't count.
+func (t *Table) untilAccepting(r *Request) time.Duration {
 	var first time.Duration
-	for _, s := range t.services[service] {
-		if s.announced.leaving || s.acceptsNew(now) {
+	for _, s := range t.services[r.Service] {
+		if s.announced.leaving || s.acceptsNew(r.Now) || !t.locationAllows(r, s) {
 			continue
 		}
-		left := max(s.announced.quietUntil.Sub(now), s.deferredUntil.Sub(now))
+		left := max(s.announced.quietUntil.Sub(r.Now), s.deferredUntil.Sub(r.Now))
 		if first == 0 || left < first {
 			first = left
 		}
--- a/fleet/placement/copysource.go
+++ b/fleet/placement/copysource.go
@@ -27,12 +27,14 @@
 // prompt parts, or nil if there is nothing to copy. It is the target to which
 // this router last sent them, if that is recent and the target is available, or
 // else the rendezvous target among those of other data centres, which the
-// routers there may have used. A leaving target is a valid source.
+// routers there may have used. A leaving target is a valid source, one in a data centre
+// that the request may not be sent to isn't.
 func (t *Table) copySource(picked *targetState, r *Request) *Target {
 	if r.Affinity == 0 || r.SharedTokens < minCopyTokens {
 		return nil
 	}
 	last, known := t.lastHolder(r)
+	known = known && t.locationAllows(r, last)
 	t.recordPlacement(r, picked)
 	if known {
 		if last == picked {
@@ -88,7 +90,7 @@
 	var found []*targetState
 	for _, s := range t.services[r.Service] {
 		remote := s.target.DataCentre != picked.target.DataCentre
-		if remote && t.available(s, r.Now) && r.Now.Sub(s.registeredAt) > cacheFillTime {
+		if remote && t.locationAllows(r, s) && t.available(s, r.Now) && r.Now.Sub(s.registeredAt) > cacheFillTime {
 			found = append(found, s)
 		}
 	}
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -80,7 +80,7 @@
 		candidates = t.candidates(r, false)
 	}
 	if len(candidates) == 0 {
-		retryAfter := t.untilAccepting(r.Service, r.Now)
+		retryAfter := t.untilAccepting(r)
 		if retryAfter == 0 {
 			retryAfter = noTargetRetryAfter
 		}
@@ -97,13 +97,13 @@
 }
 
 // Take returns a slot at one process of a target, for a request that another router
-// passes on. It reports false if the process isn't listed, is leaving or asked for
-// quiet. Limits are the other router's concern.
+// passes on. It reports false if the process isn't listed, is leaving, asked for quiet
+// or is in an evacuated data centre. Limits are the other router's concern.
 func (t *Table) Take(p Process, promptTokens int64, now time.Time) (*Lease, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.byID[p.ID]
-	if s == nil || s.target.Process() != p || s.announced.leaving || s.announced.quiet(now) {
+	if s == nil || s.target.Process() != p || s.announced.leaving || s.announced.quiet(now) || t.evacuated.Has(s.target.DataCentre) {
 		return nil, false
 	}
 	return t.lease(s, promptTokens, now), true
@@ -129,12 +129,13 @@
 }
 
 // candidates returns the targets that may get the request: never one that is
-// leaving, asked for quiet or takes no more within its limit. If healthy is set, it leaves out unavailable ones;
+// leaving, asked for quiet, takes no more within its limit or is in a data centre that
+// the request may not be sent to. If healthy is set, it leaves out unavailable ones;
 // Pick calls it again without if none is left.
 func (t *Table) candidates(r *Request, healthy bool) []*targetState {
 	var candidates []*targetState
 	for _, s := range t.services[r.Service] {
-		if !r.allows(s) || !s.acceptsNew(r.Now) {
+		if !r.allows(s) || !t.locationAllows(r, s) || !s.acceptsNew(r.Now) {
 			continue
 		}
 		if healthy && !t.available(s, r.Now) {
--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"cuminrock.example/fleet/breaker"
+	"cuminrock.example/fleet/location"
 )
 
 // Target is one process that serves requests.
@@ -60,6 +61,8 @@
 	// failuresForgottenAt is the time up to which failures of requests say nothing about
 	// their targets.
 	failuresForgottenAt time.Time
+	// evacuated are the data centres whose targets get no new requests.
+	evacuated location.DataCentres
 }
 
 // targetState is a target and what the table knows about it.
--- a/router/cmd/cuminrock-router/gateway.go
+++ b/router/cmd/cuminrock-router/gateway.go
@@ -57,7 +57,7 @@
 		Tables:        client,
 		Watcher:       client,
 		Clock:         client,
-		Config:        gateway.ConfigSource{Table: operatorconfig.Table, Key: operatorconfig.Key, Parse: operatorconfig.Parse},
+		Config:        gateway.ConfigSource{Table: operatorconfig.Table, Key: operatorconfig.Key, Parse: operatorconfig.Parse, EvacuationOf: operatorconfig.EvacuationOf, CheckEvacuation: operatorconfig.CheckEvacuation},
 		Targets:       gateway.TargetSource{Table: directory.Table, Parse: directory.Parse},
 		Upstream:      upstream.New(pool, log, time.Now),
 		Conns:         pool,
--- a/router/forward/client.go
+++ b/router/forward/client.go
@@ -64,11 +64,13 @@
 	Reachability Reachability
 	// ConnectionRefused reports whether a target's address refuses connections.
 	ConnectionRefused func(ctx context.Context, address string) bool
-	Gateways          *forwarding.Table
-	Peers             Peers
-	Metrics           *Metrics
-	Log               *zap.Logger
-	Now               func() time.Time
+	// Evacuated reports whether a data centre is evacuated.
+	Evacuated func(dataCentre string) bool
+	Gateways  *forwarding.Table
+	Peers     Peers
+	Metrics   *Metrics
+	Log       *zap.Logger
+	Now       func() time.Time
 }
 
 // Client sends requests to targets, through other gateways while this one is cut off
@@ -150,6 +152,10 @@
 	var tried []home.Gateway
 	// Run finds out when another gateway responds again.
 	for len(tried) < maxOffers && ctx.Err() == nil && !c.Alone() {
+		// Offers without a response take seconds, in which an evacuation may begin.
+		if c.Evacuated(s.Target.DataCentre) {
+			return nil, errkind.New(errkind.TargetUnreachable, "the target's data centre is evacuated")
+		}
 		offer := c.Gateways.Pick(s.Request.ID, s.Target.DataCentre, tried, c.Now())
 		if offer == nil {
 			break
--- a/router/forward/forward.go
+++ b/router/forward/forward.go
@@ -10,8 +10,8 @@
 //   - After that, a request whose response doesn't arrive may have run.
 //   - A gateway sends a forwarded request to the target itself or not at all, so that
 //     requests can't go in circles.
-//   - A gateway doesn't send to a target that it knows to be leaving, or that asked it
-//     for quiet.
+//   - A gateway doesn't send to a target that it knows to be leaving, that asked it for
+//     quiet, or whose data centre it knows to be evacuated.
 package forward
 
 import (
@@ -122,7 +122,7 @@
 		req.Priority = &priority
 	}
 	if s.Source != nil {
-		req.SourceAddress = s.Source.Address
+		req.SourceAddress, req.SourceDataCentre = s.Source.Address, s.Source.DataCentre
 	}
 	return req
 }
@@ -141,7 +141,7 @@
 		s.Priority = &priority
 	}
 	if req.SourceAddress != "" {
-		s.Source = &placement.Target{Address: req.SourceAddress}
+		s.Source = &placement.Target{Address: req.SourceAddress, DataCentre: req.SourceDataCentre}
 	}
 	return s
 }
--- a/router/forward/forwarded.go
+++ b/router/forward/forwarded.go
@@ -39,6 +39,14 @@
 	f.id = req.Id
 	f.server.Metrics.served.Inc()
 	send := decodeRequest(req, f.lease.Target(), now())
+	if f.server.Targets.Evacuated(send.Target.DataCentre) {
+		// The evacuation began after the offer was accepted.
+		f.lease.Done(placement.Neutral, now())
+		return f.sendEnd(&pb.ForwardEnd{Result: pb.ForwardResult_FORWARD_RESULT_UNREACHABLE, Message: "the target's data centre is evacuated"})
+	}
+	if send.Source != nil && f.server.Targets.Evacuated(send.Source.DataCentre) {
+		send.Source = nil
+	}
 	ctx, cancel := context.WithDeadline(f.stream.Context(), send.Deadline)
 	defer cancel()
 	f.server.Egress.Add(len(req.Body), now())
--- a/router/forward/world_test.go
+++ b/router/forward/world_test.go
@@ -138,7 +138,7 @@
 	gateways := forwarding.New(self)
 	gateways.Update(registered)
 	metrics := NewMetrics(prometheus.NewRegistry())
-	g.client = NewClient(Options{Direct: direct, Reachability: known, ConnectionRefused: g.connectionRefused, Gateways: gateways, Peers: &simPeers{world: w, caller: g}, Metrics: metrics, Log: zap.NewNop(), Now: time.Now})
+	g.client = NewClient(Options{Direct: direct, Reachability: known, ConnectionRefused: g.connectionRefused, Evacuated: g.targets.Evacuated, Gateways: gateways, Peers: &simPeers{world: w, caller: g}, Metrics: metrics, Log: zap.NewNop(), Now: time.Now})
 	go g.client.Run(ctx)
 	served := known
 	if wrong.acceptAlways {
--- a/router/gateway/forwarder.go
+++ b/router/gateway/forwarder.go
@@ -56,16 +56,23 @@
 	return &forwarder{
 		gateways: gateways, conns: conns,
 		client: forward.NewClient(forward.Options{
-			Direct: g.platform.Upstream, Reachability: g.reachability, ConnectionRefused: g.connectionRefused, Gateways: gateways, Peers: forward.NewGRPCPeers(conns),
+			Direct: g.platform.Upstream, Reachability: g.reachability, ConnectionRefused: g.connectionRefused, Evacuated: g.targets.Evacuated, Gateways: gateways, Peers: forward.NewGRPCPeers(conns),
 			Metrics: metrics, Log: g.log, Now: time.Now,
 		}),
 		server: forward.NewServer(forward.ServerOptions{
 			Targets: g.targets, Upstream: g.platform.Upstream, Reachability: g.reachability, ConnectionRefused: g.connectionRefused,
-			Overloaded: g.overloaded, Egress: g.egress, Metrics: metrics, Log: g.log, Now: time.Now,
+			Overloaded: g.refusesForwarded, Egress: g.egress, Metrics: metrics, Log: g.log, Now: time.Now,
 		}),
 	}
 }
 
+// refusesForwarded reports whether this gateway passes no requests on: while it has too
+// much work, and after its start until it has read the operator's rows, since it doesn't
+// know yet which data centres are evacuated.
+func (g *Gateway) refusesForwarded(urgent bool) bool {
+	return g.catalog.Load() == nil || g.overloaded(urgent)
+}
+
 // update takes the registered gateways.
 func (f *forwarder) update(registered []home.Gateway, addresses map[string]struct{}) {
 	f.gateways.Update(registered)
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -84,10 +84,15 @@
 	ReadinessPath string
 }
 
-// ConfigSource says where the configuration is stored and how to parse it.
+// ConfigSource says where the operator's rows are stored and how to parse them: the
+// configuration, and one for each evacuated data centre.
 type ConfigSource struct {
 	Table, Key string
 	Parse      func([]byte) (*catalog.Catalog, error)
+	// EvacuationOf returns the data centre that a key evacuates; false for other keys.
+	EvacuationOf func(key string) (dataCentre string, ok bool)
+	// CheckEvacuation returns an error if the value isn't that of an evacuation.
+	CheckEvacuation func(value []byte) error
 }
 
 // TargetSource says where targets are registered and how to parse an entry.
@@ -118,6 +123,9 @@
 	lag          lag.Monitor
 	egress       *egress.Meter
 	catalog      atomic.Pointer[catalog.Catalog]
+	// onWithdrawn is called for each data centre whose evacuation was withdrawn, before
+	// its targets get requests again.
+	onWithdrawn func(dataCentre string)
 
 	callers         *callerConns
 	callerServer    *http.Server
@@ -145,6 +153,7 @@
 	g := &Gateway{settings: settings, platform: p, log: log, registry: prometheus.NewRegistry(), addresses: lis.addresses()}
 	g.targets = placement.New(settings.DataCentre)
 	g.targetCounts = newTargetCounts(g.registry)
+	g.onWithdrawn = func(string) {}
 	g.reachability = newReachability(g)
 	g.callers = newCallerConns(int(settings.FileDescriptors), func() time.Duration { return g.Limits().IdleTimeout })
 	g.egress = egress.NewMeter(settings.LinkMbps)
--- a/router/gateway/view.go
+++ b/router/gateway/view.go
@@ -7,15 +7,29 @@
 	"cuminrock.example/router/platformclient"
 )
 
-// configView puts configurations in force. A version that isn't newer than the one
-// in force is ignored, whichever way it was received.
-type configView struct {
-	gateway *Gateway
+// operatorView follows the operator's table: the configuration, of which a version that
+// isn't newer than the one in force is ignored, and the evacuated data centres.
+// Evacuations are applied before a configuration, which may make the gateway ready.
+type operatorView struct {
+	gateway     *Gateway
+	evacuations *evacuationView
 }
 
-func (v *configView) replace(rows []platformclient.Entry) { v.update(rows) }
+func newOperatorView(g *Gateway) *operatorView {
+	return &operatorView{gateway: g, evacuations: newEvacuationView(g)}
+}
+
+func (v *operatorView) replace(rows []platformclient.Entry) {
+	v.evacuations.replace(rows)
+	v.applyConfigs(rows)
+}
+
+func (v *operatorView) update(rows []platformclient.Entry) {
+	v.evacuations.update(rows)
+	v.applyConfigs(rows)
+}
 
-func (v *configView) update(rows []platformclient.Entry) {
+func (v *operatorView) applyConfigs(rows []platformclient.Entry) {
 	for _, row := range rows {
 		if row.Key == v.gateway.platform.Config.Key && !row.Deleted {
 			v.gateway.applyConfig(row.Value)
@@ -24,7 +38,7 @@
 }
 
 // expire implements tableView.
-func (v *configView) expire() {}
+func (v *operatorView) expire() {}
 
 // applyConfig puts a configuration in force if it is newer.
 func (g *Gateway) applyConfig(data []byte) {
--- a/router/gateway/watch.go
+++ b/router/gateway/watch.go
@@ -55,7 +55,7 @@
 func (g *Gateway) startWatching(lis *listeners) {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancelWork = cancel
-	g.wg.Go(func() { g.watchTable(ctx, g.platform.Config.Table, &configView{gateway: g}, configWatch) })
+	g.wg.Go(func() { g.watchTable(ctx, g.platform.Config.Table, newOperatorView(g), configWatch) })
 	g.wg.Go(func() {
 		g.watchTable(ctx, g.platform.Targets.Table, newTargetView(g), targetsWatch)
 	})
--- /dev/null
+++ b/router/relay/location.go
@@ -0,0 +1,29 @@
+package relay
+
+import (
+	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/placement"
+)
+
+// placementRequest returns what decides which target gets the next send.
+func (p *proxiedRequest) placementRequest() *placement.Request {
+	return &placement.Request{
+		Service:      p.service.Name,
+		Affinity:     p.Prompt.affinityHash(),
+		SharedTokens: p.Prompt.sharedTokens(),
+		PromptTokens: p.Prompt.inputTokens(),
+		Version:      p.origin.version,
+		Exclude:      p.triedTargets,
+		Now:          p.relay.Now(),
+	}
+}
+
+// refuseByLocation refuses a request that no data centre may get. It is called before
+// tokens are reserved, which may take a while.
+func (p *proxiedRequest) refuseByLocation() *errkind.Error {
+	refusal := p.relay.Targets.RefusedByLocation(p.placementRequest())
+	if refusal != nil {
+		p.relay.Metrics.RefusedByLocation.Inc()
+	}
+	return refusal
+}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -105,6 +105,10 @@
 	if err != nil {
 		return err
 	}
+	err = p.refuseByLocation()
+	if err != nil {
+		return err
+	}
 	r.Retries.ForService(a.service.Name).Deposit()
 	reservation, err := r.reserve(ctx, a)
 	if err != nil {
--- a/router/relay/send.go
+++ b/router/relay/send.go
@@ -39,21 +39,19 @@
 		if refusal != nil {
 			return nil, refusal
 		}
-		lease, err := p.relay.Targets.Pick(&placement.Request{
-			Service:      p.service.Name,
-			Affinity:     p.Prompt.affinityHash(),
-			SharedTokens: p.Prompt.sharedTokens(),
-			PromptTokens: p.Prompt.inputTokens(),
-			Version:      p.origin.version,
-			Exclude:      p.triedTargets,
-			Now:          p.relay.Now(),
-		})
+		lease, err := p.relay.Targets.Pick(p.placementRequest())
 		if err != nil {
 			return nil, errkind.FromError(err)
 		}
 		permit := p.relay.Limits.Acquire(ctx, lease.Target(), p.deadline.Sub(p.relay.Now()))
 		if permit.Granted {
-			return &slot{Lease: lease, limits: p.relay.Limits, permit: permit}, nil
+			s := &slot{Lease: lease, limits: p.relay.Limits, permit: permit}
+			if !p.relay.Targets.Evacuated(lease.Target().DataCentre) {
+				return s, nil
+			}
+			// The evacuation began while the permit was asked for.
+			s.Done(placement.Neutral, p.relay.Now())
+			continue
 		}
 		if ctx.Err() != nil {
 			lease.Done(placement.Neutral, p.relay.Now())
