--- a/fleet/catalog/catalog.go
+++ b/fleet/catalog/catalog.go
@@ -207,3 +207,15 @@
 
 // ServiceCount returns the number of services.
 func (c *Catalog) ServiceCount() int { return len(c.services) }
+
+// LongestColdPeriod returns the longest cold period of all services' targets; 0 if none of
+// them are cold after their start.
+func (c *Catalog) LongestColdPeriod() time.Duration {
+	var longest time.Duration
+	for _, s := range c.services {
+		if s.ColdStart != nil {
+			longest = max(longest, s.ColdStart.Period)
+		}
+	}
+	return longest
+}
--- a/router/gateway/peers.go
+++ b/router/gateway/peers.go
@@ -68,6 +68,19 @@
 	return limiter
 }
 
+// markCold takes note that the targets of a data centre may be cold, as they are at the
+// end of an evacuation.
+func (g *Gateway) markCold(dataCentre string) {
+	c := g.catalog.Load()
+	if c == nil {
+		return
+	}
+	period := c.LongestColdPeriod()
+	if period > 0 {
+		g.limits.MarkCold(dataCentre, period)
+	}
+}
+
 // coldRule returns what the configuration says of the cold targets of a service.
 func (g *Gateway) coldRule(service string) fleetlimit.ColdRule {
 	c := g.catalog.Load()
