Load reports of targets with more than three figures are read

A report with a fourth figure was dropped without a log line (seen: a test of response.Load with "3,1,16,250" got nil), so that such targets counted as having told nothing. The known figures are read now, further ones ignored; reports that can't be read are counted (cuminrock_unreadable_target_loads_total) and the first is logged. Load.PacePercent is the fourth figure. A negative number of slots makes a report unreadable; it counted as not told before.

--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -41,6 +41,9 @@
 	Running, Waiting int
 	// Slots is the number of requests that it runs at once; 0 if it doesn't tell.
 	Slots int
+	// PacePercent is how long work takes at the target at this moment, in percent of
+	// the normal time; 0 if it doesn't tell.
+	PacePercent int
 }
 
 // Table picks targets. It is safe for concurrent use.
--- a/router/cmd/cuminrock-router/gateway.go
+++ b/router/cmd/cuminrock-router/gateway.go
@@ -53,6 +53,7 @@
 // hostingPlatform assembles the hosting platform's services for the gateway.
 func hostingPlatform(client *store.Client, log *zap.Logger) gateway.Platform {
 	pool := exchange.NewPool(time.Now)
+	targets := upstream.New(pool, log, time.Now)
 	return gateway.Platform{
 		Tables:        client,
 		Watcher:       client,
@@ -61,6 +62,7 @@
 		Targets:       gateway.TargetSource{Table: directory.Table, Parse: directory.Parse},
 		Upstream:      upstream.New(pool, log, time.Now),
 		Conns:         pool,
+		Collectors:    targets.Collectors(),
 		NewHandler:    func(g *gateway.Gateway) http.Handler { return ingress.NewHandler(g) },
 		ReadinessPath: ingress.ReadinessPath,
 	}
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -78,6 +78,8 @@
 	// Upstream sends requests to targets over the connections of Conns.
 	Upstream relay.Upstream
 	Conns    *exchange.Pool
+	// Collectors are metrics of the adapter.
+	Collectors []prometheus.Collector
 	// NewHandler returns the handler of callers' requests.
 	NewHandler func(*Gateway) http.Handler
 	// ReadinessPath is the path of the load balancer's readiness check.
@@ -143,6 +145,7 @@
 	openedAt := time.Now()
 	debug.SetMemoryLimit(int64(settings.MemoryMib) << 20 * memoryPermille / permille)
 	g := &Gateway{settings: settings, platform: p, log: log, registry: prometheus.NewRegistry(), addresses: lis.addresses()}
+	g.registry.MustRegister(p.Collectors...)
 	g.targets = placement.New(settings.DataCentre)
 	g.targetCounts = newTargetCounts(g.registry)
 	g.reachability = newReachability(g)
