Placement by expected work

The new choice compares the expected time to the first event and the effect on the other requests of a few candidates: the ranked targets of the prompt's prefix, recently used and random ones. Services whose targets report how long work takes, and all where UseExpectedWork says so, are placed by it; the choice of the others is unchanged.

--- a/fleet/placement/outcome.go
+++ b/fleet/placement/outcome.go
@@ -31,6 +31,7 @@
 	l.table.mu.Lock()
 	defer l.table.mu.Unlock()
 	l.state.load, l.state.reportedAt, l.state.sentSinceReport = load, now, 0
+	l.table.learnLoad(l.state, load, now)
 }
 
 // RecordProgress records that a part of the response arrived, which implies that
@@ -39,6 +40,7 @@
 	l.table.mu.Lock()
 	defer l.table.mu.Unlock()
 	l.markPromptProcessed()
+	l.learnFirstEvent(now)
 	l.dataCentreState().recordProgress(now)
 }
 
@@ -59,6 +61,7 @@
 	l.dataCentreState().recordEnd()
 	l.markPromptProcessed()
 	l.endProbes()
+	l.learnEnd(result, now)
 	if l.pickedAt.Before(l.table.failuresForgottenAt) && result != OK && result != Refused {
 		return
 	}
@@ -90,6 +93,7 @@
 	l.state.sentSinceReport = max(l.state.sentSinceReport-1, 0)
 	l.state.deferredUntil = now.Add(pause)
 	l.table.forgetPlacement(l.target.ID, l.affinity)
+	l.forgetHolder()
 }
 
 // ForgetFailures forgets all failures of targets and data centres, and ignores those of
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -36,6 +36,10 @@
 	// SharedTokens is the size of those parts and PromptTokens that of the
 	// whole prompt.
 	SharedTokens, PromptTokens int64
+	// MaxOutputTokens is the most output tokens that the request declares. Route and
+	// Workspace are the key by which the length of its answer is learned.
+	MaxOutputTokens  int64
+	Route, Workspace string
 	// Version restricts the choice to targets of one version; empty means all.
 	Version string
 	// Exclude lists the ids of targets that this request has already tried.
@@ -62,6 +66,8 @@
 	source *Target
 	// pickedAt is when the target was picked.
 	pickedAt time.Time
+	// work is set if the target was picked by expected work.
+	work *workLease
 }
 
 // Target returns the picked target.
@@ -75,16 +81,15 @@
 func (t *Table) Pick(r *Request) (*Lease, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if svc := t.placedByWork(r.Service, r.Now); svc != nil {
+		return t.pickByWork(svc, r)
+	}
 	candidates := t.candidates(r, true)
 	if len(candidates) == 0 {
 		candidates = t.candidates(r, false)
 	}
 	if len(candidates) == 0 {
-		retryAfter := t.untilAccepting(r.Service, r.Now)
-		if retryAfter == 0 {
-			retryAfter = noTargetRetryAfter
-		}
-		return nil, errkind.New(errkind.NoTarget, "no target of the service accepts new requests").WithRetryAfter(retryAfter)
+		return nil, t.noTarget(r)
 	}
 	s, preferred := t.choose(candidates, r)
 	pendingPromptTokens := r.PromptTokens
@@ -96,6 +101,15 @@
 	return l, nil
 }
 
+// noTarget returns the error of a request that no target may get.
+func (t *Table) noTarget(r *Request) error {
+	retryAfter := t.untilAccepting(r.Service, r.Now)
+	if retryAfter == 0 {
+		retryAfter = noTargetRetryAfter
+	}
+	return errkind.New(errkind.NoTarget, "no target of the service accepts new requests").WithRetryAfter(retryAfter)
+}
+
 // Take returns a slot at one process of a target, for a request that another router
 // passes on. It reports false if the process isn't listed, is leaving or asked for
 // quiet. Limits are the other router's concern.
--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -63,6 +63,8 @@
 	// failuresForgottenAt is the time up to which failures of requests say nothing about
 	// their targets.
 	failuresForgottenAt time.Time
+	// work is the state of the placement by expected work.
+	work *expectedWork
 }
 
 // targetState is a target and what the table knows about it.
@@ -91,11 +93,13 @@
 	deferredUntil time.Time
 	// refusedUntil is the end of the pause after a refusal.
 	refusedUntil time.Time
+	// work is what the placement by expected work knows about the target.
+	work targetWork
 }
 
 // New returns a table without targets for a router in the given data centre.
 func New(dataCentre string) *Table {
-	return &Table{dataCentre: dataCentre, services: make(map[string][]*targetState), byID: make(map[string]*targetState), dataCentres: make(map[string]*dataCentreState), lastPlacement: make(map[uint64]placementRecord), past: make(map[Process]pastTarget), versions: make(map[string]map[string]time.Time)}
+	return &Table{dataCentre: dataCentre, services: make(map[string][]*targetState), byID: make(map[string]*targetState), dataCentres: make(map[string]*dataCentreState), lastPlacement: make(map[uint64]placementRecord), past: make(map[Process]pastTarget), versions: make(map[string]map[string]time.Time), work: newExpectedWork()}
 }
 
 // Update replaces the list of targets. A target whose process still runs at the
@@ -123,6 +127,7 @@
 	}
 	t.rememberPast(old, now)
 	t.recordVersions(targets, now)
+	t.indexTargets()
 }
 
 // Targets returns all known targets.
--- /dev/null
+++ b/fleet/placement/workcost.go
@@ -0,0 +1,300 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"cuminrock.example/fleet/workmodel"
+)
+
+const (
+	// copyFixed and copyPerThousand are the time to copy cached prompt parts from another
+	// target, in ms: 5,000 tokens take 2 to 30 ms.
+	copyFixed       = 2
+	copyPerThousand = 2.5
+	// Likelihoods that a target has the prefix of a prompt in its cache: one that this
+	// router sent it to, the first ranked one of a data centre and the others in use, if
+	// the router has sent the prefix lately, and if it hasn't. A router sees a small part of the
+	// requests, so a prefix that it has seen once has usually been sent by others too.
+	sentLikelihood    = 0.97
+	homeLikelihood    = 0.9
+	replicaLikelihood = 0.5
+	newHomeLikelihood = 0.5
+	newReplicaChance  = 0.2
+	// prefixSeenMaxAge is how long a prefix counts as one that was sent lately.
+	prefixSeenMaxAge = 2 * cacheRetention
+	// spreadShare is the cost of having one more target keep a prefix, as a share of the
+	// time to read it: other parts lose their place in that cache.
+	spreadShare = 0.4
+	// connectCost is the cost of a target to which there is probably no open connection,
+	// in ms. It keeps the number of targets that a router connects to small.
+	connectCost = 5
+	// usedMaxAge is how long a target that was sent to counts as connected.
+	usedMaxAge = 10 * time.Second
+	// remoteBytesCost is the cost of sending a thousand prompt tokens to another data
+	// centre, in ms; links between data centres are shared.
+	remoteBytesCost = 0.5
+	// meanMemory is how long the mean of a target's reports is preferred to that of its
+	// data centre.
+	meanMemory = 8 * time.Second
+	// minReportMemory and maxReportMemory bound the time in which a report gives way to
+	// the mean. Within these it is twice the time that a request runs.
+	minReportMemory = 250 * time.Millisecond
+	maxReportMemory = 2 * time.Second
+	// unknownSlots is the number of slots assumed for weighing the effect on other
+	// requests where no target reports any.
+	unknownSlots = 16
+)
+
+// workCandidate is a target and what the request is expected to cost there, in ms.
+type workCandidate struct {
+	state  *targetState
+	choice Choice
+	// cost is what candidates are compared by: the time to the first event, the effect on
+	// the other requests there, and the cost of spreading, with a random part for what
+	// isn't known.
+	cost float64
+	// firstEvent is the expected time to the first event, slotWait the part of it that is
+	// waiting for a slot.
+	firstEvent, slotWait float64
+	// unread are the tokens that the target has to read for this request, ahead those that
+	// it has to read before, and copying the time to copy cached parts.
+	unread, ahead, copying float64
+	// factor is the target's speed, requests the expected number of requests there.
+	factor, requests float64
+	source           *targetState
+}
+
+// pricing holds what is the same for all candidates of one request.
+type pricing struct {
+	table  *Table
+	svc    *workService
+	r      *Request
+	prefix *prefix
+	output workmodel.Output
+	// source is the target that most likely has the shared parts, with its likelihood;
+	// second is the next one, for the case that the source itself is picked.
+	source, second             *targetState
+	sourceChance, secondChance float64
+	copying                    float64
+}
+
+// newPricing prepares the comparison of candidates. It returns a value, so that a pick
+// allocates nothing for it.
+func (t *Table) newPricing(svc *workService, r *Request) pricing {
+	p := pricing{table: t, svc: svc, r: r, prefix: svc.prefix(r.Affinity)}
+	p.output = t.work.outputs.Expect(r.Route, r.Workspace, r.MaxOutputTokens)
+	if p.prefix != nil && r.SharedTokens >= minCopyTokens {
+		p.copying = copyFixed + copyPerThousand*float64(r.SharedTokens)/1000
+		p.findSources()
+	}
+	return p
+}
+
+// findSources finds the two targets that most likely have the shared parts: those to
+// which this router sent them, then the first ranked ones of the data centres.
+func (p *pricing) findSources() {
+	for i := len(p.prefix.holders) - 1; i >= 0; i-- {
+		p.offerSource(p.prefix.holders[i].state)
+	}
+	for _, ranked := range p.prefix.replicas {
+		if p.second != nil && p.secondChance > homeLikelihood {
+			return
+		}
+		for _, s := range ranked[:min(len(ranked), minReplicas)] {
+			if !p.recentlyStarted(s) {
+				p.offerSource(s)
+				break
+			}
+		}
+	}
+}
+
+// offerSource takes a target as a source if it may be used and is likelier than those
+// found before.
+func (p *pricing) offerSource(s *targetState) {
+	if s == p.source || p.table.byID[s.target.ID] != s || !p.table.available(s, p.r.Now) {
+		return
+	}
+	chance := p.cachedChance(s)
+	switch {
+	case chance > p.sourceChance:
+		p.second, p.secondChance = p.source, p.sourceChance
+		p.source, p.sourceChance = s, chance
+	case chance > p.secondChance:
+		p.second, p.secondChance = s, chance
+	}
+}
+
+// cachedChance returns how likely a target has the shared parts.
+func (p *pricing) cachedChance(s *targetState) float64 {
+	if p.prefix == nil {
+		return 0
+	}
+	if p.prefix.holds(s, p.r.Now) {
+		return sentLikelihood
+	}
+	if p.recentlyStarted(s) {
+		return 0
+	}
+	seen := !p.prefix.lastSeen.IsZero() && p.r.Now.Sub(p.prefix.lastSeen) <= prefixSeenMaxAge
+	for _, ranked := range p.prefix.replicas {
+		for i, replica := range ranked[:min(len(ranked), minReplicas)] {
+			switch {
+			case replica != s:
+			case i == 0 && seen:
+				return homeLikelihood
+			case i == 0:
+				return newHomeLikelihood
+			case seen:
+				return replicaLikelihood
+			default:
+				return newReplicaChance
+			}
+		}
+	}
+	return 0
+}
+
+// recentlyStarted reports whether a target has had little time to fill its cache.
+func (p *pricing) recentlyStarted(s *targetState) bool {
+	return p.r.Now.Sub(s.registeredAt) <= cacheFillTime
+}
+
+// price returns a candidate with its expected costs.
+func (p *pricing) price(s *targetState, choice Choice) workCandidate {
+	now, model := p.r.Now, p.svc.model
+	c := workCandidate{state: s, choice: choice, factor: s.work.speed.Factor(now)}
+	p.priceReading(&c)
+	expected, spread := s.expectedRequests(p.svc, now)
+	requests := max(expected+spread*p.table.work.uniform(), float64(s.inFlight))
+	c.requests = expected
+	slots := p.slots(s)
+	c.slotWait = c.factor * slotWait(requests, spread, slots, model.Duration())
+	// Of the others' requests there, a part has had no first event yet.
+	others := max(requests-float64(s.inFlight), 0)
+	unreadOthers := others * model.UnreadShare()
+	if waiting := requests - slots; slots > 0 && waiting > 0 {
+		unreadOthers = max(unreadOthers, min(waiting, others))
+	}
+	c.ahead = float64(max(s.pendingPromptTokens, 0)) + unreadOthers*model.Unread()
+	c.firstEvent = c.factor*(model.BaseTime()+model.ReadTime(c.ahead+c.unread)) + c.slotWait + c.copying
+	c.firstEvent += p.pathCost(s)
+	c.cost = c.firstEvent + p.effectOnOthers(&c, requests, slots)
+	if !s.recentlyUsed(now) {
+		c.cost += connectCost
+	}
+	return c
+}
+
+// priceReading sets the tokens to be read, and the source and time of a copy.
+func (p *pricing) priceReading(c *workCandidate) {
+	shared := float64(min(p.r.SharedTokens, p.r.PromptTokens))
+	c.unread = float64(p.r.PromptTokens)
+	if p.prefix == nil {
+		return
+	}
+	chance := p.cachedChance(c.state)
+	missing := 1 - chance
+	source, sourceChance := p.source, p.sourceChance
+	if source == c.state {
+		source, sourceChance = p.second, p.secondChance
+	}
+	if source != nil && chance < sentLikelihood {
+		c.source, c.copying = source, missing*sourceChance*p.copying
+		missing *= 1 - sourceChance
+	}
+	c.unread += shared * (missing - 1)
+}
+
+// effectOnOthers returns the delay of the other requests at the target, as a mean over
+// its slots, and the cost of a further copy of the prefix.
+func (p *pricing) effectOnOthers(c *workCandidate, requests, slots float64) float64 {
+	model := p.svc.model
+	occupancy := requests / slots
+	if slots == 0 {
+		occupancy = requests / unknownSlots
+	}
+	effect := c.factor * occupancy * (model.ReadTime(c.unread) + model.StepGrowth()*p.output.Tokens)
+	if p.prefix == nil || c.choice == ChoiceReplica || p.prefix.holds(c.state, p.r.Now) {
+		return effect
+	}
+	return effect + spreadShare*model.ReadTime(float64(p.r.SharedTokens))
+}
+
+// pathCost returns the cost of using another data centre, in ms.
+func (p *pricing) pathCost(s *targetState) float64 {
+	dc := s.work.dataCentre
+	if dc.local {
+		return 0
+	}
+	return dc.known.path.Value() + remoteBytesCost*float64(p.r.PromptTokens)/1000
+}
+
+// slots returns the number of requests that the target runs at once; 0 if it is unknown.
+func (p *pricing) slots(s *targetState) float64 {
+	if s.load.Slots > 0 {
+		return float64(s.load.Slots)
+	}
+	return float64(p.svc.slots)
+}
+
+// expectedRequests returns the expected number of requests at the target, and how far
+// the number may be off. A report gives way to the mean of the target's reports, and
+// that to the mean of its data centre, as they age.
+func (s *targetState) expectedRequests(svc *workService, now time.Time) (expected, spread float64) {
+	own := float64(min(s.sentSinceReport, s.inFlight))
+	level := svc.requests.value
+	if dc := &s.work.dataCentre.known.requests; dc.known {
+		level += (dc.value - level) * workmodel.Fading(now.Sub(dc.at), meanMemory)
+	}
+	if s.work.requests.known {
+		level += (s.work.requests.value - level) * workmodel.Fading(now.Sub(s.work.requests.at), meanMemory)
+	}
+	weight := 0.0
+	if !s.reportedAt.IsZero() {
+		weight = workmodel.Fading(now.Sub(s.reportedAt), svc.reportMemory())
+		level += (s.reportedRequests() - level) * weight
+	}
+	expected = max(level+own, float64(s.inFlight))
+	return expected, math.Sqrt(level * (1 - weight*weight))
+}
+
+// reportedRequests returns the number of requests in the target's last report, as far as
+// it is believed.
+func (s *targetState) reportedRequests() float64 {
+	requests := s.load.Running + s.load.Waiting
+	if s.load.Slots > 0 {
+		requests = min(requests, maxReportedRequests*s.load.Slots)
+	}
+	return float64(requests)
+}
+
+// reportMemory returns the time in which a report gives way to the mean.
+func (svc *workService) reportMemory() time.Duration {
+	memory := time.Duration(2 * svc.model.Duration() * float64(time.Millisecond))
+	return min(max(memory, minReportMemory), maxReportMemory)
+}
+
+// slotWait returns the expected wait for a slot at a target with a number of requests,
+// which may be off by the spread, in the unit of the duration of requests.
+func slotWait(requests, spread, slots, duration float64) float64 {
+	if slots <= 0 {
+		return 0
+	}
+	excess := requests + 1 - slots
+	// softening approximates the mean excess of a normal distribution above zero.
+	softening := 0.55 * max(spread, 0.3)
+	switch x := excess / softening; {
+	case x < -12:
+		return 0
+	case x < 12:
+		excess = softening * math.Log1p(math.Exp(x))
+	}
+	return excess / slots * duration
+}
+
+// recentlyUsed reports whether this router probably has a connection to the target.
+func (s *targetState) recentlyUsed(now time.Time) bool {
+	return !s.work.usedAt.IsZero() && now.Sub(s.work.usedAt) <= usedMaxAge
+}
--- a/fleet/workmodel/service.go
+++ b/fleet/workmodel/service.go
@@ -10,9 +10,9 @@
 	firstEvent Line
 	// step is the time per output token in ms, over the number of requests running.
 	step Line
-	// duration is how long a request runs, in ms. unread is the number of tokens that
-	// one has the target read.
-	duration, unread Mean
+	// duration is how long a request runs and wait how long it waits for the first event,
+	// in ms. unread is the number of tokens that one has the target read.
+	duration, wait, unread Mean
 }
 
 // The priors stand for an engine of the usual size until observations replace them:
@@ -34,6 +34,7 @@
 		firstEvent: NewLine(priorFirstEvent, priorReading, typicalThousands),
 		step:       NewLine(priorStep, priorStepGrowth, typicalRunning),
 		duration:   NewMean(priorDuration),
+		wait:       NewMean(priorFirstEvent),
 		unread:     NewMean(0),
 	}
 }
@@ -54,9 +55,18 @@
 // Unread returns the number of tokens that a request has its target read.
 func (s *Service) Unread() float64 { return s.unread.Value() }
 
+// UnreadShare returns the share of the requests at a target that have had no first event
+// yet.
+func (s *Service) UnreadShare() float64 {
+	return min(s.wait.Value()/max(s.duration.Value(), 1), 1)
+}
+
 // ObserveSend records the tokens that a request has its target read.
 func (s *Service) ObserveSend(unread float64) { s.unread.Observe(unread) }
 
+// ObserveWait records how long a request waited for its first event.
+func (s *Service) ObserveWait(took time.Duration) { s.wait.Observe(milliseconds(took)) }
+
 // ObserveFirstEvent records a time to the first event, less the wait for a slot, at
 // normal speed, and the tokens that had to be read before.
 func (s *Service) ObserveFirstEvent(took time.Duration, tokens float64) {
--- a/fleet/workmodel/speed.go
+++ b/fleet/workmodel/speed.go
@@ -20,7 +20,7 @@
 const (
 	// speedGain is the weight of one observation. Targets may be slow for less than a
 	// second at a time, which one observation must not turn into a lasting estimate.
-	speedGain = 0.15
+	speedGain = 0.1
 	// maxObservedRatio bounds one observation, and maxSpeedFactor the learned factor.
 	maxObservedRatio = 4.0
 	maxSpeedFactor   = 10.0
