Settings expected_work and contracts; placement by expected work in gateways

The platform tells its contracts in force; platform/contract translates pressure into expected_work. Gateways tell the placement the route, workspace and declared output of a request, and the length of finished answers; they log how a target was picked and count it, and the actual time to the first event over the expected one.

--- a/router/cmd/cuminrock-router/gateway.go
+++ b/router/cmd/cuminrock-router/gateway.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/platform/contract"
 	"cuminrock.example/platform/directory"
 	"cuminrock.example/platform/ingress"
 	"cuminrock.example/platform/operatorconfig"
@@ -31,6 +32,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
+	contract.Apply(s)
 	log, flush, err := logging.New(s.Log.Level, os.Stdout)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
@@ -147,6 +148,7 @@
 	g := &Gateway{settings: settings, platform: p, log: log, registry: prometheus.NewRegistry(), addresses: lis.addresses()}
 	g.registry.MustRegister(p.Collectors...)
 	g.targets = placement.New(settings.DataCentre)
+	g.targets.UseExpectedWork(settings.ExpectedWork, xxhash.Sum64String(settings.Name+incarnation))
 	g.targetCounts = newTargetCounts(g.registry)
 	g.reachability = newReachability(g)
 	g.callers = newCallerConns(int(settings.FileDescriptors), func() time.Duration { return g.Limits().IdleTimeout })
@@ -186,7 +188,8 @@
 	g.startServers(lis)
 	g.startWatching(lis)
 	log.Info("gateway: started.", zap.String("name", settings.Name), zap.String("incarnation", incarnation),
-		zap.String("callers", settings.Doors.Caller), zap.String("store", settings.StoreAddress))
+		zap.String("callers", settings.Doors.Caller), zap.String("store", settings.StoreAddress),
+		zap.Strings("contracts", settings.Contracts), zap.Bool("expected_work", settings.ExpectedWork))
 	return g, nil
 }
 
--- a/router/relay/buffered.go
+++ b/router/relay/buffered.go
@@ -50,6 +50,7 @@
 	}
 	if result == placement.OK {
 		p.recordComplete(a)
+		p.recordFirstEvent(a, p.relay.Now())
 	}
 	a.finish(p, result)
 	if result == placement.Failed && p.mayRetry(ctx, errkind.New(errkind.TargetFailed, "the target answered %d", status)) {
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -23,6 +23,11 @@
 	// RetriesDenied counts failures that weren't retried because the retry budget
 	// was used up.
 	RetriesDenied prometheus.Counter
+	// Placements counts sends to targets that were picked by expected work, by why the
+	// target was a candidate and whether it is in another data centre.
+	Placements *prometheus.CounterVec
+	// FirstEventRatio is the actual time to the first event over the expected one.
+	FirstEventRatio *prometheus.HistogramVec
 }
 
 // NewMetrics returns metrics that are registered with the registry.
@@ -44,7 +49,12 @@
 		RetriesDenied: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cuminrock_retries_denied_total", Help: "Retries that the retry budget forbade."}),
 	}
-	registry.MustRegister(m.Requests, m.Duration, m.FirstByte, m.Sends, m.Resends, m.Breaks, m.RetriesDenied)
+	m.Placements = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cuminrock_placements_total", Help: "Sends to targets that were picked by expected work."}, []string{"choice", "remote"})
+	m.FirstEventRatio = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "cuminrock_first_event_actual_to_expected_ratio", Help: "Actual time to the first event over the expected one.",
+		Buckets: prometheus.ExponentialBuckets(0.125, 2, 9)}, []string{"route"})
+	registry.MustRegister(m.Requests, m.Duration, m.FirstByte, m.Sends, m.Resends, m.Breaks, m.RetriesDenied, m.Placements, m.FirstEventRatio)
 	return m
 }
 
--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -42,6 +42,10 @@
 	copiedFrom         []string
 	sends              int
 	unreachableTargets int
+	// decision is how the last target was picked, and actualFirstEvent the time from then
+	// to its first event, or to its whole answer if that isn't a stream; 0 before it.
+	decision         placement.Decision
+	actualFirstEvent time.Duration
 	// mayHaveRun is true when a target may have run the request.
 	mayHaveRun bool
 	// origin is where the stream began.
@@ -154,14 +158,18 @@
 		p.reservation.Settle(0)
 		return
 	}
-	perEvent := int64(1)
-	if p.service.Engine != nil {
-		perEvent = max(p.service.Engine.MaxTokensPerEvent, 1)
-	}
-	p.consumedTokens = p.Prompt.InputTokens + min(p.events*perEvent, p.Prompt.MaxOutputTokens)
+	p.consumedTokens = p.Prompt.InputTokens + min(p.events*p.tokensPerEvent(), p.Prompt.MaxOutputTokens)
 	p.reservation.Settle(p.consumedTokens)
 }
 
+// tokensPerEvent returns the most output tokens that an event holds.
+func (p *proxiedRequest) tokensPerEvent() int64 {
+	if p.service.Engine == nil {
+		return 1
+	}
+	return max(p.service.Engine.MaxTokensPerEvent, 1)
+}
+
 // logDone records the metrics and writes the log line of a finished request.
 func (p *proxiedRequest) logDone(req *Request, err *errkind.Error) {
 	took := p.relay.Now().Sub(req.Arrived)
@@ -176,6 +184,9 @@
 		fields = append(fields, zap.String("route", p.route.Name), zap.String("workspace", p.workspaceName()),
 			zap.Stringer("fingerprint", p.fingerprint), zap.Uint64("config", p.catalog.Version), zap.Int64("events", p.events), zap.Int64("consumed", p.consumedTokens), zap.Duration("first_byte", p.firstByte))
 	}
+	if p.decision.Choice != placement.ChoiceNone {
+		fields = append(fields, zap.Object("placement", loggedDecision(p.decision)), zap.Duration("actual_first_event", p.actualFirstEvent))
+	}
 	if req.ResumeAfter != "" {
 		fields = append(fields, zap.String("resumes", req.Resumes), zap.String("resume_after", req.ResumeAfter))
 	}
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -42,6 +42,7 @@
 	// pause is how long each read takes, of a few bytes.
 	pause        time.Duration
 	announcement placement.Announcement
+	load         *placement.Load
 }
 
 func (u *upstream) Send(_ context.Context, s *UpstreamRequest) (UpstreamResponse, error) {
@@ -75,7 +76,7 @@
 func (r *reply) Status() int                     { return r.outcome.status }
 func (r *reply) Header() http.Header             { return http.Header{"Own-Field": {"s"}} }
 func (r *reply) SetReadDeadline(time.Time) error { return nil }
-func (r *reply) Load() *placement.Load           { return nil }
+func (r *reply) Load() *placement.Load           { return r.outcome.load }
 func (r *reply) Announcement() placement.Announcement {
 	return r.outcome.announcement
 }
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -68,6 +68,14 @@
 	return p.InputTokens
 }
 
+// maxOutputTokens returns the most tokens to generate; 0 without a prompt.
+func (p *Prompt) maxOutputTokens() int64 {
+	if p == nil {
+		return 0
+	}
+	return p.MaxOutputTokens
+}
+
 // sharedTokens returns the size of the parts that other requests may share: all
 // but the last.
 func (p *Prompt) sharedTokens() int64 {
--- a/router/relay/send.go
+++ b/router/relay/send.go
@@ -47,6 +47,10 @@
 			Version:      p.origin.version,
 			Exclude:      p.triedTargets,
 			Now:          p.relay.Now(),
+
+			MaxOutputTokens: p.Prompt.maxOutputTokens(),
+			Route:           p.route.Name,
+			Workspace:       p.workspaceName(),
 		})
 		if err != nil {
 			return nil, errkind.FromError(err)
@@ -69,6 +73,8 @@
 // send sends the request to the leased target. An error ends the lease.
 func (p *proxiedRequest) send(ctx context.Context, lease *slot, resumeAfter string) (*attempt, *errkind.Error) {
 	target, sent := lease.Target(), p.relay.Now()
+	p.decision, p.actualFirstEvent = lease.Decision(), 0
+	p.relay.Metrics.recordPlacement(p.decision)
 	p.triedTargets = append(p.triedTargets, target.ID)
 	if source := lease.Source(); source != nil {
 		p.copiedFrom = append(p.copiedFrom, source.ID)
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -69,6 +69,9 @@
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			p.recordComplete(a)
+			if p.ResumeAfter == "" {
+				a.lease.RecordOutput(p.events * p.tokensPerEvent())
+			}
 			a.finish(p, placement.OK)
 			return p.finishStream(a)
 		}
@@ -93,6 +96,7 @@
 	now := p.relay.Now()
 	if a.firstEventAt.IsZero() {
 		a.firstEventAt = now
+		p.recordFirstEvent(a, now)
 	}
 	if !a.outlivedProbation && now.Sub(a.firstEventAt) >= quarantine.Probation {
 		a.outlivedProbation = true
