Picks by expected work take less processor time

At 600 targets a pick and its end took 2.8 microseconds of processor time with 200 prefixes, mostly for subtracting times and for looking the same things up for each candidate.

--- a/fleet/placement/expectedwork.go
+++ b/fleet/placement/expectedwork.go
@@ -56,11 +56,16 @@
 	name    string
 	local   bool
 	targets []*targetState
+	// hashes are those of the targets' ids, for rendezvous hashing.
+	hashes []uint64
 	// used are the targets that this router has sent to recently, and may have
 	// connections to.
 	used []*targetState
 	// known is kept over changes of the list of targets.
 	known *dataCentreWork
+	// level is the number of requests that a target is expected to have of which nothing
+	// is known, as of the last pick.
+	level float64
 }
 
 // dataCentreWork is what is known of a service's targets in a data centre as a whole.
@@ -74,14 +79,13 @@
 
 // targetWork is what is known about one target.
 type targetWork struct {
-	speed workmodel.Speed
-	// hash is that of the target's id, for rendezvous hashing.
-	hash       uint64
+	speed      workmodel.Speed
 	dataCentre *workDataCentre
 	// requests is the mean number of requests that the target reports.
 	requests levelEstimate
-	// usedAt is when this router last sent to the target.
-	usedAt time.Time
+	// usedAt is when this router last sent to the target, and reportedAt when it last
+	// reported its load; 0 if never.
+	usedAt, reportedAt workmodel.Instant
 	// inUsed is set while the target is in its data centre's list of used ones.
 	inUsed bool
 }
@@ -89,12 +93,12 @@
 // levelEstimate is a mean of reported figures.
 type levelEstimate struct {
 	value, count float64
-	at           time.Time
+	at           workmodel.Instant
 	known        bool
 }
 
 // observe adds a figure with a weight; the first ones count equally.
-func (l *levelEstimate) observe(x, weight float64, now time.Time) {
+func (l *levelEstimate) observe(x, weight float64, now workmodel.Instant) {
 	l.count, l.known = l.count+1, true
 	l.value += max(weight, 1/l.count) * (x - l.value)
 	l.at = now
@@ -103,15 +107,15 @@
 // decayingCount counts events, which fade over prefixShareMemory.
 type decayingCount struct {
 	count float64
-	at    time.Time
+	at    workmodel.Instant
 }
 
-func (c *decayingCount) add(now time.Time) {
+func (c *decayingCount) add(now workmodel.Instant) {
 	c.count = c.value(now) + 1
 	c.at = now
 }
 
-func (c *decayingCount) value(now time.Time) float64 {
+func (c *decayingCount) value(now workmodel.Instant) float64 {
 	return c.count * workmodel.Fading(now.Sub(c.at), prefixShareMemory)
 }
 
--- a/fleet/placement/work_test.go
+++ b/fleet/placement/work_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"cuminrock.example/fleet/workmodel"
 )
 
 // newWorkTable returns a table that places by expected work, with targets in three data
@@ -170,11 +172,11 @@
 		l.RecordProgress(testNow.Add(3 * time.Second))
 		l.Done(OK, testNow.Add(3*time.Second))
 	}
-	is.True(tb.byID["t0"].work.speed.Factor(testNow) > 2)
+	is.True(tb.byID["t0"].work.speed.Factor(workmodel.At(testNow)) > 2)
 	list := newTargets(1)
 	list[0].StartTimeMs = 5
 	tb.Update(list, testNow)
-	is.Equal(tb.byID["t0"].work.speed.Factor(testNow), 1.0)
+	is.Equal(tb.byID["t0"].work.speed.Factor(workmodel.At(testNow)), 1.0)
 	is.Equal(mustPick(t, tb, r).Decision().UnreadTokens, int64(6000))
 }
 
--- a/fleet/placement/workcost.go
+++ b/fleet/placement/workcost.go
@@ -70,20 +70,32 @@
 	table  *Table
 	svc    *workService
 	r      *Request
+	now    workmodel.Instant
 	prefix *prefix
+	// share is that of the prefix in the service's recent requests, and seen is set if this
+	// router sent the prefix lately.
+	share  float64
+	seen   bool
 	output workmodel.Output
 	// source is the target that most likely has the shared parts, with its likelihood;
 	// second is the next one, for the case that the source itself is picked.
 	source, second             *targetState
 	sourceChance, secondChance float64
 	copying                    float64
+	// reportMemory is the time in which a report gives way to the mean.
+	reportMemory time.Duration
 }
 
 // newPricing prepares the comparison of candidates. It returns a value, so that a pick
 // allocates nothing for it.
 func (t *Table) newPricing(svc *workService, r *Request) pricing {
-	p := pricing{table: t, svc: svc, r: r, prefix: svc.prefix(r.Affinity)}
+	p := pricing{table: t, svc: svc, r: r, now: workmodel.At(r.Now), prefix: svc.prefix(r.Affinity), reportMemory: svc.reportMemory()}
+	svc.updateLevels(p.now)
 	p.output = t.work.outputs.Expect(r.Route, r.Workspace, r.MaxOutputTokens)
+	if p.prefix != nil {
+		p.share = p.prefix.sends.value(p.now) / max(svc.sends.value(p.now), 1)
+		p.seen = p.prefix.lastSeen != 0 && p.now.Sub(p.prefix.lastSeen) <= prefixSeenMaxAge
+	}
 	if p.prefix != nil && r.SharedTokens >= minCopyTokens {
 		p.copying = copyFixed + copyPerThousand*float64(r.SharedTokens)/1000
 		p.findSources()
@@ -131,22 +143,21 @@
 	if p.prefix == nil {
 		return 0
 	}
-	if p.prefix.holds(s, p.r.Now) {
+	if p.prefix.holds(s, p.now) {
 		return sentLikelihood
 	}
 	if p.recentlyStarted(s) {
 		return 0
 	}
-	seen := !p.prefix.lastSeen.IsZero() && p.r.Now.Sub(p.prefix.lastSeen) <= prefixSeenMaxAge
 	for _, ranked := range p.prefix.replicas {
 		for i, replica := range ranked[:min(len(ranked), minReplicas)] {
 			switch {
 			case replica != s:
-			case i == 0 && seen:
+			case i == 0 && p.seen:
 				return homeLikelihood
 			case i == 0:
 				return newHomeLikelihood
-			case seen:
+			case p.seen:
 				return replicaLikelihood
 			default:
 				return newReplicaChance
@@ -163,10 +174,10 @@
 
 // price returns a candidate with its expected costs.
 func (p *pricing) price(s *targetState, choice Choice) workCandidate {
-	now, model := p.r.Now, p.svc.model
+	now, model := p.now, p.svc.model
 	c := workCandidate{state: s, choice: choice, factor: s.work.speed.Factor(now)}
 	p.priceReading(&c)
-	expected, spread := s.expectedRequests(p.svc, now)
+	expected, spread := s.expectedRequests(p.reportMemory, now)
 	requests := max(expected+spread*p.table.work.uniform(), float64(s.inFlight))
 	c.requests = expected
 	slots := p.slots(s)
@@ -216,7 +227,7 @@
 		occupancy = requests / unknownSlots
 	}
 	effect := c.factor * occupancy * (model.ReadTime(c.unread) + model.StepGrowth()*p.output.Tokens)
-	if p.prefix == nil || c.choice == ChoiceReplica || p.prefix.holds(c.state, p.r.Now) {
+	if p.prefix == nil || c.choice == ChoiceReplica || p.prefix.holds(c.state, p.now) {
 		return effect
 	}
 	return effect + spreadShare*model.ReadTime(float64(p.r.SharedTokens))
@@ -239,21 +250,29 @@
 	return float64(p.svc.slots)
 }
 
+// updateLevels sets the number of requests that a target is expected to have of which
+// nothing is known.
+func (svc *workService) updateLevels(now workmodel.Instant) {
+	for _, dc := range svc.dataCentres {
+		dc.level = svc.requests.value
+		if known := &dc.known.requests; known.known {
+			dc.level += (known.value - dc.level) * workmodel.Fading(now.Sub(known.at), meanMemory)
+		}
+	}
+}
+
 // expectedRequests returns the expected number of requests at the target, and how far
 // the number may be off. A report gives way to the mean of the target's reports, and
 // that to the mean of its data centre, as they age.
-func (s *targetState) expectedRequests(svc *workService, now time.Time) (expected, spread float64) {
+func (s *targetState) expectedRequests(memory time.Duration, now workmodel.Instant) (expected, spread float64) {
 	own := float64(min(s.sentSinceReport, s.inFlight))
-	level := svc.requests.value
-	if dc := &s.work.dataCentre.known.requests; dc.known {
-		level += (dc.value - level) * workmodel.Fading(now.Sub(dc.at), meanMemory)
-	}
+	level := s.work.dataCentre.level
 	if s.work.requests.known {
 		level += (s.work.requests.value - level) * workmodel.Fading(now.Sub(s.work.requests.at), meanMemory)
 	}
 	weight := 0.0
-	if !s.reportedAt.IsZero() {
-		weight = workmodel.Fading(now.Sub(s.reportedAt), svc.reportMemory())
+	if s.work.reportedAt != 0 {
+		weight = workmodel.Fading(now.Sub(s.work.reportedAt), memory)
 		level += (s.reportedRequests() - level) * weight
 	}
 	expected = max(level+own, float64(s.inFlight))
@@ -295,6 +314,6 @@
 }
 
 // recentlyUsed reports whether this router probably has a connection to the target.
-func (s *targetState) recentlyUsed(now time.Time) bool {
-	return !s.work.usedAt.IsZero() && now.Sub(s.work.usedAt) <= usedMaxAge
+func (s *targetState) recentlyUsed(now workmodel.Instant) bool {
+	return s.work.usedAt != 0 && now.Sub(s.work.usedAt) <= usedMaxAge
 }
--- a/fleet/placement/workindex.go
+++ b/fleet/placement/workindex.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"time"
-
 	"github.com/cespare/xxhash/v2"
 
 	"cuminrock.example/fleet/mix"
@@ -30,8 +28,8 @@
 	// targets.
 	replicas   [][]*targetState
 	generation uint64
-	// lastSeen is when this router last sent a request with it; zero at first.
-	lastSeen time.Time
+	// lastSeen is when this router last sent a request with it; 0 at first.
+	lastSeen workmodel.Instant
 	sends    decayingCount
 	// holders are the targets to which this router sent it last, the newest last.
 	holders []prefixHolder
@@ -39,7 +37,7 @@
 
 type prefixHolder struct {
 	state *targetState
-	at    time.Time
+	at    workmodel.Instant
 }
 
 // indexTargets builds the lists of targets by data centre. What is known of services and
@@ -80,9 +78,9 @@
 			byName[dc.name] = dc
 			svc.dataCentres = append(svc.dataCentres, dc)
 		}
-		s.work.hash, s.work.dataCentre = xxhash.Sum64String(s.target.ID), dc
-		dc.targets = append(dc.targets, s)
-		s.work.inUsed = !s.work.usedAt.IsZero()
+		s.work.dataCentre = dc
+		dc.targets, dc.hashes = append(dc.targets, s), append(dc.hashes, xxhash.Sum64String(s.target.ID))
+		s.work.inUsed = s.work.usedAt != 0
 		if s.work.inUsed {
 			dc.used = append(dc.used, s)
 		}
@@ -118,42 +116,42 @@
 	p.generation = svc.generation
 	p.replicas = make([][]*targetState, len(svc.dataCentres))
 	for i, dc := range svc.dataCentres {
-		p.replicas[i] = rankTargets(dc.targets, affinity)
+		p.replicas[i] = dc.rank(affinity)
 	}
 }
 
-// rankTargets returns up to maxReplicas targets, the highest rendezvous weight first.
-func rankTargets(targets []*targetState, affinity uint64) []*targetState {
-	ranked := make([]*targetState, 0, min(len(targets), maxReplicas))
+// rank returns up to maxReplicas targets, the highest rendezvous weight first.
+func (dc *workDataCentre) rank(affinity uint64) []*targetState {
+	var indexes [maxReplicas]int
 	var weights [maxReplicas]uint64
-	for _, s := range targets {
-		weight := mix.Mix64(affinity ^ s.work.hash)
-		i := len(ranked)
-		if i == maxReplicas {
-			if weight <= weights[i-1] {
-				continue
-			}
-			i--
-		} else {
-			ranked = append(ranked, s)
+	n := 0
+	for index, hash := range dc.hashes {
+		weight := mix.Mix64(affinity ^ hash)
+		if n == maxReplicas && weight <= weights[n-1] {
+			continue
 		}
+		n = min(n+1, maxReplicas)
+		i := n - 1
 		for ; i > 0 && weights[i-1] < weight; i-- {
-			ranked[i], weights[i] = ranked[i-1], weights[i-1]
+			indexes[i], weights[i] = indexes[i-1], weights[i-1]
 		}
-		ranked[i], weights[i] = s, weight
+		indexes[i], weights[i] = index, weight
+	}
+	ranked := make([]*targetState, n)
+	for i := range ranked {
+		ranked[i] = dc.targets[indexes[i]]
 	}
 	return ranked
 }
 
 // replicaCount returns the number of targets of a data centre that a prefix uses: more
 // for one that is a large share of the service's requests.
-func (p *prefix) replicaCount(svc *workService, dc *workDataCentre, now time.Time) int {
-	share := p.sends.value(now) / max(svc.sends.value(now), 1)
+func replicaCount(share float64, dc *workDataCentre) int {
 	return min(minReplicas+int(hotReplicaFactor*share*float64(len(dc.targets))), maxReplicas)
 }
 
 // recordSend records that a prefix was sent to a target.
-func (p *prefix) recordSend(s *targetState, now time.Time) {
+func (p *prefix) recordSend(s *targetState, now workmodel.Instant) {
 	p.lastSeen = now
 	p.sends.add(now)
 	p.forget(s)
@@ -174,7 +172,7 @@
 }
 
 // holds reports whether this router recently sent the prefix to the target.
-func (p *prefix) holds(s *targetState, now time.Time) bool {
+func (p *prefix) holds(s *targetState, now workmodel.Instant) bool {
 	for _, h := range p.holders {
 		if h.state == s {
 			return now.Sub(h.at) <= cacheRetention
@@ -184,7 +182,7 @@
 }
 
 // markUsed records that the router sends to the target.
-func (s *targetState) markUsed(now time.Time) {
+func (s *targetState) markUsed(now workmodel.Instant) {
 	s.work.usedAt = now
 	if !s.work.inUsed {
 		s.work.inUsed = true
@@ -194,7 +192,7 @@
 
 // randomUsed returns a random one of the targets that were used recently; nil if there
 // is none. It drops one that wasn't, if it comes across it.
-func (dc *workDataCentre) randomUsed(w *expectedWork, now time.Time) *targetState {
+func (dc *workDataCentre) randomUsed(w *expectedWork, now workmodel.Instant) *targetState {
 	if len(dc.used) == 0 {
 		return nil
 	}
--- a/fleet/placement/worklearn.go
+++ b/fleet/placement/worklearn.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"cuminrock.example/fleet/workmodel"
+)
 
 const (
 	// targetLevelWeight, dataCentreLevelWeight and serviceLevelWeight are the weights of
@@ -18,18 +22,19 @@
 
 // workLease is what was expected of a request that was placed by expected work.
 type workLease struct {
-	svc         *workService
-	candidate   workCandidate
-	decision    Decision
-	path        float64
-	route       string
-	workspace   string
-	firstAt     time.Time
-	output      int64
-	hasOutput   bool
-	hadPrompt   bool
-	pickedRuns  float64
-	prefixOwner *prefix
+	svc      *workService
+	prefix   *prefix
+	decision Decision
+	// read are the tokens that were to be read before the first event. slotWait, copying
+	// and path are the parts of the expected time in ms, and factor the target's speed.
+	read, slotWait, copying, path, factor float64
+	// route and workspace are the key of the output, which is learned if hasOutput is set.
+	route, workspace string
+	output           int64
+	hasOutput        bool
+	hadPrompt        bool
+	// firstAt is when the first event arrived; zero before it.
+	firstAt time.Time
 }
 
 func newWorkLease(svc *workService, p *pricing, c *workCandidate, candidates int) *workLease {
@@ -39,8 +44,8 @@
 		reportAge = p.r.Now.Sub(s.reportedAt)
 	}
 	return &workLease{
-		svc: svc, candidate: *c, path: p.pathCost(s), route: p.r.Route, workspace: p.r.Workspace,
-		hadPrompt: p.r.PromptTokens > 0, pickedRuns: c.requests, prefixOwner: p.prefix,
+		svc: svc, prefix: p.prefix, read: c.ahead + c.unread, slotWait: c.slotWait, copying: c.copying,
+		path: p.pathCost(s), factor: c.factor, route: p.r.Route, workspace: p.r.Workspace, hadPrompt: p.r.PromptTokens > 0,
 		decision: Decision{
 			Choice: c.choice, Remote: !s.work.dataCentre.local, Candidates: candidates,
 			FirstEvent: duration(c.firstEvent), SlotWait: duration(c.slotWait),
@@ -78,8 +83,10 @@
 	}
 	if load.PacePercent > 0 {
 		svc.paceAt = now
-		s.work.speed.ReportPace(load.PacePercent, now)
+		s.work.speed.ReportPace(load.PacePercent, workmodel.At(now))
 	}
+	at := workmodel.At(now)
+	s.work.reportedAt = at
 	requests := float64(load.Running + load.Waiting)
 	forMeans := requests
 	if load.Slots > 0 {
@@ -87,9 +94,9 @@
 		requests = min(requests, float64(maxReportedRequests*load.Slots))
 		forMeans = min(requests, float64(maxMeanRequests*load.Slots))
 	}
-	s.work.requests.observe(requests, targetLevelWeight, now)
-	s.work.dataCentre.known.requests.observe(forMeans, dataCentreLevelWeight, now)
-	svc.requests.observe(forMeans, serviceLevelWeight, now)
+	s.work.requests.observe(requests, targetLevelWeight, at)
+	s.work.dataCentre.known.requests.observe(forMeans, dataCentreLevelWeight, at)
+	svc.requests.observe(forMeans, serviceLevelWeight, at)
 }
 
 // learnFirstEvent learns from the time to the first event of a stream. The table's lock
@@ -107,20 +114,19 @@
 // learnWait learns from a time to the first event: the service's times, the target's
 // speed, and the path to its data centre.
 func (l *Lease) learnWait(took time.Duration) {
-	w, c, model := l.work, &l.work.candidate, l.work.svc.model
+	w, model := l.work, l.work.svc.model
 	now := l.pickedAt.Add(took)
-	read := c.ahead + c.unread
-	normal := model.BaseTime() + model.ReadTime(read)
-	atTarget := took - duration(w.path+c.copying)
+	normal := model.BaseTime() + model.ReadTime(w.read)
+	atTarget := took - duration(w.path+w.copying)
 	if dc := l.state.work.dataCentre; !dc.local {
-		observed := (took - duration(c.factor*normal+c.slotWait+c.copying)).Seconds() * 1000
+		observed := (took - duration(w.factor*normal+w.slotWait+w.copying)).Seconds() * 1000
 		dc.known.path.Observe(min(max(observed, 0), maxPath))
 	}
 	if atTarget <= 0 {
 		return
 	}
-	l.state.work.speed.Observe(atTarget, duration(normal+c.slotWait/c.factor), now)
-	model.ObserveFirstEvent(duration(max(float64(atTarget)/float64(time.Millisecond)-c.slotWait, 0)/c.factor), read)
+	l.state.work.speed.Observe(atTarget, duration(normal+w.slotWait/w.factor), workmodel.At(now))
+	model.ObserveFirstEvent(duration(max(float64(atTarget)/float64(time.Millisecond)-w.slotWait, 0)/w.factor), w.read)
 }
 
 // maxPath bounds what one observation says about the path to a data centre, in ms.
@@ -143,7 +149,7 @@
 	} else {
 		output = now.Sub(w.firstAt)
 	}
-	w.svc.model.ObserveAnswer(took, output, w.output, w.pickedRuns)
+	w.svc.model.ObserveAnswer(took, output, w.output, w.decision.Requests)
 	if w.hasOutput {
 		l.table.work.outputs.Observe(w.route, w.workspace, w.output)
 	}
@@ -152,7 +158,7 @@
 // forgetHolder forgets that the prefix was sent to the target. The table's lock must be
 // held.
 func (l *Lease) forgetHolder() {
-	if l.work != nil && l.work.prefixOwner != nil {
-		l.work.prefixOwner.forget(l.state)
+	if l.work != nil && l.work.prefix != nil {
+		l.work.prefix.forget(l.state)
 	}
 }
--- a/fleet/placement/workpick.go
+++ b/fleet/placement/workpick.go
@@ -78,11 +78,11 @@
 		l.source = best.source.cloneTarget()
 	}
 	l.work = newWorkLease(svc, &p, &best, len(t.work.candidates))
-	best.state.markUsed(r.Now)
-	svc.sends.add(r.Now)
+	best.state.markUsed(p.now)
+	svc.sends.add(p.now)
 	svc.model.ObserveSend(best.unread)
 	if p.prefix != nil {
-		p.prefix.recordSend(best.state, r.Now)
+		p.prefix.recordSend(best.state, p.now)
 	}
 	return l, nil
 }
@@ -142,7 +142,7 @@
 // collectReplicas adds the available targets of a data centre that keep the prefix.
 func (t *Table) collectReplicas(p *pricing, dataCentre int) {
 	dc := p.svc.dataCentres[dataCentre]
-	left := p.prefix.replicaCount(p.svc, dc, p.r.Now)
+	left := replicaCount(p.share, dc)
 	if !dc.local {
 		left = min(left, maxRemoteReplicas)
 	}
@@ -160,7 +160,7 @@
 func (t *Table) draw(p *pricing, dc *workDataCentre, draws int) {
 	for i := range draws {
 		if i < draws-1 || !dc.local {
-			if s := dc.randomUsed(t.work, p.r.Now); s != nil && t.consider(p, s, ChoiceUsed) {
+			if s := dc.randomUsed(t.work, p.now); s != nil && t.consider(p, s, ChoiceUsed) {
 				continue
 			}
 		}
--- a/fleet/workmodel/speed.go
+++ b/fleet/workmodel/speed.go
@@ -9,12 +9,12 @@
 // twice as long. It combines what was learned from times to first events with the
 // target's own figure for the moment. The zero value is a target of normal speed.
 type Speed struct {
-	// logFactor is the learned factor, as a logarithm, as of learnedAt.
-	logFactor float64
-	learnedAt time.Time
+	// learned is the learned factor less 1, as of learnedAt.
+	learned   float64
+	learnedAt Instant
 	// pace is the target's own figure as a factor, as of paceAt; 0 without one.
 	pace   float64
-	paceAt time.Time
+	paceAt Instant
 }
 
 const (
@@ -34,25 +34,25 @@
 
 // Observe records the time to a first event and what it was expected to be at normal
 // speed.
-func (s *Speed) Observe(actual, expected time.Duration, now time.Time) {
+func (s *Speed) Observe(actual, expected time.Duration, now Instant) {
 	if actual <= 0 || expected <= 0 {
 		return
 	}
 	ratio := float64(actual) / float64(expected) / s.paceFactor(now)
+	learned := math.Log(s.learnedFactor(now))
 	observed := math.Log(min(max(ratio, 1/maxObservedRatio), maxObservedRatio))
-	// A ratio beyond the bound moves the estimate on, up to maxSpeedFactor.
-	learned := s.learnedLog(now)
 	if ratio > maxObservedRatio {
+		// A ratio beyond the bound moves the estimate on, up to maxSpeedFactor.
 		observed = max(observed, learned+math.Log(2))
 	}
-	limit := math.Log(maxSpeedFactor)
-	s.logFactor = min(max(learned+speedGain*(observed-learned), -limit), limit)
+	factor := math.Exp(learned + speedGain*(observed-learned))
+	s.learned = min(max(factor, 1/maxSpeedFactor), maxSpeedFactor) - 1
 	s.learnedAt = now
 }
 
 // ReportPace records the target's own figure for the moment, in percent; 0 says
 // nothing.
-func (s *Speed) ReportPace(percent int, now time.Time) {
+func (s *Speed) ReportPace(percent int, now Instant) {
 	if percent <= 0 {
 		return
 	}
@@ -61,22 +61,19 @@
 }
 
 // Factor returns the factor by which work takes longer than normal.
-func (s *Speed) Factor(now time.Time) float64 {
-	if s.logFactor == 0 {
-		return s.paceFactor(now)
-	}
-	return min(max(math.Exp(s.learnedLog(now))*s.paceFactor(now), 1/maxSpeedFactor), maxSpeedFactor)
+func (s *Speed) Factor(now Instant) float64 {
+	return min(max(s.learnedFactor(now)*s.paceFactor(now), 1/maxSpeedFactor), maxSpeedFactor)
 }
 
-func (s *Speed) learnedLog(now time.Time) float64 {
-	if s.logFactor == 0 {
-		return 0
+func (s *Speed) learnedFactor(now Instant) float64 {
+	if s.learned == 0 {
+		return 1
 	}
-	return s.logFactor * fading(now.Sub(s.learnedAt), speedMemory)
+	return 1 + s.learned*fading(now.Sub(s.learnedAt), speedMemory)
 }
 
-func (s *Speed) paceFactor(now time.Time) float64 {
-	if s.pace == 0 {
+func (s *Speed) paceFactor(now Instant) float64 {
+	if s.pace == 0 || s.pace == 1 {
 		return 1
 	}
 	return 1 + (s.pace-1)*fading(now.Sub(s.paceAt), paceMemory)
--- a/fleet/workmodel/workmodel_test.go
+++ b/fleet/workmodel/workmodel_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 )
 
-var testNow = time.Unix(1000, 0)
+const testNow = Instant(1000 * time.Second)
 
 func near(a, b, tolerance float64) bool { return math.Abs(a-b) <= tolerance*math.Abs(b) }
 
@@ -71,16 +71,16 @@
 	is.Equal(s.Factor(testNow), 1.0)
 	s.ReportPace(250, testNow)
 	is.Equal(s.Factor(testNow), 2.5)
-	is.True(s.Factor(testNow.Add(2*time.Second)) < 1.1)
-	now := testNow.Add(time.Minute)
+	is.True(s.Factor(testNow+Instant(2*time.Second)) < 1.1)
+	now := testNow + Instant(time.Minute)
 	for range 50 {
-		now = now.Add(100 * time.Millisecond)
+		now += Instant(100 * time.Millisecond)
 		s.Observe(130*time.Millisecond, 100*time.Millisecond, now)
 	}
 	is.True(near(s.Factor(now), 1.3, 0.05))
 	s.Observe(5*time.Second, 100*time.Millisecond, now) // one outlier
 	is.True(s.Factor(now) < 2)
-	is.True(s.Factor(now.Add(5*time.Minute)) < 1.05)
+	is.True(s.Factor(now+Instant(5*time.Minute)) < 1.05)
 }
 
 // Guards against a target that is ten times slower than expected and stays attractive.
