--- a/fleet/placement/location.go
+++ b/fleet/placement/location.go
@@ -26,6 +26,7 @@
 			continue
 		}
 		s.load, s.reportedAt, s.sentSinceReport = Load{}, time.Time{}, 0
+		s.work.reportedAt, s.work.requests = 0, levelEstimate{}
 		s.registeredAt = now
 	}
 	for affinity, last := range t.lastPlacement {
--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -45,6 +45,9 @@
 	Running, Waiting int
 	// Slots is the number of requests that it runs at once; 0 if it doesn't tell.
 	Slots int
+	// PacePercent is how long work takes at the target at this moment, in percent of
+	// the normal time; 0 if it doesn't tell.
+	PacePercent int
 }
 
 // Table picks targets. It is safe for concurrent use.
@@ -66,6 +69,8 @@
 	failuresForgottenAt time.Time
 	// evacuated are the data centres whose targets get no new requests.
 	evacuated location.DataCentres
+	// work is the state of the placement by expected work.
+	work *expectedWork
 }
 
 // targetState is a target and what the table knows about it.
@@ -94,11 +99,13 @@
 	deferredUntil time.Time
 	// refusedUntil is the end of the pause after a refusal.
 	refusedUntil time.Time
+	// work is what the placement by expected work knows about the target.
+	work targetWork
 }
 
 // New returns a table without targets for a router in the given data centre.
 func New(dataCentre string) *Table {
-	return &Table{dataCentre: dataCentre, services: make(map[string][]*targetState), byID: make(map[string]*targetState), dataCentres: make(map[string]*dataCentreState), lastPlacement: make(map[uint64]placementRecord), past: make(map[Process]pastTarget), versions: make(map[string]map[string]time.Time)}
+	return &Table{dataCentre: dataCentre, services: make(map[string][]*targetState), byID: make(map[string]*targetState), dataCentres: make(map[string]*dataCentreState), lastPlacement: make(map[uint64]placementRecord), past: make(map[Process]pastTarget), versions: make(map[string]map[string]time.Time), work: newExpectedWork()}
 }
 
 // Update replaces the list of targets. A target whose process still runs at the
@@ -126,6 +133,7 @@
 	}
 	t.rememberPast(old, now)
 	t.recordVersions(targets, now)
+	t.indexTargets()
 }
 
 // Targets returns all known targets.
--- a/router/cmd/cuminrock-router/gateway.go
+++ b/router/cmd/cuminrock-router/gateway.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/platform/contract"
 	"cuminrock.example/platform/directory"
 	"cuminrock.example/platform/ingress"
 	"cuminrock.example/platform/operatorconfig"
@@ -31,6 +32,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
+	contract.Apply(s)
 	log, flush, err := logging.New(s.Log.Level, os.Stdout)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -53,6 +55,7 @@
 // hostingPlatform assembles the hosting platform's services for the gateway.
 func hostingPlatform(client *store.Client, log *zap.Logger) gateway.Platform {
 	pool := exchange.NewPool(time.Now)
+	targets := upstream.New(pool, log, time.Now)
 	return gateway.Platform{
 		Tables:        client,
 		Watcher:       client,
@@ -61,6 +64,7 @@
 		Targets:       gateway.TargetSource{Table: directory.Table, Parse: directory.Parse},
 		Upstream:      upstream.New(pool, log, time.Now),
 		Conns:         pool,
+		Collectors:    targets.Collectors(),
 		NewHandler:    func(g *gateway.Gateway) http.Handler { return ingress.NewHandler(g) },
 		ReadinessPath: ingress.ReadinessPath,
 	}
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
@@ -78,6 +79,8 @@
 	// Upstream sends requests to targets over the connections of Conns.
 	Upstream relay.Upstream
 	Conns    *exchange.Pool
+	// Collectors are metrics of the adapter.
+	Collectors []prometheus.Collector
 	// NewHandler returns the handler of callers' requests.
 	NewHandler func(*Gateway) http.Handler
 	// ReadinessPath is the path of the load balancer's readiness check.
@@ -151,7 +154,9 @@
 	openedAt := time.Now()
 	debug.SetMemoryLimit(int64(settings.MemoryMib) << 20 * memoryPermille / permille)
 	g := &Gateway{settings: settings, platform: p, log: log, registry: prometheus.NewRegistry(), addresses: lis.addresses()}
+	g.registry.MustRegister(p.Collectors...)
 	g.targets = placement.New(settings.DataCentre)
+	g.targets.UseExpectedWork(settings.ExpectedWork, xxhash.Sum64String(settings.Name+incarnation))
 	g.targetCounts = newTargetCounts(g.registry)
 	g.onWithdrawn = g.markCold
 	g.reachability = newReachability(g)
@@ -192,7 +197,8 @@
 	g.startServers(lis)
 	g.startWatching(lis)
 	log.Info("gateway: started.", zap.String("name", settings.Name), zap.String("incarnation", incarnation),
-		zap.String("callers", settings.Doors.Caller), zap.String("store", settings.StoreAddress))
+		zap.String("callers", settings.Doors.Caller), zap.String("store", settings.StoreAddress),
+		zap.Strings("contracts", settings.Contracts), zap.Bool("expected_work", settings.ExpectedWork))
 	return g, nil
 }
 
--- a/router/relay/location.go
+++ b/router/relay/location.go
@@ -15,6 +15,10 @@
 		Version:      p.origin.version,
 		Exclude:      p.triedTargets,
 		Now:          p.relay.Now(),
+
+		MaxOutputTokens: p.Prompt.maxOutputTokens(),
+		Route:           p.route.Name,
+		Workspace:       p.workspaceName(),
 	}
 }
 
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -25,6 +25,11 @@
 	RetriesDenied prometheus.Counter
 	// RefusedByLocation counts requests that no data centre may get.
 	RefusedByLocation prometheus.Counter
+	// Placements counts sends to targets that were picked by expected work, by why the
+	// target was a candidate and whether it is in another data centre.
+	Placements *prometheus.CounterVec
+	// FirstEventRatio is the actual time to the first event over the expected one.
+	FirstEventRatio *prometheus.HistogramVec
 }
 
 // NewMetrics returns metrics that are registered with the registry.
@@ -48,7 +53,12 @@
 		RefusedByLocation: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cuminrock_refused_by_location_total", Help: "Requests refused because no data centre may get them."}),
 	}
-	registry.MustRegister(m.Requests, m.Duration, m.FirstByte, m.Sends, m.Resends, m.Breaks, m.RetriesDenied, m.RefusedByLocation)
+	m.Placements = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cuminrock_placements_total", Help: "Sends to targets that were picked by expected work."}, []string{"choice", "remote"})
+	m.FirstEventRatio = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "cuminrock_first_event_actual_to_expected_ratio", Help: "Actual time to the first event over the expected one.",
+		Buckets: prometheus.ExponentialBuckets(0.125, 2, 9)}, []string{"route"})
+	registry.MustRegister(m.Requests, m.Duration, m.FirstByte, m.Sends, m.Resends, m.Breaks, m.RetriesDenied, m.RefusedByLocation, m.Placements, m.FirstEventRatio)
 	return m
 }
 
