A target whose process has ended counts as cold until its entry tells

A process that starts under the id and at the address of another is cold, and its entry is read up to two seconds later. A refused connection, or an answer that was lost as its target ended, tells the gateway earlier. Targets that appear count as cold until their next entry, no longer for two seconds at least.

--- a/fleet/targetlimit/cold.go
+++ b/fleet/targetlimit/cold.go
@@ -10,8 +10,8 @@
 
 const (
 	// entryDelay is the longest time from when a target writes its entry until a gateway
-	// has read it. What a gateway reads earlier than that after a target's state came into
-	// doubt may have been written before.
+	// has read it. What a gateway reads earlier than that after it has learned of a cold
+	// period from elsewhere may have been written before.
 	entryDelay = 2 * time.Second
 	// coldMargin is added to the time for which a target says that it stays cold: that
 	// time counts down only while there is traffic, and the next entry comes a second
@@ -36,7 +36,7 @@
 	ColdByEntry  ColdCause = "entry"
 	ColdByAnswer ColdCause = "answer"
 	// ColdInDoubt means that the target's state isn't known: it has appeared, its process
-	// or address has changed, or all of its data centre may be cold.
+	// or address has changed, its process has ended, or all of its data centre may be cold.
 	ColdInDoubt ColdCause = "in_doubt"
 )
 
@@ -71,6 +71,9 @@
 	doubtAt, doubtUntil time.Time
 	// answeredAt is when an answer last told of a cold period.
 	answeredAt time.Time
+	// entriesFrom is the time from which on entries that are read were written later than
+	// what is known.
+	entriesFrom time.Time
 	// since is when the target turned cold for this gateway, which may have sent it
 	// requests without permits until then.
 	since time.Time
@@ -173,7 +176,7 @@
 	if t.ColdFor > 0 {
 		until, s.toldAt = now.Add(t.ColdFor+coldMargin), now
 	}
-	if later && now.Sub(s.doubtAt) >= entryDelay && now.Sub(s.answeredAt) >= entryDelay {
+	if later && !now.Before(s.entriesFrom) {
 		s.until, s.doubtAt = until, time.Time{}
 		return
 	}
@@ -193,6 +196,7 @@
 		switch {
 		case coldFor > 0:
 			s.until, s.toldAt, s.answeredAt = now.Add(coldFor+coldMargin), now, now
+			s.entriesFrom = now.Add(entryDelay)
 		case sent.After(s.toldAt) && sent.After(s.doubtAt):
 			s.until, s.doubtAt = time.Time{}, time.Time{}
 		}
@@ -206,12 +210,29 @@
 	var changes []ColdChange
 	for _, s := range b.targets {
 		if s.target.DataCentre == dataCentre {
-			changes = appendChange(changes, s, now, ColdInDoubt, func() { s.doubtAt, s.doubtUntil = now, now.Add(d) })
+			changes = appendChange(changes, s, now, ColdInDoubt, func() { s.doubt(now, now.Add(d)) })
 		}
 	}
 	return changes
 }
 
+// End takes note that a target's process has ended. Another one may be at its address
+// before its entry tells.
+func (b *ColdBook) End(p placement.Process, now time.Time) []ColdChange {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.get(p)
+	if s == nil {
+		return nil
+	}
+	return appendChange(nil, s, now, ColdInDoubt, func() { s.doubt(now, time.Time{}) })
+}
+
+// doubt brings the target's state into doubt, until a time unless that is zero.
+func (s *coldState) doubt(now, until time.Time) {
+	s.doubtAt, s.doubtUntil, s.entriesFrom = now, until, now.Add(entryDelay)
+}
+
 // Heard returns what an answer last told of a target's cold period: how long that still
 // lasts, and how long ago the answer came. It returns false if none told of one.
 func (b *ColdBook) Heard(p placement.Process, now time.Time) (left, age time.Duration, ok bool) {
@@ -234,6 +255,7 @@
 	}
 	return appendChange(nil, s, now, ColdByAnswer, func() {
 		s.until, s.answeredAt, s.toldAt = latest(s.until, now.Add(left)), at, latest(s.toldAt, at)
+		s.entriesFrom = latest(s.entriesFrom, at.Add(entryDelay))
 	})
 }
 
--- a/router/crashwatch/crashwatch.go
+++ b/router/crashwatch/crashwatch.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/quarantine"
 	"cuminrock.example/router/ownrow"
 	"cuminrock.example/router/platformclient"
@@ -36,7 +37,7 @@
 	maxTraitsPerCrash = 32
 )
 
-// Options configures a Watcher. All fields are required.
+// Options configures a Watcher. All fields but Ended are required.
 type Options struct {
 	// Gateway is this gateway's name.
 	Gateway string
@@ -45,9 +46,11 @@
 	// TargetEnded reports whether the process at a target's address has ended: nothing
 	// listens there, and this gateway isn't just cut off.
 	TargetEnded func(ctx context.Context, address string) bool
-	Metrics     *Metrics
-	Log         *zap.Logger
-	Now         func() time.Time
+	// Ended is told of targets whose processes have ended; nil for nobody.
+	Ended   func(placement.Target)
+	Metrics *Metrics
+	Log     *zap.Logger
+	Now     func() time.Time
 }
 
 // Watcher refuses requests and records how answers end. It is safe for concurrent
@@ -188,6 +191,9 @@
 
 func (w *Watcher) recordCrash(l lostAnswer) {
 	w.Metrics.crashes.Inc()
+	if w.Ended != nil {
+		w.Ended(l.Target)
+	}
 	crash := quarantine.Crash{Process: l.Target.Process(), AtMs: l.atMs, SentMs: make(map[quarantine.Trait]int64)}
 	// Without the time, the attempt counts as one that was sent long ago.
 	sentMs, _ := w.platformTime(l.SentAt)
--- a/router/forward/world_test.go
+++ b/router/forward/world_test.go
@@ -283,6 +283,8 @@
 
 func (noLimits) Cold(placement.Target) bool { return false }
 
+func (noLimits) ConnectionRefused(placement.Target) {}
+
 func (noLimits) Answered(placement.Target, placement.Announcement, *placement.Load, time.Time) {}
 
 func (noLimits) Release(placement.Target, targetlimit.Permit, targetlimit.Outcome) {}
--- a/router/relay/limits_test.go
+++ b/router/relay/limits_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,6 +20,7 @@
 type targetLimits struct {
 	permitted map[string]bool
 	cold      map[string]bool
+	ended     []string
 	asked     []string
 	answered  []float64
 	released  []uint64
@@ -31,6 +34,10 @@
 
 func (l *targetLimits) Cold(target placement.Target) bool { return l.cold[target.ID] }
 
+func (l *targetLimits) ConnectionRefused(target placement.Target) {
+	l.ended = append(l.ended, target.ID)
+}
+
 func (l *targetLimits) Release(_ placement.Target, p targetlimit.Permit, o targetlimit.Outcome) {
 	l.released = append(l.released, p.ID)
 	l.outcomes = append(l.outcomes, o)
@@ -69,6 +76,18 @@
 	is.True(len(limits.asked) <= 2)
 }
 
+// A target whose address refuses connections has ended, and a cold one may take its place.
+// One that can't be reached otherwise may be as it was.
+func TestRefusedConnectionTellsThatATargetHasEnded(t *testing.T) {
+	is := is.New(t)
+	limits := &targetLimits{permitted: map[string]bool{"a": true, "b": true, "c": true, "d": true}}
+	out, up := serveLimited(context.Background(), limits,
+		outcome{err: errkind.Wrap(errkind.TargetUnreachable, os.ErrDeadlineExceeded, "cut")},
+		outcome{err: errkind.Wrap(errkind.TargetUnreachable, syscall.ECONNREFUSED, "refused")}, good)
+	is.Equal(out.body, "good")
+	is.Equal(limits.ended, []string{up.sends[1].Target.ID})
+}
+
 // Without any permit the request is refused at once, as not run, and the caller is
 // told when to come back.
 func TestRequestWithoutAnyPermitIsRefused(t *testing.T) {
--- a/router/relay/options.go
+++ b/router/relay/options.go
@@ -81,6 +81,8 @@
 	Acquire(ctx context.Context, target placement.Target, lifetime time.Duration) targetlimit.Permit
 	// Cold reports whether a target counts as cold, which takes few requests.
 	Cold(target placement.Target) bool
+	// ConnectionRefused takes note that a target's address refuses connections.
+	ConnectionRefused(target placement.Target)
 	// Release tells how the request of a permit ended.
 	Release(target placement.Target, p targetlimit.Permit, o targetlimit.Outcome)
 	// Answered records what a target says in an answer to a request that was sent at a
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -138,6 +138,7 @@
 	return targetlimit.Permit{Granted: true}
 }
 func (noLimits) Cold(placement.Target) bool                                                    { return false }
+func (noLimits) ConnectionRefused(placement.Target)                                            {}
 func (noLimits) Answered(placement.Target, placement.Announcement, *placement.Load, time.Time) {}
 func (noLimits) Release(placement.Target, targetlimit.Permit, targetlimit.Outcome)             {}
 
--- a/router/relay/send.go
+++ b/router/relay/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -112,6 +113,9 @@
 	switch failure.Kind {
 	case errkind.TargetUnreachable:
 		result = placement.Unreachable
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			p.relay.Limits.ConnectionRefused(lease.Target())
+		}
 	case errkind.TargetRefused:
 		p.sends++
 		result = placement.Refused
--- a/router/targetlimit/cold.go
+++ b/router/targetlimit/cold.go
@@ -91,6 +91,14 @@
 	l.recordColdChanges(l.cold.Mark(dataCentre, d, l.Now()))
 }
 
+// ConnectionRefused takes note that nothing listens at a target's address, so that its
+// process has ended: it may be replaced by a cold one.
+func (l *Limiter) ConnectionRefused(target placement.Target) {
+	if l.Options.Cold(target.Service).Bound > 0 {
+		l.recordColdChanges(l.cold.End(target.Process(), l.Now()))
+	}
+}
+
 // answeredCold records what a target says in an answer of the time for which it stays
 // cold.
 func (l *Limiter) answeredCold(target placement.Target, said placement.Announcement, sent time.Time) {
