Home regions of routes and workspaces

fleet/location holds regions and home regions; placement, copies of prompt parts and the choice of a gateway that passes a request on obey them. A request whose home regions have no target is refused at once.

--- a/fleet/catalog/catalog.go
+++ b/fleet/catalog/catalog.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cuminrock.example/fleet/location"
 )
 
 // Kind is the type of a request. It determines whether the request may be
@@ -78,6 +80,8 @@
 	MaxAttempts int
 	// Public routes need no API key.
 	Public bool
+	// Homes are the regions whose targets may get the route's requests.
+	Homes location.Homes
 }
 
 // Repeatable reports whether a request of the route may be executed more than
@@ -129,6 +133,8 @@
 	// PrepaidTokens is the total number of tokens that may be consumed; nil means no
 	// limit.
 	PrepaidTokens *int64
+	// Homes are the regions whose targets may get the workspace's requests.
+	Homes location.Homes
 }
 
 // Spec lists the contents of a Catalog.
--- a/fleet/forwarding/forwarding.go
+++ b/fleet/forwarding/forwarding.go
@@ -18,6 +18,7 @@
 
 	"cuminrock.example/fleet/breaker"
 	"cuminrock.example/fleet/home"
+	"cuminrock.example/fleet/location"
 	"cuminrock.example/fleet/mix"
 )
 
@@ -42,6 +43,8 @@
 // Table holds the gateways that may pass requests on. It is safe for concurrent use.
 type Table struct {
 	self home.Gateway
+	// regions are those of the data centres.
+	regions location.Regions
 
 	mu       sync.Mutex
 	gateways map[string]*gatewayState
@@ -56,9 +59,12 @@
 	failedAt time.Time
 }
 
-// New returns a table without gateways.
-func New(self home.Gateway) *Table {
-	return &Table{self: self, gateways: make(map[string]*gatewayState)}
+// New returns a table without gateways, where the regions of data centres aren't known.
+func New(self home.Gateway) *Table { return NewInRegions(self, nil) }
+
+// NewInRegions returns a table without gateways.
+func NewInRegions(self home.Gateway, regions location.Regions) *Table {
+	return &Table{self: self, regions: regions, gateways: make(map[string]*gatewayState)}
 }
 
 // Update replaces the gateways. What is known of them is kept.
@@ -93,13 +99,19 @@
 // if there is none left. The key, such as the request's id, spreads requests; tried are
 // the gateways that were asked before.
 func (t *Table) Pick(key, dataCentre string, tried []home.Gateway, now time.Time) *Offer {
+	return t.PickWithin(nil, key, dataCentre, tried, now)
+}
+
+// PickWithin does the same for a request with home regions, whose body may be sent to
+// gateways in these and in this gateway's own region.
+func (t *Table) PickWithin(homes location.Homes, key, dataCentre string, tried []home.Gateway, now time.Time) *Offer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	hash := t.ranking(key)
 	var best *gatewayState
 	var bestRank rank
 	for _, g := range t.gateways {
-		if slices.Contains(tried, g.Gateway) || !g.breaker.Accepts(now) {
+		if slices.Contains(tried, g.Gateway) || !g.breaker.Accepts(now) || !t.regions.MayCarry(homes, t.self.DataCentre, g.DataCentre) {
 			continue
 		}
 		r := rank{silent: now.Sub(g.failedAt) < failureMemory, tier: t.tier(g.Gateway, dataCentre, tried), weight: mix.RendezvousWeight(hash, g.Name)}
--- a/fleet/location/evacuations.go
+++ b/fleet/location/evacuations.go
@@ -1,5 +1,5 @@
 // Package location decides which data centres may get requests: not those that the
-// operator has evacuated.
+// operator has evacuated, and for requests with home regions only those in one of them.
 //
 // It reads no clock and calls nothing: a gateway passes in the rows that it has read,
 // and passes the result on to its table of targets.
--- a/fleet/placement/location.go
+++ b/fleet/placement/location.go
@@ -36,6 +36,13 @@
 	}
 }
 
+// SetRegions sets the regions of the data centres.
+func (t *Table) SetRegions(regions location.Regions) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.regions = regions
+}
+
 // Evacuated reports whether the data centre is evacuated.
 func (t *Table) Evacuated(dataCentre string) bool {
 	t.mu.Lock()
@@ -43,12 +50,13 @@
 	return t.evacuated.Has(dataCentre)
 }
 
-// RefusedByLocation returns an error of kind NoTarget if the service has targets that
-// would take the request, and none of them is in a data centre that it may be sent to.
+// RefusedByLocation returns an error of kind NoTarget if no target is in a data centre
+// that the request may be sent to. Without home regions, it does so only if the service
+// has targets elsewhere that would take the request.
 func (t *Table) RefusedByLocation(r *Request) *errkind.Error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.evacuated) == 0 {
+	if len(t.evacuated) == 0 && r.Homes == nil {
 		return nil
 	}
 	found := false
@@ -61,6 +69,10 @@
 		}
 		found = true
 	}
+	if r.Homes != nil {
+		return errkind.New(errkind.NoTarget, "the request's home regions have no target for it: [%s]; evacuated data centres: [%s]",
+			strings.Join(r.Homes.Names(), ", "), strings.Join(t.evacuated.Names(), ", ")).WithRetryAfter(locationRetryAfter)
+	}
 	if !found {
 		return nil
 	}
@@ -69,6 +81,6 @@
 }
 
 // locationAllows reports whether the request may be sent to the target's data centre.
-func (t *Table) locationAllows(_ *Request, s *targetState) bool {
-	return !t.evacuated.Has(s.target.DataCentre)
+func (t *Table) locationAllows(r *Request, s *targetState) bool {
+	return !t.evacuated.Has(s.target.DataCentre) && t.regions.Allow(r.Homes, s.target.DataCentre)
 }
--- a/fleet/placement/location_test.go
+++ b/fleet/placement/location_test.go
@@ -111,3 +111,49 @@
 		}
 	}
 }
+
+// Prompt parts of a request with home regions aren't copied from another region, neither
+// from where they were last sent nor from their home in another data centre.
+func TestCopiesStayInTheHomeRegions(t *testing.T) {
+	is := is.New(t)
+	tb := newTable("dc0", 3)
+	tb.SetRegions(location.Regions{"dc0": "eu", "dc1": "us", "dc2": "eu"})
+	r := Request{Service: "s", Affinity: 9, SharedTokens: 1000, PromptTokens: 1000, Now: testNow}
+	r.Homes = location.NewHomes("us")
+	first, err := tb.Pick(&r)
+	is.NoErr(err)
+	is.Equal(first.Target().DataCentre, "dc1")
+	first.Done(OK, testNow)
+	r.Homes = location.NewHomes("eu")
+	second, err := tb.Pick(&r)
+	is.NoErr(err)
+	is.Equal(second.Target().DataCentre, "dc0")
+	is.Equal(second.Source().DataCentre, "dc2")
+	second.Done(OK, testNow)
+	r.Now, r.Homes = testNow.Add(time.Minute), location.NewHomes("us")
+	third, err := tb.Pick(&r)
+	is.NoErr(err)
+	is.Equal(third.Target().DataCentre, "dc1")
+	is.True(third.Source() == nil)
+}
+
+// A request is refused at once if a home region has only targets that are leaving, and
+// told the time of those that asked for quiet.
+func TestRefusalForWantOfAHomeRegion(t *testing.T) {
+	is := is.New(t)
+	tb := newTable("dc0", 3)
+	tb.SetRegions(location.Regions{"dc0": "eu", "dc1": "us"})
+	r := &Request{Service: "s", Homes: location.NewHomes("asia"), Now: testNow}
+	is.Equal(tb.RefusedByLocation(r).Kind, errkind.NoTarget)
+	_, err := tb.Pick(r)
+	is.Equal(errkind.KindOf(err), errkind.NoTarget)
+	r.Homes = location.NewHomes("us")
+	is.True(tb.RefusedByLocation(r) == nil)
+	lease, err := tb.Pick(r)
+	is.NoErr(err)
+	lease.Announce(Announcement{Quiet: 3 * time.Second}, testNow)
+	_, err = tb.Pick(r)
+	is.Equal(errkind.FromError(err).RetryAfter, 3*time.Second)
+	lease.Announce(Announcement{Leaving: true}, testNow)
+	is.Equal(tb.RefusedByLocation(r).RetryAfter, locationRetryAfter)
+}
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/location"
 	"cuminrock.example/fleet/mix"
 )
 
@@ -38,6 +39,8 @@
 	SharedTokens, PromptTokens int64
 	// Version restricts the choice to targets of one version; empty means all.
 	Version string
+	// Homes are the regions whose targets may get the request.
+	Homes location.Homes
 	// Exclude lists the ids of targets that this request has already tried.
 	Exclude []string
 	Now     time.Time
--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -63,6 +63,8 @@
 	failuresForgottenAt time.Time
 	// evacuated are the data centres whose targets get no new requests.
 	evacuated location.DataCentres
+	// regions are those of the data centres.
+	regions location.Regions
 }
 
 // targetState is a target and what the table knows about it.
--- a/router/forward/client.go
+++ b/router/forward/client.go
@@ -156,7 +156,7 @@
 		if c.Evacuated(s.Target.DataCentre) {
 			return nil, errkind.New(errkind.TargetUnreachable, "the target's data centre is evacuated")
 		}
-		offer := c.Gateways.Pick(s.Request.ID, s.Target.DataCentre, tried, c.Now())
+		offer := c.Gateways.PickWithin(s.Homes, s.Request.ID, s.Target.DataCentre, tried, c.Now())
 		if offer == nil {
 			break
 		}
--- a/router/forward/location_test.go
+++ b/router/forward/location_test.go
@@ -136,3 +136,19 @@
 	up, _ = serveForwarded(nil, location.NewDataCentres("c"))
 	is.True(up.received[0].Source == nil) // no copy from an evacuated data centre
 }
+
+// A request with home regions is offered to gateways in its own and in the home regions
+// only, and reaches no target without one.
+func TestOffersStayInTheHomeRegions(t *testing.T) {
+	is := is.New(t)
+	list := gatewaysIn("eu1", "eu2", "us1", "asia1", "unknown")
+	gateways := forwarding.NewInRegions(list[0], location.Regions{"eu1": "eu", "eu2": "eu", "us1": "us", "asia1": "asia"})
+	gateways.Update(list)
+	peers := &silentPeers{onOffer: func() {}}
+	c := cutClient(peers, func(string) bool { return false }, list)
+	c.Gateways = gateways
+	s := &relay.UpstreamRequest{Request: &relay.Request{ID: "1"}, Target: placement.Target{DataCentre: "asia1"}, Deadline: time.Now().Add(time.Second), Homes: location.NewHomes("asia")}
+	_, err := c.Send(context.Background(), s)
+	is.Equal(errkind.KindOf(err), errkind.TargetUnreachable)
+	is.Equal(peers.offered, []string{"asia1", "eu2"})
+}
--- a/router/gateway/forwarder.go
+++ b/router/gateway/forwarder.go
@@ -51,7 +51,7 @@
 
 func newForwarder(g *Gateway) *forwarder {
 	conns := forward.NewConns()
-	gateways := forwarding.New(home.Gateway{Name: g.settings.Name, DataCentre: g.settings.DataCentre})
+	gateways := forwarding.NewInRegions(home.Gateway{Name: g.settings.Name, DataCentre: g.settings.DataCentre}, g.settings.DataCentreRegions)
 	metrics := forward.NewMetrics(g.registry)
 	return &forwarder{
 		gateways: gateways, conns: conns,
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -152,6 +152,7 @@
 	debug.SetMemoryLimit(int64(settings.MemoryMib) << 20 * memoryPermille / permille)
 	g := &Gateway{settings: settings, platform: p, log: log, registry: prometheus.NewRegistry(), addresses: lis.addresses()}
 	g.targets = placement.New(settings.DataCentre)
+	g.targets.SetRegions(settings.DataCentreRegions)
 	g.targetCounts = newTargetCounts(g.registry)
 	g.onWithdrawn = func(string) {}
 	g.reachability = newReachability(g)
@@ -192,7 +193,8 @@
 	g.startServers(lis)
 	g.startWatching(lis)
 	log.Info("gateway: started.", zap.String("name", settings.Name), zap.String("incarnation", incarnation),
-		zap.String("callers", settings.Doors.Caller), zap.String("store", settings.StoreAddress))
+		zap.String("callers", settings.Doors.Caller), zap.String("store", settings.StoreAddress),
+		zap.Any("data_centre_regions", settings.DataCentreRegions))
 	return g, nil
 }
 
--- a/router/relay/location.go
+++ b/router/relay/location.go
@@ -13,6 +13,7 @@
 		SharedTokens: p.Prompt.sharedTokens(),
 		PromptTokens: p.Prompt.inputTokens(),
 		Version:      p.origin.version,
+		Homes:        p.homes(),
 		Exclude:      p.triedTargets,
 		Now:          p.relay.Now(),
 	}
--- a/router/relay/location_test.go
+++ b/router/relay/location_test.go
@@ -59,3 +59,38 @@
 	is.Equal(len(up.sends), 0)
 	is.Equal(len(limits.released), 1)
 }
+
+// Home regions hold for the first send, for a further one and for a stream that goes on,
+// and are told to the upstream, which may pass the request on.
+func TestSendsObeyHomeRegions(t *testing.T) {
+	is := is.New(t)
+	up := &upstream{outcomes: []outcome{{status: 200, body: "id: 1\n\n", truncated: true}, {status: 200, body: "id: 2\n\n"}}}
+	r := newRelay(&catalog.Route{Kind: catalog.Stream, Resumable: true, MaxAttempts: 3, Homes: location.NewHomes("eu")}, up)
+	r.Targets.Update([]placement.Target{{ID: "a", Service: "s", Version: "v1", DataCentre: "us1"}, {ID: "b", Service: "s", Version: "v1", DataCentre: "eu1"},
+		{ID: "c", Service: "s", Version: "v1", DataCentre: "unknown"}, {ID: "d", Service: "s", Version: "v1", DataCentre: "eu1"}}, time.Now())
+	r.Targets.SetRegions(location.Regions{"us1": "us", "eu1": "eu"})
+	out := serveWith(context.Background(), r, &Request{ID: "1"})
+	is.Equal(out.body, "id: 1\n\nid: 2\n\n")
+	is.Equal(len(up.sends), 2)
+	for _, s := range up.sends {
+		is.Equal(s.Target.DataCentre, "eu1")
+		is.Equal(s.Homes.Names(), []string{"eu"})
+	}
+}
+
+// Route and workspace both have home regions, without one in common.
+func TestRequestWithoutACommonHomeRegionIsRefused(t *testing.T) {
+	is := is.New(t)
+	up := &upstream{outcomes: []outcome{good}}
+	r := newRelay(&catalog.Route{Kind: catalog.AtMostOnce, MaxAttempts: 2}, up)
+	r.Targets.SetRegions(location.Regions{"": "eu"})
+	route := &catalog.Route{Name: "r", Host: "h", Prefix: "/", MaxAttempts: 1, Shares: []catalog.Share{{Service: "s", Weight: 1}}, Homes: location.NewHomes("eu")}
+	c := catalog.New(catalog.Spec{Version: 1, Routes: []*catalog.Route{route}, Services: []*catalog.Service{{Name: "s"}}, Workspaces: []*catalog.Workspace{
+		{Name: "w", Keys: []string{"w"}, Homes: location.NewHomes("us")}, {Name: "v", Keys: []string{"v"}, Homes: location.NewHomes("us", "eu")}}})
+	r.Catalog = func() *catalog.Catalog { return c }
+	out := serveWith(context.Background(), r, &Request{ID: "1", Key: "w"})
+	is.Equal(out.refused.Kind, errkind.NoTarget)
+	is.True(out.refused.RetryAfter > 0)
+	is.Equal(len(up.sends), 0)
+	is.Equal(serveWith(context.Background(), r, &Request{ID: "2", Key: "v"}).body, "good")
+}
--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -176,6 +176,9 @@
 		fields = append(fields, zap.String("route", p.route.Name), zap.String("workspace", p.workspaceName()),
 			zap.Stringer("fingerprint", p.fingerprint), zap.Uint64("config", p.catalog.Version), zap.Int64("events", p.events), zap.Int64("consumed", p.consumedTokens), zap.Duration("first_byte", p.firstByte))
 	}
+	if p.admittedRequest != nil && p.homes() != nil {
+		fields = append(fields, zap.Strings("home_regions", p.homes().Names()))
+	}
 	if req.ResumeAfter != "" {
 		fields = append(fields, zap.String("resumes", req.Resumes), zap.String("resume_after", req.ResumeAfter))
 	}
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -10,6 +10,7 @@
 
 	"cuminrock.example/fleet/catalog"
 	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/location"
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/quarantine"
 )
@@ -157,6 +158,8 @@
 	// ResumeAfter is the id of the last event that the caller has received; empty
 	// for none.
 	ResumeAfter string
+	// Homes are the regions whose targets may get the request.
+	Homes location.Homes
 }
 
 // UpstreamResponse is a target's response, whose body is still to be read. It must
@@ -208,6 +211,15 @@
 	deadline  time.Time
 }
 
+// homes returns the regions whose targets may get the request: those that its route and
+// its workspace both allow.
+func (a *admittedRequest) homes() location.Homes {
+	if a.workspace == nil {
+		return a.route.Homes
+	}
+	return a.route.Homes.And(a.workspace.Homes)
+}
+
 // priority returns the priority sent to targets, nil for a request without a prompt.
 // The workspace's priority takes precedence over the route's.
 func (a *admittedRequest) priority() *int {
--- a/router/relay/send.go
+++ b/router/relay/send.go
@@ -84,6 +84,7 @@
 
 		PromptTokens: p.Prompt.inputTokens(),
 		Repeatable:   p.route.Repeatable(),
+		Homes:        p.homes(),
 	})
 	if err != nil {
 		return nil, p.handleSendFailure(ctx, lease, sent, err)
--- a/router/settings/gateway_test.go
+++ b/router/settings/gateway_test.go
@@ -16,6 +16,12 @@
 	is.NoErr(err)
 	is.Equal(s.Times.StopS, 8.0)
 	is.Equal(s.Log.Level, "info")
+	is.Equal(len(s.DataCentreRegions), 0)
+	for value, want := range map[string]string{`null`: "", `{}`: "", `{"z":"eu"}`: "eu"} {
+		s, err = ParseGateway([]byte(strings.Replace(validGatewaySettings, `"memory_mib"`, `"data_centre_regions":`+value+`,"memory_mib"`, 1)))
+		is.NoErr(err)
+		is.Equal(s.DataCentreRegions["z"], want)
+	}
 }
 
 func TestFaultsOfGatewaySettingsAreNamed(t *testing.T) {
