Resumed streams are refused by location before their origin is looked up

The lookup may take half a second. A stream whose version has targets only in evacuated data centres, or in none of its home regions, is refused before tokens are reserved. Both checks taken out make TestResumedStreamIsRefusedWhileItsVersionIsEvacuated fail.

--- a/router/relay/location.go
+++ b/router/relay/location.go
@@ -20,9 +20,10 @@
 }
 
 // refuseByLocation refuses a request that no data centre may get. It is called before
-// tokens are reserved, which may take a while.
+// the origin of a stream is looked up and tokens are reserved, which may take a while, and
+// again once the version is known that a stream needs.
 func (p *proxiedRequest) refuseByLocation() *errkind.Error {
-	refusal := p.relay.Targets.RefusedByLocation(p.placementRequest())
+	refusal := p.relay.Targets.RefusedByLocation(&placement.Request{Service: p.service.Name, Version: p.origin.version, Homes: p.homes()})
 	if refusal != nil {
 		p.relay.Metrics.RefusedByLocation.Inc()
 	}
--- a/router/relay/location_test.go
+++ b/router/relay/location_test.go
@@ -11,6 +11,7 @@
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/location"
 	"cuminrock.example/fleet/placement"
+	"cuminrock.example/fleet/streamorigin"
 	"cuminrock.example/fleet/targetlimit"
 	"cuminrock.example/router/prepaid"
 )
@@ -94,3 +95,36 @@
 	is.Equal(len(up.sends), 0)
 	is.Equal(serveWith(context.Background(), r, &Request{ID: "2", Key: "v"}).body, "good")
 }
+
+// unhurriedOrigins fails the test when the origin of a stream is looked up.
+type unhurriedOrigins struct {
+	originLog
+	t *testing.T
+}
+
+func (o *unhurriedOrigins) Version(context.Context, streamorigin.Stream) (string, bool) {
+	o.t.Error("the origin was looked up")
+	return "", false
+}
+
+// A resumed stream counts as new: it is refused without a look at its origin, and without
+// a reservation if only other versions have targets elsewhere.
+func TestResumedStreamIsRefusedWhileItsVersionIsEvacuated(t *testing.T) {
+	is := is.New(t)
+	up := &upstream{outcomes: []outcome{good}}
+	r := newRelay(&catalog.Route{Kind: catalog.Stream, Resumable: true, MaxAttempts: 2}, up)
+	r.Budgets = noReservations{t}
+	r.Origins = &originLog{versions: map[streamorigin.Stream]string{streamorigin.StreamOf("", "1"): "v1"}}
+	r.Targets.Update([]placement.Target{{ID: "a", Service: "s", Version: "v1", DataCentre: "x"}, {ID: "b", Service: "s", Version: "v2", DataCentre: "y"}}, time.Now())
+	r.Targets.SetEvacuated(location.NewDataCentres("x"), time.Now())
+	resumed := func() *Request {
+		return &Request{ID: "2", Resumes: "1", ResumeAfter: "5", Prompt: &Prompt{InputTokens: 1, MaxOutputTokens: 1}}
+	}
+	out := serveWith(context.Background(), r, resumed())
+	is.Equal(out.refused.Kind, errkind.NoTarget)
+	r.Origins = &unhurriedOrigins{t: t}
+	r.Targets.SetEvacuated(location.NewDataCentres("x", "y"), time.Now())
+	out = serveWith(context.Background(), r, resumed())
+	is.Equal(out.refused.Kind, errkind.NoTarget)
+	is.Equal(len(up.sends), 0)
+}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -101,14 +101,20 @@
 	if err != nil {
 		return err
 	}
-	err = p.findOrigin(ctx)
+	err = p.refuseByLocation()
 	if err != nil {
 		return err
 	}
-	err = p.refuseByLocation()
+	err = p.findOrigin(ctx)
 	if err != nil {
 		return err
 	}
+	if p.origin.version != "" {
+		err = p.refuseByLocation()
+		if err != nil {
+			return err
+		}
+	}
 	r.Retries.ForService(a.service.Name).Deposit()
 	reservation, err := r.reserve(ctx, a)
 	if err != nil {
