--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -71,6 +71,8 @@
 	evacuated location.DataCentres
 	// work is the state of the placement by expected work.
 	work *expectedWork
+	// regions are those of the data centres.
+	regions location.Regions
 }
 
 // targetState is a target and what the table knows about it.
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -157,6 +157,7 @@
 	g.registry.MustRegister(p.Collectors...)
 	g.targets = placement.New(settings.DataCentre)
 	g.targets.UseExpectedWork(settings.ExpectedWork, xxhash.Sum64String(settings.Name+incarnation))
+	g.targets.SetRegions(settings.DataCentreRegions)
 	g.targetCounts = newTargetCounts(g.registry)
 	g.onWithdrawn = g.markCold
 	g.reachability = newReachability(g)
@@ -198,7 +199,8 @@
 	g.startWatching(lis)
 	log.Info("gateway: started.", zap.String("name", settings.Name), zap.String("incarnation", incarnation),
 		zap.String("callers", settings.Doors.Caller), zap.String("store", settings.StoreAddress),
-		zap.Strings("contracts", settings.Contracts), zap.Bool("expected_work", settings.ExpectedWork))
+		zap.Strings("contracts", settings.Contracts), zap.Bool("expected_work", settings.ExpectedWork),
+		zap.Any("data_centre_regions", settings.DataCentreRegions))
 	return g, nil
 }
 
--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -187,6 +187,9 @@
 	if p.decision.Choice != placement.ChoiceNone {
 		fields = append(fields, zap.Object("placement", loggedDecision(p.decision)), zap.Duration("actual_first_event", p.actualFirstEvent))
 	}
+	if p.admittedRequest != nil && p.homes() != nil {
+		fields = append(fields, zap.Strings("home_regions", p.homes().Names()))
+	}
 	if req.ResumeAfter != "" {
 		fields = append(fields, zap.String("resumes", req.Resumes), zap.String("resume_after", req.ResumeAfter))
 	}
--- a/router/settings/gateway_test.go
+++ b/router/settings/gateway_test.go
@@ -18,6 +18,12 @@
 	is.Equal(s.Log.Level, "info")
 	is.Equal(s.ColdOvershoot, 1.0) // the safest choice
 	is.Equal(s.ColdStartSlack, 0.0)
+	is.Equal(len(s.DataCentreRegions), 0)
+	for value, want := range map[string]string{`null`: "", `{}`: "", `{"z":"eu"}`: "eu"} {
+		s, err = ParseGateway([]byte(strings.Replace(validGatewaySettings, `"memory_mib"`, `"data_centre_regions":`+value+`,"memory_mib"`, 1)))
+		is.NoErr(err)
+		is.Equal(s.DataCentreRegions["z"], want)
+	}
 }
 
 func TestFaultsOfGatewaySettingsAreNamed(t *testing.T) {
