Estimates aren't random and are known from a data centre's reports

A gateway that sends 1 in 31 of the requests hears from each target every few seconds, so that an estimate from the best target's own report was mostly unknown.

--- a/fleet/placement/expectedwork.go
+++ b/fleet/placement/expectedwork.go
@@ -14,9 +14,9 @@
 	// maxPrefixes bounds the number of prompt prefixes of a service about which something
 	// is known; all are forgotten when there are more.
 	maxPrefixes = 4096
-	// prefixShareMemory is the time over which the share of a prefix in the service's
-	// requests is measured.
-	prefixShareMemory = 5 * time.Second
+	// countMemory is the time over which the share of a prefix in the service's requests,
+	// and the reports of a data centre, are counted.
+	countMemory = 5 * time.Second
 )
 
 // expectedWork is the state of the placement by expected work. The lock of its table
@@ -72,6 +72,8 @@
 type dataCentreWork struct {
 	// requests is the mean number of requests at a target, by reports.
 	requests levelEstimate
+	// reports is the number of recent reports.
+	reports decayingCount
 	// path is how much longer a first event takes to arrive from there than from the
 	// router's own data centre, in ms.
 	path workmodel.Mean
@@ -104,7 +106,7 @@
 	l.at = now
 }
 
-// decayingCount counts events, which fade over prefixShareMemory.
+// decayingCount counts events, which fade over countMemory.
 type decayingCount struct {
 	count float64
 	at    workmodel.Instant
@@ -116,7 +118,7 @@
 }
 
 func (c *decayingCount) value(now workmodel.Instant) float64 {
-	return c.count * workmodel.Fading(now.Sub(c.at), prefixShareMemory)
+	return c.count * workmodel.Fading(now.Sub(c.at), countMemory)
 }
 
 func newExpectedWork() *expectedWork {
--- a/fleet/placement/work_test.go
+++ b/fleet/placement/work_test.go
@@ -267,6 +267,16 @@
 	report(Load{Running: 10, Waiting: 30, Slots: 10})
 	busy := tb.Estimate(r)
 	is.True(busy.SlotFree > time.Second && busy.FirstEvent > busy.SlotFree)
+	is.Equal(tb.Estimate(r), busy) // it isn't random
+	// Reports of other targets of the data centre stand in for those of the best one.
+	for i := range 2 * minDataCentreReports {
+		for _, id := range []string{"t3", "t1", "t2"} {
+			l := &Lease{table: tb, state: tb.byID[id]}
+			l.ReportLoad(Load{Running: 10, Waiting: 30, Slots: 10}, testNow.Add(3*time.Second+time.Duration(i)*time.Millisecond))
+		}
+	}
+	is.True(tb.Estimate(&Request{Service: "s", Exclude: []string{"t1", "t2", "t3", "t4", "t5"}, Now: testNow.Add(3 * time.Second)}).Known)
+	is.True(!tb.Estimate(&Request{Service: "s", Now: testNow.Add(6 * time.Second)}).Known)
 }
 
 // A pick at 600 targets must take at most 2 microseconds.
--- a/fleet/placement/workcost.go
+++ b/fleet/placement/workcost.go
@@ -84,6 +84,8 @@
 	copying                    float64
 	// reportMemory is the time in which a report gives way to the mean.
 	reportMemory time.Duration
+	// noRandom leaves out the random part of what isn't known.
+	noRandom bool
 }
 
 // newPricing prepares the comparison of candidates. It returns a value, so that a pick
@@ -178,7 +180,10 @@
 	c := workCandidate{state: s, choice: choice, factor: s.work.speed.Factor(now)}
 	p.priceReading(&c)
 	expected, spread := s.expectedRequests(p.reportMemory, now)
-	requests := max(expected+spread*p.table.work.uniform(), float64(s.inFlight))
+	requests := expected
+	if !p.noRandom {
+		requests = max(expected+spread*p.table.work.uniform(), float64(s.inFlight))
+	}
 	c.requests = expected
 	slots := p.slots(s)
 	c.slotWait = c.factor * slotWait(requests, spread, slots, model.Duration())
--- a/fleet/placement/worklearn.go
+++ b/fleet/placement/worklearn.go
@@ -96,6 +96,7 @@
 	}
 	s.work.requests.observe(requests, targetLevelWeight, at)
 	s.work.dataCentre.known.requests.observe(forMeans, dataCentreLevelWeight, at)
+	s.work.dataCentre.known.reports.add(at)
 	svc.requests.observe(forMeans, serviceLevelWeight, at)
 }
 
