--- a/fleet/placement/expectedwork.go
+++ b/fleet/placement/expectedwork.go
@@ -27,7 +27,7 @@
 	// seed and draws make the choice among equals differ between gateways and picks.
 	seed, draws uint64
 	services    map[string]*workService
-	outputs     *workmodel.Outputs
+	outputs     workmodel.Outputs
 	// candidates is reused by each pick.
 	candidates []workCandidate
 }
@@ -121,10 +121,6 @@
 	return c.count * workmodel.Fading(now.Sub(c.at), countMemory)
 }
 
-func newExpectedWork() *expectedWork {
-	return &expectedWork{services: make(map[string]*workService), outputs: workmodel.NewOutputs()}
-}
-
 // UseExpectedWork sets whether all services are placed by expected work, and not only
 // those whose targets report how long work takes there at the moment. The seed differs
 // between routers, so that they don't all choose the same among equal targets.
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -81,15 +81,19 @@
 func (t *Table) Pick(r *Request) (*Lease, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if svc := t.placedByWork(r.Service, r.Now); svc != nil {
-		return t.pickByWork(svc, r)
+	if l := t.pickByWork(r); l != nil {
+		return l, nil
 	}
 	candidates := t.candidates(r, true)
 	if len(candidates) == 0 {
 		candidates = t.candidates(r, false)
 	}
 	if len(candidates) == 0 {
-		return nil, t.noTarget(r)
+		retryAfter := t.untilAccepting(r.Service, r.Now)
+		if retryAfter == 0 {
+			retryAfter = noTargetRetryAfter
+		}
+		return nil, errkind.New(errkind.NoTarget, "no target of the service accepts new requests").WithRetryAfter(retryAfter)
 	}
 	s, preferred := t.choose(candidates, r)
 	pendingPromptTokens := r.PromptTokens
@@ -101,15 +105,6 @@
 	return l, nil
 }
 
-// noTarget returns the error of a request that no target may get.
-func (t *Table) noTarget(r *Request) error {
-	retryAfter := t.untilAccepting(r.Service, r.Now)
-	if retryAfter == 0 {
-		retryAfter = noTargetRetryAfter
-	}
-	return errkind.New(errkind.NoTarget, "no target of the service accepts new requests").WithRetryAfter(retryAfter)
-}
-
 // Take returns a slot at one process of a target, for a request that another router
 // passes on. It reports false if the process isn't listed, is leaving or asked for
 // quiet. Limits are the other router's concern.
--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -50,7 +50,9 @@
 type Table struct {
 	dataCentre string
 
-	mu          sync.Mutex
+	mu sync.Mutex
+	// work is the state of the placement by expected work.
+	work        expectedWork
 	services    map[string][]*targetState
 	byID        map[string]*targetState
 	dataCentres map[string]*dataCentreState
@@ -63,8 +65,6 @@
 	// failuresForgottenAt is the time up to which failures of requests say nothing about
 	// their targets.
 	failuresForgottenAt time.Time
-	// work is the state of the placement by expected work.
-	work *expectedWork
 }
 
 // targetState is a target and what the table knows about it.
@@ -99,7 +99,7 @@
 
 // New returns a table without targets for a router in the given data centre.
 func New(dataCentre string) *Table {
-	return &Table{dataCentre: dataCentre, services: make(map[string][]*targetState), byID: make(map[string]*targetState), dataCentres: make(map[string]*dataCentreState), lastPlacement: make(map[uint64]placementRecord), past: make(map[Process]pastTarget), versions: make(map[string]map[string]time.Time), work: newExpectedWork()}
+	return &Table{dataCentre: dataCentre, services: make(map[string][]*targetState), byID: make(map[string]*targetState), dataCentres: make(map[string]*dataCentreState), lastPlacement: make(map[uint64]placementRecord), past: make(map[Process]pastTarget), versions: make(map[string]map[string]time.Time)}
 }
 
 // Update replaces the list of targets. A target whose process still runs at the
--- a/fleet/placement/workcost.go
+++ b/fleet/placement/workcost.go
@@ -127,7 +127,7 @@
 // offerSource takes a target as a source if it may be used and is likelier than those
 // found before.
 func (p *pricing) offerSource(s *targetState) {
-	if s == p.source || p.table.byID[s.target.ID] != s || !p.table.available(s, p.r.Now) {
+	if s == p.source || !p.table.mayCopyFrom(p.r, s) {
 		return
 	}
 	chance := p.cachedChance(s)
--- a/fleet/placement/workindex.go
+++ b/fleet/placement/workindex.go
@@ -43,6 +43,9 @@
 // indexTargets builds the lists of targets by data centre. What is known of services and
 // data centres is kept.
 func (t *Table) indexTargets() {
+	if t.work.services == nil {
+		t.work.services = make(map[string]*workService)
+	}
 	for name, svc := range t.work.services {
 		if t.services[name] == nil {
 			delete(t.work.services, name)
--- a/fleet/placement/workpick.go
+++ b/fleet/placement/workpick.go
@@ -65,12 +65,17 @@
 	ReportAge    time.Duration
 }
 
-// pickByWork returns a slot at the candidate with the lowest expected cost.
-func (t *Table) pickByWork(svc *workService, r *Request) (*Lease, error) {
+// pickByWork returns a slot at the candidate with the lowest expected cost; nil if the
+// service isn't placed by expected work, or no target may get the request.
+func (t *Table) pickByWork(r *Request) *Lease {
+	svc := t.placedByWork(r.Service, r.Now)
+	if svc == nil {
+		return nil
+	}
 	p := t.newPricing(svc, r)
 	best, found := t.cheapest(&p)
 	if !found {
-		return nil, t.noTarget(r)
+		return nil
 	}
 	l := t.lease(best.state, int64(best.unread), r.Now)
 	l.affinity, l.source = r.Affinity, nil
@@ -84,7 +89,7 @@
 	if p.prefix != nil {
 		p.prefix.recordSend(best.state, p.now)
 	}
-	return l, nil
+	return l
 }
 
 // cheapest returns the candidate with the lowest cost; false if no target may get the
@@ -160,7 +165,7 @@
 func (t *Table) draw(p *pricing, dc *workDataCentre, draws int) {
 	for i := range draws {
 		if i < draws-1 || !dc.local {
-			if s := dc.randomUsed(t.work, p.now); s != nil && t.consider(p, s, ChoiceUsed) {
+			if s := dc.randomUsed(&t.work, p.now); s != nil && t.consider(p, s, ChoiceUsed) {
 				continue
 			}
 		}
@@ -183,7 +188,7 @@
 // consider adds a target to the candidates if it may get the request, is available and
 // isn't one yet. It reports whether the target is a candidate.
 func (t *Table) consider(p *pricing, s *targetState, choice Choice) bool {
-	if !p.r.allows(s) || !s.acceptsNew(p.r.Now) || !t.available(s, p.r.Now) {
+	if !t.mayGet(p.r, s) || !t.available(s, p.r.Now) {
 		return false
 	}
 	for i := range t.work.candidates {
@@ -195,6 +200,17 @@
 	return true
 }
 
+// mayGet reports whether the target may get the request.
+func (t *Table) mayGet(r *Request, s *targetState) bool {
+	return r.allows(s) && s.acceptsNew(r.Now)
+}
+
+// mayCopyFrom reports whether the request's target may copy cached parts from this one,
+// which may be leaving.
+func (t *Table) mayCopyFrom(r *Request, s *targetState) bool {
+	return t.byID[s.target.ID] == s && t.available(s, r.Now)
+}
+
 // collectAll fills the list of candidates with all targets that may get the request, if
 // the drawn ones may not; unavailable ones only if no other is left.
 func (t *Table) collectAll(p *pricing) {
--- a/fleet/workmodel/outputs.go
+++ b/fleet/workmodel/outputs.go
@@ -9,8 +9,8 @@
 	Error float64
 }
 
-// Outputs learns the number of output tokens by route and workspace. It isn't safe for
-// concurrent use.
+// Outputs learns the number of output tokens by route and workspace. The zero value
+// has no observations. It isn't safe for concurrent use.
 type Outputs struct {
 	byKey map[outputKey]*outputRecord
 }
@@ -37,9 +37,6 @@
 	maxOutputKeys = 4096
 )
 
-// NewOutputs returns a model without observations.
-func NewOutputs() *Outputs { return &Outputs{byKey: make(map[outputKey]*outputRecord)} }
-
 // Expect returns the expected output of a request that declares the most tokens that
 // it can get; 0 if it declares none.
 func (o *Outputs) Expect(route, workspace string, declared int64) Output {
@@ -73,8 +70,8 @@
 func (o *Outputs) observe(key outputKey, tokens float64) {
 	r := o.byKey[key]
 	if r == nil {
-		if len(o.byKey) >= maxOutputKeys {
-			clear(o.byKey)
+		if o.byKey == nil || len(o.byKey) >= maxOutputKeys {
+			o.byKey = make(map[outputKey]*outputRecord)
 		}
 		r = &outputRecord{mean: tokens}
 		o.byKey[key] = r
--- a/fleet/workmodel/workmodel_test.go
+++ b/fleet/workmodel/workmodel_test.go
@@ -36,7 +36,7 @@
 // for learned ones.
 func TestOutputIsLearnedByRouteAndWorkspace(t *testing.T) {
 	is := is.New(t)
-	o := NewOutputs()
+	var o Outputs
 	is.Equal(o.Expect("r", "w", 400), Output{Tokens: 200, Error: 200})
 	for range 100 {
 		o.Observe("r", "w", 300)
@@ -53,7 +53,7 @@
 // route have become longer.
 func TestOutputFollowsLongerAnswers(t *testing.T) {
 	is := is.New(t)
-	o := NewOutputs()
+	var o Outputs
 	for range 100 {
 		o.Observe("r", "w", 40)
 	}
