--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -143,7 +143,7 @@
 func (t *Table) candidates(r *Request, healthy bool) []*targetState {
 	var candidates []*targetState
 	for _, s := range t.services[r.Service] {
-		if !r.allows(s) || !s.acceptsNew(r.Now) {
+		if !t.mayGet(r, s) {
 			continue
 		}
 		if healthy && !t.available(s, r.Now) {
@@ -154,6 +154,12 @@
 	return candidates
 }
 
+// mayGet reports whether the target may get the request at all, also while it is
+// unavailable.
+func (t *Table) mayGet(r *Request, s *targetState) bool {
+	return r.allows(s) && s.acceptsNew(r.Now)
+}
+
 // allows reports whether the request may be sent to the target.
 func (r *Request) allows(s *targetState) bool {
 	return (r.Version == "" || s.target.Version == r.Version) && !slices.Contains(r.Exclude, s.target.ID)
--- a/fleet/placement/workpick.go
+++ b/fleet/placement/workpick.go
@@ -200,11 +200,6 @@
 	return true
 }
 
-// mayGet reports whether the target may get the request.
-func (t *Table) mayGet(r *Request, s *targetState) bool {
-	return r.allows(s) && s.acceptsNew(r.Now)
-}
-
 // mayCopyFrom reports whether the request's target may copy cached parts from this one,
 // which may be leaving.
 func (t *Table) mayCopyFrom(r *Request, s *targetState) bool {
