--- a/fleet/placement/datacentre.go
+++ b/fleet/placement/datacentre.go
@@ -53,6 +53,11 @@
 	return s.inFlight >= silenceMinRequests && now.Sub(s.silentSince) > silenceLimit
 }
 
+// accepts reports whether the data centre is neither suspect nor silent.
+func (s *dataCentreState) accepts(now time.Time) bool {
+	return s.health.Accepts(now) && !s.silent(now)
+}
+
 // recordResponse records a response from the data centre.
 func (s *dataCentreState) recordResponse(now time.Time) {
 	s.unreachableCount = 0
--- a/fleet/placement/expectedwork.go
+++ b/fleet/placement/expectedwork.go
@@ -64,8 +64,9 @@
 	// known is kept over changes of the list of targets.
 	known *dataCentreWork
 	// level is the number of requests that a target is expected to have of which nothing
-	// is known, as of the last pick.
-	level float64
+	// is known, and accepts whether the data centre is available, as of the last pick.
+	level   float64
+	accepts bool
 }
 
 // dataCentreWork is what is known of a service's targets in a data centre as a whole.
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -168,8 +168,12 @@
 // available reports whether neither the target nor its data centre is suspect,
 // the target has not just refused a request, and the data centre isn't silent.
 func (t *Table) available(s *targetState, now time.Time) bool {
-	dc := t.dataCentreState(s.target.DataCentre)
-	return s.health.Accepts(now) && !now.Before(s.refusedUntil) && dc.health.Accepts(now) && !dc.silent(now)
+	return s.accepts(now) && t.dataCentreState(s.target.DataCentre).accepts(now)
+}
+
+// accepts reports whether the target isn't suspect and has not just refused a request.
+func (s *targetState) accepts(now time.Time) bool {
+	return s.health.Accepts(now) && !now.Before(s.refusedUntil)
 }
 
 // choose picks one of the candidates. It also returns the preferred target for
--- a/fleet/placement/workcost.go
+++ b/fleet/placement/workcost.go
@@ -92,7 +92,7 @@
 // allocates nothing for it.
 func (t *Table) newPricing(svc *workService, r *Request) pricing {
 	p := pricing{table: t, svc: svc, r: r, now: workmodel.At(r.Now), prefix: svc.prefix(r.Affinity), reportMemory: svc.reportMemory()}
-	svc.updateLevels(p.now)
+	p.updateDataCentres()
 	p.output = t.work.outputs.Expect(r.Route, r.Workspace, r.MaxOutputTokens)
 	if p.prefix != nil {
 		p.share = p.prefix.sends.value(p.now) / max(svc.sends.value(p.now), 1)
@@ -109,7 +109,9 @@
 // which this router sent them, then the first ranked ones of the data centres.
 func (p *pricing) findSources() {
 	for i := len(p.prefix.holders) - 1; i >= 0; i-- {
-		p.offerSource(p.prefix.holders[i].state)
+		if s := p.prefix.holders[i].state; p.table.byID[s.target.ID] == s {
+			p.offerSource(s)
+		}
 	}
 	for _, ranked := range p.prefix.replicas {
 		if p.second != nil && p.secondChance > homeLikelihood {
@@ -124,7 +126,7 @@
 	}
 }
 
-// offerSource takes a target as a source if it may be used and is likelier than those
+// offerSource takes a listed target as a source if it may be used and is likelier than those
 // found before.
 func (p *pricing) offerSource(s *targetState) {
 	if s == p.source || !p.table.mayCopyFrom(p.r, s) {
@@ -174,11 +176,11 @@
 	return p.r.Now.Sub(s.registeredAt) <= cacheFillTime
 }
 
-// price returns a candidate with its expected costs.
-func (p *pricing) price(s *targetState, choice Choice) workCandidate {
-	now, model := p.now, p.svc.model
-	c := workCandidate{state: s, choice: choice, factor: s.work.speed.Factor(now)}
-	p.priceReading(&c)
+// price sets the expected costs of a candidate that has its target and choice.
+func (p *pricing) price(c *workCandidate) {
+	s, now, model := c.state, p.now, p.svc.model
+	c.factor = s.work.speed.Factor(now)
+	p.priceReading(c)
 	expected, spread := s.expectedRequests(p.reportMemory, now)
 	requests := expected
 	if !p.noRandom {
@@ -196,11 +198,10 @@
 	c.ahead = float64(max(s.pendingPromptTokens, 0)) + unreadOthers*model.Unread()
 	c.firstEvent = c.factor*(model.BaseTime()+model.ReadTime(c.ahead+c.unread)) + c.slotWait + c.copying
 	c.firstEvent += p.pathCost(s)
-	c.cost = c.firstEvent + p.effectOnOthers(&c, requests, slots)
+	c.cost = c.firstEvent + p.effectOnOthers(c, requests, slots)
 	if !s.recentlyUsed(now) {
 		c.cost += connectCost
 	}
-	return c
 }
 
 // priceReading sets the tokens to be read, and the source and time of a copy.
@@ -255,10 +256,13 @@
 	return float64(p.svc.slots)
 }
 
-// updateLevels sets the number of requests that a target is expected to have of which
+// updateDataCentres sets for each data centre what a pick asks for each candidate: whether
+// it is available, and the number of requests that a target is expected to have of which
 // nothing is known.
-func (svc *workService) updateLevels(now workmodel.Instant) {
+func (p *pricing) updateDataCentres() {
+	svc, now := p.svc, p.now
 	for _, dc := range svc.dataCentres {
+		dc.accepts = p.table.dataCentreState(dc.name).accepts(p.r.Now)
 		dc.level = svc.requests.value
 		if known := &dc.known.requests; known.known {
 			dc.level += (known.value - dc.level) * workmodel.Fading(now.Sub(known.at), meanMemory)
--- a/fleet/placement/workpick.go
+++ b/fleet/placement/workpick.go
@@ -82,7 +82,7 @@
 	if best.source != nil {
 		l.source = best.source.cloneTarget()
 	}
-	l.work = newWorkLease(svc, &p, &best, len(t.work.candidates))
+	l.work = newWorkLease(svc, &p, best, len(t.work.candidates))
 	best.state.markUsed(p.now)
 	svc.sends.add(p.now)
 	svc.model.ObserveSend(best.unread)
@@ -92,19 +92,19 @@
 	return l
 }
 
-// cheapest returns the candidate with the lowest cost; false if no target may get the
-// request.
-func (t *Table) cheapest(p *pricing) (workCandidate, bool) {
+// cheapest returns the candidate with the lowest cost, which is valid until the next pick;
+// false if no target may get the request.
+func (t *Table) cheapest(p *pricing) (*workCandidate, bool) {
 	t.collect(p)
 	if len(t.work.candidates) == 0 {
 		t.collectAll(p)
 	}
 	if len(t.work.candidates) == 0 {
-		return workCandidate{}, false
+		return nil, false
 	}
-	best := t.work.candidates[0]
-	for _, c := range t.work.candidates[1:] {
-		if c.cost < best.cost {
+	best := &t.work.candidates[0]
+	for i := range t.work.candidates {
+		if c := &t.work.candidates[i]; c.cost < best.cost {
 			best = c
 		}
 	}
@@ -188,7 +188,7 @@
 // consider adds a target to the candidates if it may get the request, is available and
 // isn't one yet. It reports whether the target is a candidate.
 func (t *Table) consider(p *pricing, s *targetState, choice Choice) bool {
-	if !t.mayGet(p.r, s) || !t.available(s, p.r.Now) {
+	if !s.work.dataCentre.accepts || !s.accepts(p.r.Now) || !t.mayGet(p.r, s) {
 		return false
 	}
 	for i := range t.work.candidates {
@@ -196,14 +196,14 @@
 			return true
 		}
 	}
-	t.work.candidates = append(t.work.candidates, p.price(s, choice))
+	t.work.add(p, s, choice)
 	return true
 }
 
-// mayCopyFrom reports whether the request's target may copy cached parts from this one,
-// which may be leaving.
+// mayCopyFrom reports whether the request's target may copy cached parts from this listed
+// one, which may be leaving.
 func (t *Table) mayCopyFrom(r *Request, s *targetState) bool {
-	return t.byID[s.target.ID] == s && t.available(s, r.Now)
+	return s.work.dataCentre.accepts && s.accepts(r.Now)
 }
 
 // collectAll fills the list of candidates with all targets that may get the request, if
@@ -218,10 +218,16 @@
 		if p.prefix != nil && slices.Contains(p.prefix.replicasIn(s.work.dataCentre, p.svc), s) {
 			choice = ChoiceReplica
 		}
-		t.work.candidates = append(t.work.candidates, p.price(s, choice))
+		t.work.add(p, s, choice)
 	}
 }
 
+// add adds a candidate with its costs.
+func (w *expectedWork) add(p *pricing, s *targetState, choice Choice) {
+	w.candidates = append(w.candidates, workCandidate{state: s, choice: choice})
+	p.price(&w.candidates[len(w.candidates)-1])
+}
+
 // replicasIn returns the ranked targets of a data centre.
 func (p *prefix) replicasIn(dc *workDataCentre, svc *workService) []*targetState {
 	return p.replicas[slices.Index(svc.dataCentres, dc)]
