--- a/fleet/placement/expectedwork.go
+++ b/fleet/placement/expectedwork.go
@@ -14,9 +14,9 @@
 	// maxPrefixes bounds the number of prompt prefixes of a service about which something
 	// is known; all are forgotten when there are more.
 	maxPrefixes = 4096
-	// prefixShareMemory is the time over which the share of a prefix in the service's
-	// requests is measured.
-	prefixShareMemory = 5 * time.Second
+	// countMemory is the time over which the share of a prefix in the service's requests,
+	// and the reports of a data centre, are counted.
+	countMemory = 5 * time.Second
 )
 
 // expectedWork is the state of the placement by expected work. The lock of its table
@@ -27,7 +27,7 @@
 	// seed and draws make the choice among equals differ between gateways and picks.
 	seed, draws uint64
 	services    map[string]*workService
-	outputs     *workmodel.Outputs
+	outputs     workmodel.Outputs
 	// candidates is reused by each pick.
 	candidates []workCandidate
 }
@@ -64,14 +64,17 @@
 	// known is kept over changes of the list of targets.
 	known *dataCentreWork
 	// level is the number of requests that a target is expected to have of which nothing
-	// is known, as of the last pick.
-	level float64
+	// is known, and accepts whether the data centre is available, as of the last pick.
+	level   float64
+	accepts bool
 }
 
 // dataCentreWork is what is known of a service's targets in a data centre as a whole.
 type dataCentreWork struct {
 	// requests is the mean number of requests at a target, by reports.
 	requests levelEstimate
+	// reports is the number of recent reports.
+	reports decayingCount
 	// path is how much longer a first event takes to arrive from there than from the
 	// router's own data centre, in ms.
 	path workmodel.Mean
@@ -104,7 +107,7 @@
 	l.at = now
 }
 
-// decayingCount counts events, which fade over prefixShareMemory.
+// decayingCount counts events, which fade over countMemory.
 type decayingCount struct {
 	count float64
 	at    workmodel.Instant
@@ -116,11 +119,7 @@
 }
 
 func (c *decayingCount) value(now workmodel.Instant) float64 {
-	return c.count * workmodel.Fading(now.Sub(c.at), prefixShareMemory)
-}
-
-func newExpectedWork() *expectedWork {
-	return &expectedWork{services: make(map[string]*workService), outputs: workmodel.NewOutputs()}
+	return c.count * workmodel.Fading(now.Sub(c.at), countMemory)
 }
 
 // UseExpectedWork sets whether all services are placed by expected work, and not only
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -86,8 +86,8 @@
 func (t *Table) Pick(r *Request) (*Lease, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if svc := t.placedByWork(r.Service, r.Now); svc != nil {
-		return t.pickByWork(svc, r)
+	if l := t.pickByWork(r); l != nil {
+		return l, nil
 	}
 	candidates := t.candidates(r, true)
 	if len(candidates) == 0 {
@@ -154,7 +154,7 @@
 func (t *Table) candidates(r *Request, healthy bool) []*targetState {
 	var candidates []*targetState
 	for _, s := range t.services[r.Service] {
-		if !r.allows(s) || !t.locationAllows(r, s) || !s.acceptsNew(r.Now) {
+		if !t.mayGet(r, s) {
 			continue
 		}
 		if healthy && !t.available(s, r.Now) {
@@ -165,6 +165,12 @@
 	return candidates
 }
 
+// mayGet reports whether the target may get the request at all, also while it is
+// unavailable.
+func (t *Table) mayGet(r *Request, s *targetState) bool {
+	return r.allows(s) && t.locationAllows(r, s) && s.acceptsNew(r.Now)
+}
+
 // allows reports whether the request may be sent to the target.
 func (r *Request) allows(s *targetState) bool {
 	return (r.Version == "" || s.target.Version == r.Version) && !slices.Contains(r.Exclude, s.target.ID)
@@ -194,8 +200,12 @@
 // available reports whether neither the target nor its data centre is suspect,
 // the target has not just refused a request, and the data centre isn't silent.
 func (t *Table) available(s *targetState, now time.Time) bool {
-	dc := t.dataCentreState(s.target.DataCentre)
-	return s.health.Accepts(now) && !now.Before(s.refusedUntil) && dc.health.Accepts(now) && !dc.silent(now)
+	return s.accepts(now) && t.dataCentreState(s.target.DataCentre).accepts(now)
+}
+
+// accepts reports whether the target isn't suspect and has not just refused a request.
+func (s *targetState) accepts(now time.Time) bool {
+	return s.health.Accepts(now) && !now.Before(s.refusedUntil)
 }
 
 // choose picks one of the candidates. It also returns the preferred target for
--- a/fleet/placement/workpick.go
+++ b/fleet/placement/workpick.go
@@ -65,41 +65,46 @@
 	ReportAge    time.Duration
 }
 
-// pickByWork returns a slot at the candidate with the lowest expected cost.
-func (t *Table) pickByWork(svc *workService, r *Request) (*Lease, error) {
+// pickByWork returns a slot at the candidate with the lowest expected cost; nil if the
+// service isn't placed by expected work, or no target may get the request.
+func (t *Table) pickByWork(r *Request) *Lease {
+	svc := t.placedByWork(r.Service, r.Now)
+	if svc == nil {
+		return nil
+	}
 	p := t.newPricing(svc, r)
 	best, found := t.cheapest(&p)
 	if !found {
-		return nil, t.noTarget(r)
+		return nil
 	}
 	l := t.lease(best.state, int64(best.unread), r.Now)
 	l.affinity, l.source = r.Affinity, nil
 	if best.source != nil {
 		l.source = best.source.cloneTarget()
 	}
-	l.work = newWorkLease(svc, &p, &best, len(t.work.candidates))
+	l.work = newWorkLease(svc, &p, best, len(t.work.candidates))
 	best.state.markUsed(p.now)
 	svc.sends.add(p.now)
 	svc.model.ObserveSend(best.unread)
 	if p.prefix != nil {
 		p.prefix.recordSend(best.state, p.now)
 	}
-	return l, nil
+	return l
 }
 
-// cheapest returns the candidate with the lowest cost; false if no target may get the
-// request.
-func (t *Table) cheapest(p *pricing) (workCandidate, bool) {
+// cheapest returns the candidate with the lowest cost, which is valid until the next pick;
+// false if no target may get the request.
+func (t *Table) cheapest(p *pricing) (*workCandidate, bool) {
 	t.collect(p)
 	if len(t.work.candidates) == 0 {
 		t.collectAll(p)
 	}
 	if len(t.work.candidates) == 0 {
-		return workCandidate{}, false
+		return nil, false
 	}
-	best := t.work.candidates[0]
-	for _, c := range t.work.candidates[1:] {
-		if c.cost < best.cost {
+	best := &t.work.candidates[0]
+	for i := range t.work.candidates {
+		if c := &t.work.candidates[i]; c.cost < best.cost {
 			best = c
 		}
 	}
@@ -160,7 +165,7 @@
 func (t *Table) draw(p *pricing, dc *workDataCentre, draws int) {
 	for i := range draws {
 		if i < draws-1 || !dc.local {
-			if s := dc.randomUsed(t.work, p.now); s != nil && t.consider(p, s, ChoiceUsed) {
+			if s := dc.randomUsed(&t.work, p.now); s != nil && t.consider(p, s, ChoiceUsed) {
 				continue
 			}
 		}
@@ -183,7 +188,7 @@
 // consider adds a target to the candidates if it may get the request, is available and
 // isn't one yet. It reports whether the target is a candidate.
 func (t *Table) consider(p *pricing, s *targetState, choice Choice) bool {
-	if !p.r.allows(s) || !t.locationAllows(p.r, s) || !s.acceptsNew(p.r.Now) || !t.available(s, p.r.Now) || p.r.avoids(s) {
+	if !s.work.dataCentre.accepts || !s.accepts(p.r.Now) || !t.mayGet(p.r, s) || p.r.avoids(s) {
 		return false
 	}
 	for i := range t.work.candidates {
@@ -191,10 +196,16 @@
 			return true
 		}
 	}
-	t.work.candidates = append(t.work.candidates, p.price(s, choice))
+	t.work.add(p, s, choice)
 	return true
 }
 
+// mayCopyFrom reports whether the request's target may copy cached parts from this listed
+// one, which may be leaving.
+func (t *Table) mayCopyFrom(r *Request, s *targetState) bool {
+	return s.work.dataCentre.accepts && s.accepts(r.Now) && t.locationAllows(r, s)
+}
+
 // collectAll fills the list of candidates with all targets that may get the request, if
 // the drawn ones may not; unavailable ones only if no other is left.
 func (t *Table) collectAll(p *pricing) {
@@ -207,10 +218,16 @@
 		if p.prefix != nil && slices.Contains(p.prefix.replicasIn(s.work.dataCentre, p.svc), s) {
 			choice = ChoiceReplica
 		}
-		t.work.candidates = append(t.work.candidates, p.price(s, choice))
+		t.work.add(p, s, choice)
 	}
 }
 
+// add adds a candidate with its costs.
+func (w *expectedWork) add(p *pricing, s *targetState, choice Choice) {
+	w.candidates = append(w.candidates, workCandidate{state: s, choice: choice})
+	p.price(&w.candidates[len(w.candidates)-1])
+}
+
 // replicasIn returns the ranked targets of a data centre.
 func (p *prefix) replicasIn(dc *workDataCentre, svc *workService) []*targetState {
 	return p.replicas[slices.Index(svc.dataCentres, dc)]
