--- a/fleet/placement/workindex.go
+++ b/fleet/placement/workindex.go
@@ -9,9 +9,10 @@
 
 const (
 	// maxReplicas is the number of ranked targets of a data centre that are remembered
-	// for a prefix, and minReplicas the number of those that a prefix uses.
+	// for a prefix, and minReplicas the number of those that a prefix uses. The caches of a
+	// service hold each prefix a few times only, so more replicas evict one another.
 	maxReplicas = 8
-	minReplicas = 2
+	minReplicas = 1
 	// hotReplicaFactor is the number of targets that a prefix uses beyond minReplicas, as
 	// a multiple of its share of the requests times the targets of the data centre.
 	hotReplicaFactor = 1.5
