Decisions of admission under pressure: who is sent, waits or is refused

A request that was sent to a busy target waited there behind whatever was queued, and which requests were refused was left to chance.

--- /dev/null
+++ b/fleet/admission/queue.go
@@ -0,0 +1,360 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// The defaults of Options.
+const (
+	defaultMaxWaiting      = 256
+	defaultMaxWaitingBytes = 4 << 20
+)
+
+const (
+	// numRanks is the number of priorities; all lower ones count as the last.
+	numRanks = 10
+	// waitDivisor is the fraction of the latency goal for which a request may wait at the
+	// gateway. defaultMaxWait applies to requests without a goal.
+	waitDivisor    = 8
+	defaultMaxWait = 100 * time.Millisecond
+	// transitTime is how long a started request may take until it is placed and counts in
+	// the estimates. Until then no other one is started for the same slot.
+	transitTime = 5 * time.Millisecond
+	// trialInterval is the time without a start after which a request is started whatever
+	// is expected, since estimates are only corrected by requests that were sent.
+	trialInterval = time.Second
+	// maxSpacing is the age from which on the observed time between starts is unknown.
+	maxSpacing = 2 * time.Second
+	// spacingWeight is the weight of one observed time between starts in their mean.
+	spacingWeight = 0.2
+)
+
+// Request is a request that asks for a slot.
+type Request struct {
+	// ID is unique among the requests of a queue.
+	ID        uint64
+	Workspace string
+	// Rank is the priority, 0 the most urgent.
+	Rank int
+	// Cost is the expected work, in any unit that is the same for all requests, and Bytes
+	// the size of the body.
+	Cost, Bytes int64
+	// Arrived is when the request arrived, and Deadline when its caller stops waiting.
+	Arrived, Deadline time.Time
+	// Goal is the latency goal; 0 for none.
+	Goal time.Duration
+}
+
+// Verdict is what happens to a request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Start means that the request is sent now.
+	Start Verdict = iota
+	// Wait means that the request waits at the gateway.
+	Wait
+	// RefuseSlots means that the request is refused since it is expected to get a slot
+	// too late.
+	RefuseSlots
+	// RefuseDeadline means that the request is refused since its deadline is expected to
+	// pass before its first event.
+	RefuseDeadline
+)
+
+// Reason is why a request was started or refused.
+type Reason string
+
+// The reasons.
+const (
+	// ReasonUnknown means that there is no usable estimate.
+	ReasonUnknown Reason = "estimate unknown"
+	// ReasonFree means that a slot is free.
+	ReasonFree Reason = "slot free"
+	// ReasonWaited means that the request has waited for the longest allowed time and is
+	// expected to be served in time.
+	ReasonWaited Reason = "waited"
+	// ReasonQueueFull means that the queue has no place for the request, which is expected
+	// to be served in time without one.
+	ReasonQueueFull Reason = "queue full"
+	// ReasonTrial means that nothing was started for trialInterval.
+	ReasonTrial Reason = "trial"
+	// ReasonStopping means that the gateway is stopping.
+	ReasonStopping Reason = "stopping"
+	// ReasonLate means that the expected times are too long.
+	ReasonLate Reason = "too late"
+)
+
+// Decision is a verdict on one request with its inputs.
+type Decision struct {
+	Request *Request
+	Verdict Verdict
+	Reason  Reason
+	// SlotIn is the expected time until the request gets a slot, and FirstEventIn that
+	// until its first event; 0 if unknown.
+	SlotIn, FirstEventIn time.Duration
+	// EstimateAge is the age of the estimate; 0 if it is unknown.
+	EstimateAge time.Duration
+	// Waiting is the number of requests that wait.
+	Waiting int
+}
+
+// Options limits a Queue. Zero fields take the default.
+type Options struct {
+	// MaxWaiting is the maximum number of waiting requests. Default 256.
+	MaxWaiting int
+	// MaxWaitingBytes is the maximum size of their bodies. Default 4 MiB.
+	MaxWaitingBytes int64
+}
+
+// Queue decides about the requests of one service.
+type Queue struct {
+	opts Options
+	// waiting holds the waiting requests by arrival, and waitingBytes the size of their
+	// bodies.
+	waiting      []*ticket
+	waitingBytes int64
+	// startedAt is when a request was last started, and transitUntil when one that isn't
+	// placed yet no longer keeps others waiting.
+	startedAt, transitUntil time.Time
+	// spacing is the mean time between starts while requests wait, and spacedAt when it
+	// was last observed. busySince is when the requests that wait now began to.
+	spacing             time.Duration
+	spacedAt, busySince time.Time
+
+	usage      usage
+	turns      turns
+	goals      goals
+	correction correction
+}
+
+// ticket is a waiting request.
+type ticket struct {
+	*Request
+	// until is the end of its wait.
+	until time.Time
+}
+
+// NewQueue returns an empty queue.
+func NewQueue(opts Options) *Queue {
+	if opts.MaxWaiting == 0 {
+		opts.MaxWaiting = defaultMaxWaiting
+	}
+	if opts.MaxWaitingBytes == 0 {
+		opts.MaxWaitingBytes = defaultMaxWaitingBytes
+	}
+	return &Queue{opts: opts, usage: newUsage()}
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int { return len(q.waiting) }
+
+// Offer decides about a new request. The first decision is on that request; others are on
+// requests that lost their place in the queue to it.
+func (q *Queue) Offer(now time.Time, r *Request, estimate Estimate) []Decision {
+	q.usage.advance(now)
+	q.goals.record(r.Rank, r.Goal, now)
+	estimate = q.correction.apply(estimate, now)
+	switch {
+	case !estimate.usable(now):
+		return []Decision{q.start(now, r, Estimate{}, ReasonUnknown)}
+	case estimate.SlotFree == 0 && len(q.waiting) == 0 && !now.Before(q.transitUntil):
+		return []Decision{q.start(now, r, estimate, ReasonFree)}
+	}
+	decision := q.judge(now, r, estimate, q.ahead(r))
+	if decision.Verdict != Start || decision.Reason == ReasonTrial {
+		return []Decision{q.carryOut(now, decision)}
+	}
+	if len(q.waiting) == 0 {
+		q.busySince = now
+	}
+	t := &ticket{Request: r, until: now.Add(maxWait(r, now))}
+	q.waiting = append(q.waiting, t)
+	q.waitingBytes += r.Bytes
+	decision.Verdict, decision.Reason = Wait, ""
+	decisions := []Decision{decision}
+	for len(q.waiting) > q.opts.MaxWaiting || q.waitingBytes > q.opts.MaxWaitingBytes {
+		last := q.last()
+		q.remove(last.ID)
+		judged := q.judge(now, last.Request, estimate, 0)
+		if judged.Reason == ReasonWaited {
+			judged.Reason = ReasonQueueFull
+		}
+		judged = q.carryOut(now, judged)
+		if last == t {
+			return append([]Decision{judged}, decisions[1:]...)
+		}
+		decisions = append(decisions, judged)
+	}
+	return decisions
+}
+
+// Step decides about the waiting requests: it starts the first ones while slots are free,
+// and ends the waits whose time is over. Estimate is asked for each of these requests.
+func (q *Queue) Step(now time.Time, estimate func(*Request) Estimate) []Decision {
+	q.usage.advance(now)
+	var decisions []Decision
+	for len(q.waiting) > 0 && !now.Before(q.transitUntil) {
+		first := q.first()
+		e := q.correction.apply(estimate(first.Request), now)
+		if e.usable(now) && e.SlotFree > 0 {
+			break
+		}
+		q.remove(first.ID)
+		if !e.usable(now) {
+			decisions = append(decisions, q.start(now, first.Request, Estimate{}, ReasonUnknown))
+			continue
+		}
+		q.observeSpacing(now)
+		decisions = append(decisions, q.start(now, first.Request, e, ReasonFree))
+	}
+	for _, t := range slices.Clone(q.waiting) {
+		if now.Before(t.until) {
+			continue
+		}
+		q.remove(t.ID)
+		e := q.correction.apply(estimate(t.Request), now)
+		if !e.usable(now) {
+			decisions = append(decisions, q.start(now, t.Request, Estimate{}, ReasonUnknown))
+			continue
+		}
+		decisions = append(decisions, q.carryOut(now, q.judge(now, t.Request, e, 0)))
+	}
+	return decisions
+}
+
+// NextStep returns when Step has to be called at the latest; false if nothing waits.
+func (q *Queue) NextStep() (time.Time, bool) {
+	if len(q.waiting) == 0 {
+		return time.Time{}, false
+	}
+	next := q.waiting[0].until
+	for _, t := range q.waiting[1:] {
+		if t.until.Before(next) {
+			next = t.until
+		}
+	}
+	return next, true
+}
+
+// Placed records that a started request was placed at a target, so that estimates include
+// it.
+func (q *Queue) Placed() { q.transitUntil = time.Time{} }
+
+// Leave removes a waiting request whose caller left. It reports whether it waited.
+func (q *Queue) Leave(id uint64) bool { return q.remove(id) }
+
+// Stop ends all waits: the requests are sent, since a planned stop interrupts nothing.
+func (q *Queue) Stop(now time.Time) []Decision {
+	var decisions []Decision
+	for len(q.waiting) > 0 {
+		first := q.first()
+		q.remove(first.ID)
+		decisions = append(decisions, q.start(now, first.Request, Estimate{}, ReasonStopping))
+	}
+	return decisions
+}
+
+// Observe records the time from a request's start to its first event, which corrects the
+// estimates that follow.
+func (q *Queue) Observe(expected, observed time.Duration, now time.Time) {
+	q.correction.observe(expected, observed, now)
+}
+
+// start decides that a request is sent.
+func (q *Queue) start(now time.Time, r *Request, e Estimate, reason Reason) Decision {
+	if reason == ReasonFree {
+		q.transitUntil = now.Add(transitTime)
+	}
+	q.recordStart(r, now)
+	return q.decision(now, r, e, Start, reason)
+}
+
+// recordStart records that a request is sent.
+func (q *Queue) recordStart(r *Request, now time.Time) {
+	q.startedAt = now
+	q.usage.add(r.Workspace, r.Cost, now)
+	q.turns.started(r, now, q.waiting)
+}
+
+// decision returns a decision based on an estimate, which may be unknown.
+func (q *Queue) decision(now time.Time, r *Request, e Estimate, v Verdict, reason Reason) Decision {
+	d := Decision{Request: r, Verdict: v, Reason: reason, SlotIn: e.SlotFree, FirstEventIn: e.FirstEvent, Waiting: len(q.waiting)}
+	if e.Known {
+		d.EstimateAge = now.Sub(e.At)
+	}
+	return d
+}
+
+// carryOut records a decision to start or refuse a request.
+func (q *Queue) carryOut(now time.Time, d Decision) Decision {
+	if d.Verdict == Start {
+		q.recordStart(d.Request, now)
+		return d
+	}
+	q.turns.refused(d.Request.Rank, now)
+	return d
+}
+
+// judge decides whether a request is expected to be served in time if it starts after a
+// number of others that wait.
+func (q *Queue) judge(now time.Time, r *Request, e Estimate, ahead int) Decision {
+	slotIn := e.SlotFree + time.Duration(ahead)*q.expectedSpacing(now)
+	d := q.decision(now, r, e, Start, ReasonWaited)
+	d.SlotIn, d.FirstEventIn = slotIn, slotIn+e.work()
+	late := now.Add(d.FirstEventIn).After(r.Deadline)
+	tooLong := slotIn > q.longestSlotWait(now, r, e.work()) && !q.turns.due(r)
+	switch {
+	case slotIn == 0, !late && !tooLong:
+	case now.Sub(q.startedAt) >= trialInterval && now.Before(r.Deadline):
+		d.Reason = ReasonTrial
+	case late:
+		d.Verdict, d.Reason = RefuseDeadline, ReasonLate
+	default:
+		d.Verdict, d.Reason = RefuseSlots, ReasonLate
+	}
+	return d
+}
+
+// observeSpacing records a start into a free slot while requests wait.
+func (q *Queue) observeSpacing(now time.Time) {
+	since := q.startedAt
+	if since.Before(q.busySince) {
+		since = q.busySince
+	}
+	sample := now.Sub(since)
+	if q.spacing == 0 || now.Sub(q.spacedAt) > maxSpacing {
+		q.spacing = sample
+	}
+	q.spacing += time.Duration(spacingWeight * float64(sample-q.spacing))
+	q.spacedAt = now
+}
+
+// expectedSpacing returns the expected time between two starts, 0 if it is unknown.
+func (q *Queue) expectedSpacing(now time.Time) time.Duration {
+	if now.Sub(q.spacedAt) > maxSpacing {
+		return 0
+	}
+	return q.spacing
+}
+
+// remove removes a request. It reports whether it waited.
+func (q *Queue) remove(id uint64) bool {
+	i := slices.IndexFunc(q.waiting, func(t *ticket) bool { return t.ID == id })
+	if i < 0 {
+		return false
+	}
+	q.waitingBytes -= q.waiting[i].Bytes
+	q.waiting = slices.Delete(q.waiting, i, i+1)
+	return true
+}
+
+// maxWait returns how long a request may wait at the gateway.
+func maxWait(r *Request, now time.Time) time.Duration {
+	wait := defaultMaxWait
+	if r.Goal > 0 {
+		wait = r.Goal / waitDivisor
+	}
+	return max(min(wait, r.Deadline.Sub(now)/waitDivisor), 0)
+}
