Scarce tokens go by priority, whatever the size of the requests, where admission is on

Near the end of a balance tokens were kept for more urgent requests only if these aren't larger, and waiting requests were served by arrival and refused from the newest on. With the longest prompts, the most urgent kind got least. With prepaid.Options.ByPriority the order is by priority, tokens are kept for more urgent requests of any size, and less urgent ones may take an eighth of what these get. Off by default.

--- a/fleet/allotment/account.go
+++ b/fleet/allotment/account.go
@@ -76,6 +76,10 @@
 	// platformDownSince is when the platform stopped answering; zero while it
 	// answers.
 	platformDownSince time.Time
+	// keepForAllSizes is set if scarce tokens are kept for more urgent requests of any
+	// size.
+	keepForAllSizes bool
+	turn            turn
 	// bounds all apply at the same time.
 	bounds []UsageBound
 }
@@ -118,11 +122,21 @@
 // bound doesn't admit them, or if the remainder would cut into the reserve for
 // more urgent requests.
 func (a *Account) Reserve(tokens int64, rank int, now time.Time) bool {
-	if tokens > a.Free()-a.PriorityReserve(tokens, rank, now) || tokens > a.Headroom(now) {
+	if tokens > a.Free() || tokens > a.Headroom(now) {
 		return false
 	}
-	a.reserved += tokens
-	return true
+	kept := a.PriorityReserve(tokens, rank, now)
+	if tokens <= a.Free()-kept {
+		a.earnTurn(tokens)
+		a.reserved += tokens
+		return true
+	}
+	mayUse := a.mayUseKept(tokens)
+	a.recordKept(tokens, mayUse)
+	if mayUse {
+		a.reserved += tokens
+	}
+	return mayUse
 }
 
 // RecordDemand adds a request for tokens to the demand estimates.
@@ -141,6 +155,10 @@
 	}
 }
 
+// SetKeepForAllSizes sets whether tokens are kept for more urgent requests of any size when
+// the budget is nearly spent, instead of only for those that aren't larger on average.
+func (a *Account) SetKeepForAllSizes(on bool) { a.keepForAllSizes = on }
+
 // Settle ends a reservation, of which used tokens were consumed.
 func (a *Account) Settle(reserved, used int64) {
 	a.reserved -= reserved
--- a/fleet/allotment/demand.go
+++ b/fleet/allotment/demand.go
@@ -44,6 +44,11 @@
 	// nearly spent. The requests that it serves are smaller than those that it
 	// refuses, so the last tokens serve more callers, and for longer.
 	scarceReserveHorizon = 6 * time.Second
+	// lessUrgentDivisor is the fraction of the tokens reserved for more urgent requests that
+	// less urgent ones may take nevertheless where tokens are kept for all sizes. Without
+	// it, a kind of requests would starve as long as the more urgent ask for all tokens
+	// that are returned.
+	lessUrgentDivisor = 8
 	// minRateWindow is the shortest time over which a rate is estimated.
 	minRateWindow = 2 * time.Second
 	// returnInterval is the minimum time between two returns of a surplus.
--- a/fleet/allotment/holding.go
+++ b/fleet/allotment/holding.go
@@ -76,19 +76,51 @@
 // PriorityReserve returns the tokens that are reserved for more urgent requests
 // while tokens are scarce. While the platform can't be reached, it covers all
 // more urgent requests; when the budget is nearly spent, only the ranks whose
-// mean request size is at most that of this request.
+// mean request size is at most that of this request, unless it keeps them for all sizes.
 func (a *Account) PriorityReserve(tokens int64, rank int, now time.Time) int64 {
 	if !a.platformDownSince.IsZero() {
 		horizon := max(expectedOutage-now.Sub(a.platformDownSince), minReserveHorizon)
 		return int64(a.urgentRate(rank, math.MaxInt64, now) * horizon.Seconds())
 	}
-	reserve := int64(a.urgentRate(rank, tokens, now) * scarceReserveHorizon.Seconds())
+	maxTokens := tokens
+	if a.keepForAllSizes {
+		maxTokens = math.MaxInt64
+	}
+	reserve := int64(a.urgentRate(rank, maxTokens, now) * scarceReserveHorizon.Seconds())
 	if a.Unallocated() < reserve {
 		return reserve
 	}
 	return 0
 }
 
+// turn is the tokens that less urgent requests may take of those that are kept for more
+// urgent ones of any size.
+type turn struct {
+	// wanted is the size of the last less urgent request that was refused for the others'
+	// sake, and earned what such requests may take.
+	wanted, earned int64
+}
+
+// mayUseKept reports whether the tokens kept for others may be used for a request.
+func (a *Account) mayUseKept(tokens int64) bool {
+	return a.keepForAllSizes && a.platformDownSince.IsZero() && tokens <= a.turn.earned
+}
+
+// recordKept records that kept tokens were used for, or refused to, a less urgent request.
+func (a *Account) recordKept(tokens int64, used bool) {
+	if used {
+		a.turn.earned -= tokens
+		return
+	}
+	a.turn.wanted = tokens
+}
+
+// earnTurn records that tokens were reserved for a request for which nothing is kept from
+// others.
+func (a *Account) earnTurn(tokens int64) {
+	a.turn.earned = min(a.turn.earned+tokens/lessUrgentDivisor, a.turn.wanted)
+}
+
 // urgentRate returns the tokens per second that requests more urgent than rank
 // ask for. It counts only ranks whose mean request size is at most maxTokens.
 func (a *Account) urgentRate(rank int, maxTokens int64, now time.Time) float64 {
--- a/router/prepaid/account_worker.go
+++ b/router/prepaid/account_worker.go
@@ -45,7 +45,9 @@
 }
 
 func newAccountWorker(m *Manager, workspace string) *accountWorker {
-	return &accountWorker{manager: m, workspace: workspace, wakeup: newSignal()}
+	aw := &accountWorker{manager: m, workspace: workspace, wakeup: newSignal()}
+	aw.account.SetKeepForAllSizes(m.opts.ByPriority)
+	return aw
 }
 
 func (aw *accountWorker) setPrepaid(tokens int64) {
@@ -160,7 +162,7 @@
 	case needed:
 		return actionCommit, txn
 	case waiting && aw.rowsFresh:
-		aw.refuseNewest()
+		aw.refuseLast()
 		return actionRefuse, txn
 	case waiting, aw.platformDown:
 		return actionRead, txn
--- a/router/prepaid/manager.go
+++ b/router/prepaid/manager.go
@@ -47,9 +47,13 @@
 	// PreviousRunsEndedBy is a time by which all earlier runs on this machine had
 	// ended.
 	PreviousRunsEndedBy time.Time
-	Metrics             *Metrics
-	Log                 *zap.Logger
-	Now                 func() time.Time
+	// ByPriority makes requests that wait for tokens get them, and be refused, in the order
+	// of their priority instead of their arrival, and keeps scarce tokens for more urgent
+	// requests of any size. It may be false.
+	ByPriority bool
+	Metrics    *Metrics
+	Log        *zap.Logger
+	Now        func() time.Time
 }
 
 // Manager reserves tokens from the allotments that this router holds. It is safe
--- a/router/prepaid/waiters.go
+++ b/router/prepaid/waiters.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -42,7 +43,7 @@
 	now := aw.manager.opts.Now()
 	aw.account.SetPlatformDown(aw.callOverdue(), now)
 	aw.account.RecordDemand(w.tokens, w.rank, now)
-	if aw.account.Reserve(w.tokens, w.rank, now) {
+	if aw.tryReserve(w.tokens, w.rank, aw.waiters, now) {
 		low := aw.account.HeadroomLow(now)
 		aw.mu.Unlock()
 		aw.wakeup.notify()
@@ -58,7 +59,7 @@
 		aw.wakeup.notify()
 		return refusal
 	}
-	aw.waiters = append(aw.waiters, w)
+	aw.addWaiter(w)
 	aw.account.AddWaiting(w.tokens)
 	aw.rowsFresh = false
 	aw.mu.Unlock()
@@ -66,12 +67,41 @@
 	return aw.awaitResult(ctx, w, maxWait)
 }
 
+// addWaiter adds a waiter behind all others, or behind those that are as urgent if waiters
+// are served by priority. The lock is held.
+func (aw *accountWorker) addWaiter(w *waiter) {
+	i := len(aw.waiters)
+	for aw.manager.opts.ByPriority && i > 0 && aw.waiters[i-1].rank > w.rank {
+		i--
+	}
+	aw.waiters = slices.Insert(aw.waiters, i, w)
+}
+
+// tryReserve reserves tokens that are held. If waiters are served by priority, it leaves
+// those that more urgent ones wait for, unless there are too few for such a waiter at all.
+// The lock is held.
+func (aw *accountWorker) tryReserve(tokens int64, rank int, waiters []*waiter, now time.Time) bool {
+	if aw.manager.opts.ByPriority {
+		free := aw.account.Free()
+		reachable := free + aw.account.Unallocated()
+		for _, w := range waiters {
+			if w.rank < rank && w.tokens <= reachable {
+				free -= w.tokens
+			}
+		}
+		if tokens > free {
+			return false
+		}
+	}
+	return aw.account.Reserve(tokens, rank, now)
+}
+
 // reserveHeld reserves tokens only if they are held. It reports whether it did.
 func (aw *accountWorker) reserveHeld(tokens int64, rank int, prepaid int64) bool {
 	aw.mu.Lock()
 	aw.account.SetPrepaid(prepaid)
 	now := aw.manager.opts.Now()
-	reserved := aw.account.Reserve(tokens, rank, now)
+	reserved := aw.tryReserve(tokens, rank, aw.waiters, now)
 	low := reserved && aw.account.HeadroomLow(now)
 	aw.mu.Unlock()
 	if low {
@@ -137,7 +167,7 @@
 	now := aw.manager.opts.Now()
 	waiting := aw.waiters[:0]
 	for _, w := range aw.waiters {
-		if !aw.account.Reserve(w.tokens, w.rank, now) {
+		if !aw.tryReserve(w.tokens, w.rank, waiting, now) {
 			waiting = append(waiting, w)
 			continue
 		}
@@ -148,9 +178,10 @@
 	aw.waiters = waiting
 }
 
-// refuseNewest refuses the newest waiter, since the balance just read doesn't cover
+// refuseLast refuses the last waiter, which is the newest one, or the newest of the least
+// urgent if waiters are served by priority, since the balance just read doesn't cover
 // all of them. The lock is held.
-func (aw *accountWorker) refuseNewest() {
+func (aw *accountWorker) refuseLast() {
 	now := aw.manager.opts.Now()
 	last := len(aw.waiters) - 1
 	w := aw.waiters[last]
