Relay: requests wait for slots and are refused by admission where it is switched on

router/admission holds a request between the reservation of its tokens and the pick of its target, by the decisions of fleet/admission. It is nil unless the setting admission is true; then refusals for tokens and slots are told a jittered time to come back, within a third of what the caller has left, and tokens go by the workspace's priority too. New kinds of errors: no_slot and deadline_too_short, both 503 and not run. cuminrock_refusals_total{cause} and the log field refused_for tell refusals for tokens, slots and deadlines apart.

--- a/fleet/admission/model_test.go
+++ b/fleet/admission/model_test.go
@@ -169,13 +169,18 @@
 	m.report()
 	m.arrive()
 	for len(m.events) > 0 && m.now.Sub(m.begin) < modelRun+30*time.Second {
-		e := heap.Pop(&m.events).(event)
-		m.now = e.at
-		e.do()
+		m.pop()
 	}
 	return m
 }
 
+// pop carries out the next event.
+func (m *model) pop() {
+	e := heap.Pop(&m.events).(event)
+	m.now = e.at
+	e.do()
+}
+
 func (m *model) after(d time.Duration, do func()) {
 	m.seq++
 	heap.Push(&m.events, event{m.now.Add(d), m.seq, do})
--- a/fleet/errkind/errkind.go
+++ b/fleet/errkind/errkind.go
@@ -72,6 +72,11 @@
 	// DeadlinePassed means that the deadline passed before the request was sent
 	// to a target.
 	DeadlinePassed
+	// NoSlot means that the request is expected to get a slot at a target too late.
+	NoSlot
+	// DeadlineTooShort means that the deadline is expected to pass before a target could
+	// begin its answer.
+	DeadlineTooShort
 	// DeadlineInRun means that the deadline passed after the request was sent to
 	// a target.
 	DeadlineInRun
@@ -178,6 +183,8 @@
 	BillOverReservation: {"bill_over_reservation", http.StatusInternalServerError, codes.Internal, ran, RetryNever},
 	Overloaded:          {"overloaded", http.StatusTooManyRequests, codes.ResourceExhausted, notRun, RetryLater},
 	DeadlinePassed:      {"deadline_passed", http.StatusGatewayTimeout, codes.DeadlineExceeded, notRun, RetryLater},
+	NoSlot:              {"no_slot", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
+	DeadlineTooShort:    {"deadline_too_short", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
 	DeadlineInRun:       {"deadline_in_run", http.StatusGatewayTimeout, codes.DeadlineExceeded, unknown, RetryQueryOutcome},
 	PromptRefused:       {"prompt_refused", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
 	OriginUnknown:       {"origin_unknown", http.StatusServiceUnavailable, codes.Unavailable, notRun, RetryLater},
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/retry"
+	"cuminrock.example/router/admission"
 	"cuminrock.example/router/crashwatch"
 	"cuminrock.example/router/exchange"
 	"cuminrock.example/router/lag"
@@ -106,6 +107,8 @@
 
 	relay   *relay.Relay
 	budgets *prepaid.Manager
+	// admission is nil unless the settings switch it on.
+	admission *admission.Gate
 	// peers is nil if the gateway has no listener for others.
 	peers        *peers
 	targets      *placement.Table
@@ -152,7 +155,7 @@
 	g.budgets = prepaid.NewManager(prepaid.Options{
 		Tables: p.Tables, Clock: p.Clock, Machine: settings.Name + "." + settings.Doors.Caller,
 		Holder: settings.Name + "." + incarnation, PreviousRunsEndedBy: openedAt,
-		Metrics: prepaid.NewMetrics(g.registry), Log: log, Now: time.Now,
+		ByPriority: settings.Admission, Metrics: prepaid.NewMetrics(g.registry), Log: log, Now: time.Now,
 	})
 	var budgets relay.Budgets = g.budgets
 	if lis.peer != nil {
@@ -165,7 +168,8 @@
 	})
 	g.origins = streamorigin.New(streamorigin.Options{Gateway: settings.Name, Tables: p.Tables, Clock: p.Clock, Log: log, Now: time.Now})
 	g.limits = newLimiter(g)
-	g.relay = relay.New(relay.Options{
+	g.admission = newAdmission(g)
+	opts := relay.Options{
 		Catalog:    g.catalog.Load,
 		Targets:    g.targets,
 		Budgets:    budgets,
@@ -179,7 +183,11 @@
 		Metrics:    relay.NewMetrics(g.registry),
 		Log:        log,
 		Now:        time.Now,
-	})
+	}
+	if g.admission != nil {
+		opts.Admission = g.admission
+	}
+	g.relay = relay.New(opts)
 	g.startServers(lis)
 	g.startWatching(lis)
 	log.Info("gateway: started.", zap.String("name", settings.Name), zap.String("incarnation", incarnation),
--- a/router/gateway/stop.go
+++ b/router/gateway/stop.go
@@ -31,6 +31,9 @@
 	g.log.Info("gateway: stopping.", zap.Int64("in_progress", g.relay.Active()))
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
+	if g.admission != nil {
+		g.admission.Stop()
+	}
 	g.forward.server.RefuseNew()
 	if g.peers != nil {
 		g.peers.server.RefuseNew()
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -23,6 +23,8 @@
 	// RetriesDenied counts failures that weren't retried because the retry budget
 	// was used up.
 	RetriesDenied prometheus.Counter
+	// Refusals counts refused requests that haven't run, by cause.
+	Refusals *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with the registry.
@@ -43,8 +45,10 @@
 			Name: "cuminrock_broken_answers_total", Help: "Answers of targets that ended early."}),
 		RetriesDenied: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cuminrock_retries_denied_total", Help: "Retries that the retry budget forbade."}),
+		Refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cuminrock_refusals_total", Help: "Refused requests that haven't run, for want of tokens, slots or time."}, []string{"cause"}),
 	}
-	registry.MustRegister(m.Requests, m.Duration, m.FirstByte, m.Sends, m.Resends, m.Breaks, m.RetriesDenied)
+	registry.MustRegister(m.Requests, m.Duration, m.FirstByte, m.Sends, m.Resends, m.Breaks, m.RetriesDenied, m.Refusals)
 	return m
 }
 
--- a/router/relay/options.go
+++ b/router/relay/options.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"cuminrock.example/fleet/admission"
 	"cuminrock.example/fleet/catalog"
 	"cuminrock.example/fleet/egress"
 	"cuminrock.example/fleet/errkind"
@@ -14,10 +15,11 @@
 	"cuminrock.example/fleet/retry"
 	"cuminrock.example/fleet/streamorigin"
 	"cuminrock.example/fleet/targetlimit"
+	gate "cuminrock.example/router/admission"
 	"cuminrock.example/router/prepaid"
 )
 
-// Options configures a Relay. All fields are required.
+// Options configures a Relay. All fields but Admission are required.
 type Options struct {
 	// Catalog returns the configuration in force; nil before there is one.
 	Catalog  func() *catalog.Catalog
@@ -28,6 +30,8 @@
 	Crashes  CrashGuard
 	Origins  StreamOrigins
 	Limits   TargetLimits
+	// Admission holds back and refuses requests that compete for slots; nil for none.
+	Admission Admission
 	// Overloaded reports whether this router has more work than processor time or
 	// its link allow, so that new requests should be refused; urgent ones are
 	// refused last.
@@ -85,3 +89,21 @@
 	// time, and the load that it reports there; nil for no report.
 	Answered(target placement.Target, said placement.Announcement, load *placement.Load, sent time.Time)
 }
+
+// Admission decides which requests are sent, wait or are refused while they compete for
+// tokens and slots.
+type Admission interface {
+	// Applies reports whether the requests of a service are subject to admission.
+	Applies(service string) bool
+	// Admit waits until a request may be sent, and returns its ticket, or the refusal, whose
+	// RetryAfter is when a slot is expected. If ctx ends first, both are nil. The id is the
+	// caller's.
+	Admit(ctx context.Context, id string, r admission.Request, p *placement.Request) (*gate.Ticket, *errkind.Error)
+	// TokensReserved records that a request of a workspace got its tokens.
+	TokensReserved(workspace string, tokens int64)
+	// TokensRefused records that it didn't, and SlotRefused that a request got no slot. They
+	// return when its caller, who has a time left, should come back. After is when tokens or
+	// a slot are expected; 0 if that is unknown.
+	TokensRefused(workspace string, tokens int64, rank int, after, remaining time.Duration) time.Duration
+	SlotRefused(service string, rank int, after, remaining time.Duration) time.Duration
+}
--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -11,6 +11,7 @@
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/quarantine"
+	"cuminrock.example/router/admission"
 	"cuminrock.example/router/prepaid"
 )
 
@@ -30,6 +31,8 @@
 	reservation prepaid.Reservation
 	// fingerprint is that of the admitted request.
 	fingerprint fingerprint
+	// ticket is nil if the request isn't subject to admission.
+	ticket *admission.Ticket
 	// traits are what the request may have in common with others.
 	traits []quarantine.Trait
 
@@ -80,6 +83,7 @@
 	a.finished = true
 	a.response.Close()
 	a.lease.Done(result, p.relay.Now())
+	p.ticket.Ended()
 }
 
 // recordBreak records an answer that ended early.
@@ -179,6 +183,13 @@
 	if req.ResumeAfter != "" {
 		fields = append(fields, zap.String("resumes", req.Resumes), zap.String("resume_after", req.ResumeAfter))
 	}
+	if p.ticket != nil {
+		fields = append(fields, zap.Duration("waited_for_slot", p.ticket.Waited))
+	}
+	if cause := refusalCause(err); cause != "" {
+		p.relay.Metrics.Refusals.WithLabelValues(cause).Inc()
+		fields = append(fields, zap.String("refused_for", cause))
+	}
 	if err != nil {
 		fields = append(fields, zap.Error(err))
 	}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -70,7 +70,10 @@
 	p := &proxiedRequest{relay: r, writer: &meteredWriter{ResponseWriter: w, relay: r}}
 	err := r.serve(ctx, req, p)
 	if err != nil {
-		refusal := withRetryAfter(err, req, r.Now())
+		refusal := p.timedByAdmission(err)
+		if refusal == nil {
+			refusal = withRetryAfter(err, req, r.Now())
+		}
 		w.WriteError(refusal)
 		p.retryAfter = refusal.RetryAfter
 		p.outcome = refusal.Kind.String()
@@ -112,6 +115,10 @@
 	}
 	p.reservation = reservation
 	defer p.settle()
+	err = p.awaitSlot(ctx)
+	if err != nil {
+		return err
+	}
 	if a.route.Kind == catalog.Stream {
 		return p.serveStream(ctx)
 	}
@@ -167,10 +174,11 @@
 	if a.route.LatencyGoal > 0 {
 		maxWait = min(maxWait, a.route.LatencyGoal/2)
 	}
-	reservation, err := r.Budgets.Reserve(ctx, a.ID, a.workspace, a.Prompt.MaxTotalTokens(), a.route.Priority, maxWait)
+	reservation, err := r.Budgets.Reserve(ctx, a.ID, a.workspace, a.Prompt.MaxTotalTokens(), r.rank(a), maxWait)
 	if err != nil {
 		return nil, errkind.FromError(err)
 	}
+	r.recordTokens(a)
 	return reservation, nil
 }
 
--- a/router/relay/send.go
+++ b/router/relay/send.go
@@ -17,6 +17,7 @@
 func (p *proxiedRequest) sendToNextTarget(ctx context.Context, resumeAfter string) (*attempt, *errkind.Error) {
 	for {
 		lease, failure := p.pickTarget(ctx)
+		p.ticket.Placed()
 		if failure != nil {
 			return nil, failure
 		}
@@ -39,15 +40,7 @@
 		if refusal != nil {
 			return nil, refusal
 		}
-		lease, err := p.relay.Targets.Pick(&placement.Request{
-			Service:      p.service.Name,
-			Affinity:     p.Prompt.affinityHash(),
-			SharedTokens: p.Prompt.sharedTokens(),
-			PromptTokens: p.Prompt.inputTokens(),
-			Version:      p.origin.version,
-			Exclude:      p.triedTargets,
-			Now:          p.relay.Now(),
-		})
+		lease, err := p.relay.Targets.Pick(p.placementRequest())
 		if err != nil {
 			return nil, errkind.FromError(err)
 		}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -156,6 +156,7 @@
 	}
 	p.status = a.response.Status()
 	p.firstByte = p.relay.Now().Sub(p.Arrived)
+	p.ticket.FirstEvent()
 	if p.writer.WriteHeader(p.status, a.response.Header(), -1) != nil {
 		return p.abortForCaller()
 	}
--- a/router/settings/gateway_test.go
+++ b/router/settings/gateway_test.go
@@ -18,6 +18,13 @@
 	is.Equal(s.Log.Level, "info")
 }
 
+func TestAdmissionIsSwitchedOnBySettings(t *testing.T) {
+	is := is.New(t)
+	s, err := ParseGateway([]byte(strings.Replace(validGatewaySettings, `"memory_mib"`, `"admission":true,"memory_mib"`, 1)))
+	is.NoErr(err)
+	is.True(s.Admission)
+}
+
 func TestFaultsOfGatewaySettingsAreNamed(t *testing.T) {
 	is := is.New(t)
 	_, err := ParseGateway([]byte(`{}`))
