Admission: fewer trials at gateways with little traffic; refusals tell how long a balance was short

Where admission is on, a refusal for an insufficient balance tells the time that the balance has been too low, instead of 1 s or nothing.

--- a/fleet/admission/estimate.go
+++ b/fleet/admission/estimate.go
@@ -48,7 +48,7 @@
 	minObservations   = 8
 	observationWeight = 0.1
 	// observationMaxAge is how long a correction is applied after the last observation.
-	observationMaxAge = 10 * time.Second
+	observationMaxAge = time.Minute
 	// maxCorrection bounds the factor by which estimates are corrected.
 	maxCorrection = 16
 )
--- a/fleet/admission/order.go
+++ b/fleet/admission/order.go
@@ -15,7 +15,7 @@
 	// which less urgent ones may queue at targets, where the former would wait behind
 	// them. It applies for recentGoal after such a request.
 	urgentGoalDivisor = 4
-	recentGoal        = 10 * time.Second
+	recentGoal        = time.Minute
 	// overShareDivisor shortens the wait of requests whose workspace has used more than
 	// its share.
 	overShareDivisor = 2
@@ -27,7 +27,7 @@
 	turnAfter = 8
 	maxTurns  = 4
 	// wantsFor is how long a rank counts as wanting a slot after a refusal.
-	wantsFor = 2 * time.Second
+	wantsFor = 10 * time.Second
 )
 
 // compare orders the waiting requests; the first one is started first.
--- a/fleet/admission/queue.go
+++ b/fleet/admission/queue.go
@@ -21,9 +21,12 @@
 	// transitTime is how long a started request may take until it is placed and counts in
 	// the estimates. Until then no other one is started for the same slot.
 	transitTime = 5 * time.Millisecond
-	// trialInterval is the time without a start after which a request is started whatever
-	// is expected, since estimates are only corrected by requests that were sent.
+	// trialInterval is the time without a start, and trialRefusals the number of refusals
+	// meanwhile, after which a request is started whatever is expected, since estimates are
+	// only corrected by requests that were sent. The number keeps a gateway with little
+	// traffic from starting most requests that way.
 	trialInterval = time.Second
+	trialRefusals = 8
 	// maxSpacing is the age from which on the observed time between starts is unknown.
 	maxSpacing = 2 * time.Second
 	// spacingWeight is the weight of one observed time between starts in their mean.
@@ -78,7 +81,7 @@
 	// ReasonQueueFull means that the queue has no place for the request, which is expected
 	// to be served in time without one.
 	ReasonQueueFull Reason = "queue full"
-	// ReasonTrial means that nothing was started for trialInterval.
+	// ReasonTrial means that everything was refused for a while.
 	ReasonTrial Reason = "trial"
 	// ReasonStopping means that the gateway is stopping.
 	ReasonStopping Reason = "stopping"
@@ -115,9 +118,10 @@
 	// bodies.
 	waiting      []*ticket
 	waitingBytes int64
-	// startedAt is when a request was last started, and transitUntil when one that isn't
+	// startedAt is when a request was last started, refusals counts those since, and transitUntil when one that isn't
 	// placed yet no longer keeps others waiting.
 	startedAt, transitUntil time.Time
+	refusals                int
 	// spacing is the mean time between starts while requests wait, and spacedAt when it
 	// was last observed. busySince is when the requests that wait now began to.
 	spacing             time.Duration
@@ -273,7 +277,7 @@
 
 // recordStart records that a request is sent.
 func (q *Queue) recordStart(r *Request, now time.Time) {
-	q.startedAt = now
+	q.startedAt, q.refusals = now, 0
 	q.usage.add(r.Workspace, r.Cost, now)
 	q.turns.started(r, now, q.waiting)
 }
@@ -293,6 +297,7 @@
 		q.recordStart(d.Request, now)
 		return d
 	}
+	q.refusals++
 	q.turns.refused(d.Request.Rank, now)
 	return d
 }
@@ -307,7 +312,7 @@
 	tooLong := slotIn > q.longestSlotWait(now, r, e.work()) && !q.turns.due(r)
 	switch {
 	case slotIn == 0, !late && !tooLong:
-	case now.Sub(q.startedAt) >= trialInterval && now.Before(r.Deadline):
+	case q.refusals >= trialRefusals && now.Sub(q.startedAt) >= trialInterval && now.Before(r.Deadline):
 		d.Reason = ReasonTrial
 	case late:
 		d.Verdict, d.Reason = RefuseDeadline, ReasonLate
--- a/fleet/admission/queue_test.go
+++ b/fleet/admission/queue_test.go
@@ -62,6 +62,50 @@
 	}
 }
 
+// Guards against a busy workspace whose requests go first since they are more and came
+// earlier, and against waits that its requests may have as long as others.
+func TestWorkspaceOverItsShareGoesLast(t *testing.T) {
+	is := is.New(t)
+	q := newBusyQueue(Options{})
+	for id := range uint64(10) {
+		r := request(100+id, 1)
+		r.Workspace = "hot"
+		q.Offer(testNow, r, Estimate{})
+	}
+	hot, other := request(1, 1), request(2, 1)
+	hot.Workspace, other.Arrived = "hot", testNow.Add(10*time.Millisecond)
+	q.Offer(testNow, hot, busy(50*time.Millisecond))
+	q.Offer(testNow, other, busy(50*time.Millisecond))
+	is.Equal(q.first().Request.ID, uint64(2))
+	is.Equal(q.longestSlotWait(testNow, hot, 0), 400*time.Millisecond)
+	is.Equal(q.longestSlotWait(testNow, request(3, 1), 0), 800*time.Millisecond)
+}
+
+// Guards against long prompts that are refused whenever no slot is free, because reading
+// them takes longer than their latency goal.
+func TestLongPromptMayWaitForASlot(t *testing.T) {
+	is := is.New(t)
+	q := newBusyQueue(Options{})
+	e := busy(150 * time.Millisecond)
+	e.FirstEvent = 3 * time.Second
+	is.Equal(q.Offer(testNow, request(1, 1), e)[0].Verdict, Wait)
+}
+
+// Guards against less urgent requests, with a later goal, that fill the targets' queues and
+// so delay urgent ones.
+func TestUrgentGoalsLimitTheQueuesAtTargets(t *testing.T) {
+	is := is.New(t)
+	q := newBusyQueue(Options{})
+	patient := func(id uint64) *Request {
+		r := request(id, 2)
+		r.Goal = 5 * time.Second
+		return r
+	}
+	is.Equal(q.Offer(testNow, patient(1), busy(time.Second))[0].Verdict, Wait)
+	q.Offer(testNow, request(2, 0), busy(time.Second))
+	is.Equal(q.Offer(testNow, patient(3), busy(time.Second))[0].Verdict, RefuseSlots)
+}
+
 // Guards against a queue that grows beyond its bounds: the last in order loses its place,
 // and is sent if that is still in time.
 func TestFullQueueDisplacesTheLeastUrgent(t *testing.T) {
@@ -105,6 +149,18 @@
 	is.Equal(d.SlotIn, 2*time.Second)
 }
 
+// Guards against a refusal while a slot is free, whatever is expected of the answer.
+func TestFreeSlotIsNeverRefused(t *testing.T) {
+	is := is.New(t)
+	q := newBusyQueue(Options{})
+	slow := busy(0)
+	slow.FirstEvent = time.Minute
+	is.Equal(q.Offer(testNow, request(1, 0), slow)[0].Verdict, Start)
+	is.Equal(q.Offer(testNow, request(2, 0), slow)[0].Verdict, Wait) // until the first is placed
+	q.Placed()
+	is.Equal(q.Step(testNow, func(*Request) Estimate { return slow })[0].Verdict, Start)
+}
+
 // Guards against an estimate that refuses everything for good: it is put to the test once
 // in a second, and again until it is corrected.
 func TestRefusingEverythingIsTried(t *testing.T) {
--- a/router/homebudget/remote.go
+++ b/router/homebudget/remote.go
@@ -74,7 +74,7 @@
 	case pb.ReserveResult_RESERVE_RESULT_INSUFFICIENT:
 		return errkind.New(errkind.BudgetUnreachable, "the prepaid balance doesn't cover this request now").WithRetryAfter(retryAfter)
 	case pb.ReserveResult_RESERVE_RESULT_EXHAUSTED:
-		return errkind.New(errkind.BudgetExhausted, "the prepaid balance doesn't cover this request")
+		return errkind.New(errkind.BudgetExhausted, "the prepaid balance doesn't cover this request").WithRetryAfter(retryAfter)
 	case pb.ReserveResult_RESERVE_RESULT_PLATFORM_DOWN:
 		return errkind.Wrap(errkind.BudgetUnreachable, prepaid.ErrPlatformDown, "no tokens can be taken from the prepaid balance now").WithRetryAfter(retryAfter)
 	default:
--- a/router/prepaid/manager.go
+++ b/router/prepaid/manager.go
@@ -214,11 +214,25 @@
 	return prefix + "total", prefix + "holder." + holder
 }
 
-// insufficientError returns the refusal of a request that the balance doesn't
-// cover; since is when the balance was first too low, or zero.
-func insufficientError(since, now time.Time) error {
-	if !since.IsZero() && now.Sub(since) > exhaustedAfter {
-		return errkind.New(errkind.BudgetExhausted, "the prepaid balance doesn't cover this request")
+// insufficientError returns the refusal of a request that the balance doesn't cover; since
+// is when the balance was first too low, or zero. If waiters are served by priority, the
+// Retry-After is as long as the balance has been too low, so that callers don't come back
+// again and again.
+func (m *Manager) insufficientError(since, now time.Time) error {
+	short := time.Duration(0)
+	if !since.IsZero() {
+		short = now.Sub(since)
 	}
-	return errkind.New(errkind.BudgetUnreachable, "the prepaid balance doesn't cover this request now").WithRetryAfter(insufficientRetryAfter)
+	retryAfter := insufficientRetryAfter
+	if m.opts.ByPriority {
+		retryAfter = max(retryAfter, short)
+	}
+	if short <= exhaustedAfter {
+		return errkind.New(errkind.BudgetUnreachable, "the prepaid balance doesn't cover this request now").WithRetryAfter(retryAfter)
+	}
+	exhausted := errkind.New(errkind.BudgetExhausted, "the prepaid balance doesn't cover this request")
+	if m.opts.ByPriority {
+		return exhausted.WithRetryAfter(retryAfter)
+	}
+	return exhausted
 }
--- a/router/prepaid/priority_test.go
+++ b/router/prepaid/priority_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"cuminrock.example/fleet/allotment"
+	"cuminrock.example/fleet/errkind"
 )
 
 // newPriorityWorker returns a worker that holds 20,000 tokens, the last ones of its
@@ -58,3 +59,24 @@
 	is.True(aw.tryReserve(0, 1, []*waiter{unservable}, now))
 	is.True(!aw.tryReserve(0, 1, []*waiter{newWaiter("c", 0), newWaiter("d", 0)}, now))
 }
+
+// Guards against callers that come back after the same short time however long a balance
+// has been too low, and against a change of that time without the switch.
+func TestRefusalTellsHowLongTheBalanceWasTooLow(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	for _, since := range []time.Duration{0, 3 * time.Second, 20 * time.Second} {
+		for _, byPriority := range []bool{false, true} {
+			m := &Manager{opts: Options{ByPriority: byPriority}}
+			after := errkind.FromError(m.insufficientError(now.Add(-since), now)).RetryAfter
+			switch {
+			case byPriority:
+				is.Equal(after, max(since, insufficientRetryAfter))
+			case since > exhaustedAfter:
+				is.Equal(after, time.Duration(0))
+			default:
+				is.Equal(after, insufficientRetryAfter)
+			}
+		}
+	}
+}
--- a/router/prepaid/waiters.go
+++ b/router/prepaid/waiters.go
@@ -187,7 +187,7 @@
 	w := aw.waiters[last]
 	aw.waiters = aw.waiters[:last]
 	aw.account.AddWaiting(-w.tokens)
-	w.result <- insufficientError(aw.insufficientSince, now)
+	w.result <- aw.manager.insufficientError(aw.insufficientSince, now)
 	if aw.insufficientSince.IsZero() {
 		aw.insufficientSince = now
 	}
