--- a/router/relay/admission.go
+++ b/router/relay/admission.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"cuminrock.example/fleet/admission"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
@@ -111,6 +113,14 @@
 	causeDeadline          = "deadline"
 )
 
+// newRefusals returns the counters of refusals, registered with the registry.
+func newRefusals(registry prometheus.Registerer) *prometheus.CounterVec {
+	refusals := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cuminrock_refusals_total", Help: "Refused requests that haven't run, for want of tokens, slots or time."}, []string{"cause"})
+	registry.MustRegister(refusals)
+	return refusals
+}
+
 // refusalCause returns why a request that hasn't run was refused: for tokens, for a slot at
 // a target, or for its deadline. It is empty for other errors.
 func refusalCause(err *errkind.Error) string {
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -11,6 +11,8 @@
 
 // Metrics counts requests, their outcomes and their sends to targets.
 type Metrics struct {
+	// Refusals counts refused requests that haven't run, by cause.
+	Refusals *prometheus.CounterVec
 	// Requests counts finished requests by route and outcome.
 	Requests *prometheus.CounterVec
 	// Duration and FirstByte are latencies in seconds, by route.
@@ -23,14 +25,13 @@
 	// RetriesDenied counts failures that weren't retried because the retry budget
 	// was used up.
 	RetriesDenied prometheus.Counter
-	// Refusals counts refused requests that haven't run, by cause.
-	Refusals *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with the registry.
 func NewMetrics(registry prometheus.Registerer) *Metrics {
 	buckets := prometheus.ExponentialBuckets(0.005, 2, 12)
 	m := &Metrics{
+		Refusals: newRefusals(registry),
 		Requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cuminrock_requests_total", Help: "Finished requests."}, []string{"route", "outcome"}),
 		Duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -45,10 +46,8 @@
 			Name: "cuminrock_broken_answers_total", Help: "Answers of targets that ended early."}),
 		RetriesDenied: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cuminrock_retries_denied_total", Help: "Retries that the retry budget forbade."}),
-		Refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "cuminrock_refusals_total", Help: "Refused requests that haven't run, for want of tokens, slots or time."}, []string{"cause"}),
 	}
-	registry.MustRegister(m.Requests, m.Duration, m.FirstByte, m.Sends, m.Resends, m.Breaks, m.RetriesDenied, m.Refusals)
+	registry.MustRegister(m.Requests, m.Duration, m.FirstByte, m.Sends, m.Resends, m.Breaks, m.RetriesDenied)
 	return m
 }
 
