--- a/fleet/admission/queue_test.go
+++ b/fleet/admission/queue_test.go
@@ -210,3 +210,16 @@
 	is.Equal(s.Refused("w", 12_000, testNow.Add(4*time.Second)), time.Duration(0))
 	is.Equal(s.Refused("w", 12_000, testNow.Add(30*time.Second)), time.Duration(0))
 }
+
+// BenchmarkFullQueue measures one offer and one step while 256 requests of 50 workspaces
+// wait.
+func BenchmarkFullQueue(b *testing.B) {
+	q := newBusyQueue(Options{})
+	stillBusy := func(*Request) Estimate { return busy(50 * time.Millisecond) }
+	for i := range b.N {
+		r := request(uint64(i+1), i%3)
+		r.Workspace = string(rune('a' + i%50))
+		q.Offer(testNow, r, busy(50*time.Millisecond))
+		q.Step(testNow, stillBusy)
+	}
+}
--- a/router/admission/gate_test.go
+++ b/router/admission/gate_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"cuminrock.example/fleet/admission"
@@ -143,3 +144,30 @@
 		is.True(g.TokensRefused("w", 100, 0, 0, time.Minute) < 500*time.Millisecond)
 	})
 }
+
+// Guards against requests that nothing decides on while others arrive, end and leave at the
+// same time.
+func TestConcurrentRequestsAreAllDecided(t *testing.T) {
+	is := is.New(t)
+	g, targets := newGate(time.Millisecond)
+	var group conc.WaitGroup
+	var decided atomic.Int64
+	for i := range 300 {
+		group.Go(func() {
+			ctx, leave := context.WithTimeout(context.Background(), time.Duration(i%100+1)*time.Millisecond)
+			defer leave()
+			targets.free.Store(int64(i%3) * int64(time.Millisecond))
+			got := admit(ctx, g, i%4)
+			if got.ticket != nil || got.refusal != nil || ctx.Err() != nil {
+				decided.Add(1)
+			}
+			got.ticket.Placed()
+			got.ticket.FirstEvent()
+			got.ticket.Ended()
+		})
+	}
+	group.Wait()
+	is.Equal(decided.Load(), int64(300))
+	is.Equal(len(g.services["s"].waiting), 0)
+	is.Equal(g.services["s"].queue.Len(), 0)
+}
