--- a/fleet/admission/estimate.go
+++ b/fleet/admission/estimate.go
@@ -9,7 +9,7 @@
 //
 // Many gateways share the targets, so all decisions rest on estimates. An estimate that
 // is unknown or too old neither delays nor refuses a request. No request is refused while
-// a slot is free and nothing waits. The estimates are corrected by the times to the first
+// a slot is free and nothing waits, neither here nor at the target. The estimates are corrected by the times to the first
 // events that were observed, and now and then a request is sent although its estimate
 // speaks against that.
 //
