--- a/fleet/admission/estimate.go
+++ b/fleet/admission/estimate.go
@@ -9,9 +9,9 @@
 //
 // Many gateways share the targets, so all decisions rest on estimates. An estimate that
 // is unknown or too old neither delays nor refuses a request. No request is refused while
-// a slot is free and nothing waits, neither here nor at the target. The estimates are corrected by the times to the first
-// events that were observed, and now and then a request is sent although its estimate
-// speaks against that.
+// a slot is free and nothing waits, neither here nor at the target. The estimates are
+// corrected by the times to the first events that were observed, and now and then a
+// request is sent although its estimate speaks against that.
 //
 // The package reads no clock and no random numbers: every input carries its own. Its
 // types aren't safe for concurrent use.
