--- a/fleet/placement/estimate.go
+++ b/fleet/placement/estimate.go
@@ -19,6 +19,9 @@
 	// SlotFree is the time until a slot is expected to be free, and FirstEvent the time to
 	// the first event, which includes it.
 	SlotFree, FirstEvent time.Duration
+	// Queued is the part of FirstEvent that is spent on other requests: the wait for a slot,
+	// and for their prompts to be read.
+	Queued time.Duration
 }
 
 // Estimate returns what the request can expect at the best target now. It compares the
@@ -39,6 +42,7 @@
 	return Estimate{
 		Known:    best.state.hasFreshReport(r.Now) || best.state.work.dataCentre.known.hasFreshReports(p.now),
 		SlotFree: duration(best.slotWait), FirstEvent: duration(best.firstEvent),
+		Queued: duration(best.slotWait + best.factor*svc.model.ReadTime(best.ahead)),
 	}
 }
 
@@ -47,3 +51,10 @@
 func (w *dataCentreWork) hasFreshReports(now workmodel.Instant) bool {
 	return w.reports.value(now) >= minDataCentreReports && now.Sub(w.requests.at) <= loadReportMaxAge
 }
+
+// PlacedByExpectedWork reports whether the service is placed by expected work now.
+func (t *Table) PlacedByExpectedWork(service string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.placedByWork(service, now) != nil
+}
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/retry"
+	"cuminrock.example/router/admission"
 	"cuminrock.example/router/crashwatch"
 	"cuminrock.example/router/exchange"
 	"cuminrock.example/router/lag"
@@ -114,6 +115,8 @@
 
 	relay   *relay.Relay
 	budgets *prepaid.Manager
+	// admission is nil unless the settings switch it on.
+	admission *admission.Gate
 	// peers is nil if the gateway has no listener for others.
 	peers        *peers
 	targets      *placement.Table
@@ -167,7 +170,7 @@
 	g.budgets = prepaid.NewManager(prepaid.Options{
 		Tables: p.Tables, Clock: p.Clock, Machine: settings.Name + "." + settings.Doors.Caller,
 		Holder: settings.Name + "." + incarnation, PreviousRunsEndedBy: openedAt,
-		Metrics: prepaid.NewMetrics(g.registry), Log: log, Now: time.Now,
+		ByPriority: settings.Admission, Metrics: prepaid.NewMetrics(g.registry), Log: log, Now: time.Now,
 	})
 	var budgets relay.Budgets = g.budgets
 	if lis.peer != nil {
@@ -180,6 +183,7 @@
 		Metrics: crashwatch.NewMetrics(g.registry), Log: log, Now: time.Now,
 	})
 	g.origins = streamorigin.New(streamorigin.Options{Gateway: settings.Name, Tables: p.Tables, Clock: p.Clock, Log: log, Now: time.Now})
+	g.admission = newAdmission(g)
 	g.relay = relay.New(relay.Options{
 		Catalog:    g.catalog.Load,
 		Targets:    g.targets,
@@ -193,6 +197,7 @@
 		Egress:     g.egress,
 		Metrics:    relay.NewMetrics(g.registry),
 		Log:        log,
+		Admission:  g.admission,
 		Now:        time.Now,
 	})
 	g.startServers(lis)
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -11,6 +11,8 @@
 
 // Metrics counts requests, their outcomes and their sends to targets.
 type Metrics struct {
+	// Refusals counts refused requests that haven't run, by cause.
+	Refusals *prometheus.CounterVec
 	// Requests counts finished requests by route and outcome.
 	Requests *prometheus.CounterVec
 	// Duration and FirstByte are latencies in seconds, by route.
@@ -36,6 +38,7 @@
 func NewMetrics(registry prometheus.Registerer) *Metrics {
 	buckets := prometheus.ExponentialBuckets(0.005, 2, 12)
 	m := &Metrics{
+		Refusals: newRefusals(registry),
 		Requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cuminrock_requests_total", Help: "Finished requests."}, []string{"route", "outcome"}),
 		Duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
--- a/router/relay/send.go
+++ b/router/relay/send.go
@@ -18,6 +18,7 @@
 func (p *proxiedRequest) sendToNextTarget(ctx context.Context, resumeAfter string) (*attempt, *errkind.Error) {
 	for {
 		lease, failure := p.pickTarget(ctx)
+		p.ticket.Placed()
 		if failure != nil {
 			return nil, failure
 		}
--- a/router/settings/gateway_test.go
+++ b/router/settings/gateway_test.go
@@ -26,6 +26,13 @@
 	}
 }
 
+func TestAdmissionIsSwitchedOnBySettings(t *testing.T) {
+	is := is.New(t)
+	s, err := ParseGateway([]byte(strings.Replace(validGatewaySettings, `"memory_mib"`, `"admission":true,"memory_mib"`, 1)))
+	is.NoErr(err)
+	is.True(s.Admission)
+}
+
 func TestFaultsOfGatewaySettingsAreNamed(t *testing.T) {
 	is := is.New(t)
 	_, err := ParseGateway([]byte(`{}`))
