Streams: versions are recorded in the store; origins before the first event

After a kill of all gateways a new process knew only the versions that it had listed itself, so a caller without Resumes was answered 200 at the next version. Origins were written up to 0.85 s after the first event, were dropped while the platform's clock wasn't known, and a read that failed within 0.5 s counted as an unknown stream.

Table `versions` records per service the versions that targets had; streams begin only at recorded versions, and a caller without Resumes goes on by a read of the record that begins after its request. Origins are recorded when a request is sent, wait for the clock, and reads are repeated for up to 5 s. If another version than the expected one begins a stream, its first event is held until the row is right. placement.SoleVersion is gone.

TestStreamIsNotGoneOnWithAtTheNextVersionAfterAllGatewaysEnded failed at (200 != 503), as did the three tests of lost origins in equivalent form on a scratch copy of it. TestOriginIsStoredByTheFirstEvent and the planted faults fail the old ways.

--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -94,6 +94,13 @@
 
 func newBreaker() breaker.Breaker { return breaker.New(minSuspectTime, maxSuspectTime) }
 
+// Len returns the number of gateways, this one included.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.gateways)
+}
+
 // DataCentres returns the names of all data centres with a gateway, in order.
 func (t *Table) DataCentres() []string {
 	t.mu.Lock()
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -38,6 +38,9 @@
 	SharedTokens, PromptTokens int64
 	// Version restricts the choice to targets of one version; empty means all.
 	Version string
+	// AllowsVersion restricts the choice to targets of versions for which it returns true;
+	// nil means all.
+	AllowsVersion func(version string) bool
 	// Exclude lists the ids of targets that this request has already tried.
 	Exclude []string
 	Now     time.Time
@@ -147,7 +150,8 @@
 
 // allows reports whether the request may be sent to the target.
 func (r *Request) allows(s *targetState) bool {
-	return (r.Version == "" || s.target.Version == r.Version) && !slices.Contains(r.Exclude, s.target.ID)
+	return (r.Version == "" || s.target.Version == r.Version) &&
+		(r.AllowsVersion == nil || r.AllowsVersion(s.target.Version)) && !slices.Contains(r.Exclude, s.target.ID)
 }
 
 // available reports whether neither the target nor its data centre is suspect,
--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -55,8 +55,6 @@
 	lastPlacement map[uint64]placementRecord
 	// past holds what targets announced that are no longer listed.
 	past map[Process]pastTarget
-	// versions has, by service and version, when a target of it was last listed.
-	versions map[string]map[string]time.Time
 	// failuresForgottenAt is the time up to which failures of requests say nothing about
 	// their targets.
 	failuresForgottenAt time.Time
@@ -92,7 +90,7 @@
 
 // New returns a table without targets for a router in the given data centre.
 func New(dataCentre string) *Table {
-	return &Table{dataCentre: dataCentre, services: make(map[string][]*targetState), byID: make(map[string]*targetState), dataCentres: make(map[string]*dataCentreState), lastPlacement: make(map[uint64]placementRecord), past: make(map[Process]pastTarget), versions: make(map[string]map[string]time.Time)}
+	return &Table{dataCentre: dataCentre, services: make(map[string][]*targetState), byID: make(map[string]*targetState), dataCentres: make(map[string]*dataCentreState), lastPlacement: make(map[uint64]placementRecord), past: make(map[Process]pastTarget)}
 }
 
 // Update replaces the list of targets. A target whose process still runs at the
@@ -119,7 +117,6 @@
 		t.services[target.Service] = append(t.services[target.Service], s)
 	}
 	t.rememberPast(old, now)
-	t.recordVersions(targets, now)
 }
 
 // Targets returns all known targets.
--- a/fleet/streamorigin/log_test.go
+++ b/fleet/streamorigin/log_test.go
@@ -18,7 +18,7 @@
 	is.True(!known)
 	_, known = l.Version(a, 100) // it can't be taken up any more
 	is.True(!known)
-	is.Equal(len(l.Origins(100)), 0)
+	is.Equal(len(l.Publish(100)), 0)
 }
 
 // A caller that uses one id for two streams gets neither.
@@ -50,7 +50,38 @@
 	for i := range 2 * maxOrigins {
 		l.Add(Stream(i), Origin{Version: "v1", UntilMs: int64(1000 + i)})
 	}
-	is.Equal(len(l.Origins(0)), maxOrigins)
+	is.Equal(len(l.Publish(0)), maxOrigins)
 	_, known := l.Version(Stream(2*maxOrigins-1), 0)
 	is.True(known)
 }
+
+// The target that a stream was sent to may fail before its first event; another begins it.
+func TestExpectedOriginIsReplaced(t *testing.T) {
+	is := is.New(t)
+	l := NewLog()
+	s := StreamOf("w", "a")
+	l.Expect(s, Origin{Version: "v1", UntilMs: 100})
+	_, known := l.Version(s, 50)
+	is.True(!known) // it hasn't begun
+	is.Equal(l.Publish(0)[s].Version, "v1")
+	l.Expect(s, Origin{Version: "v2", UntilMs: 100})
+	is.Equal(l.Publish(0)[s].Version, "v2")
+	l.Add(s, Origin{Version: "v1", UntilMs: 100})
+	is.True(l.Misleads(s)) // the write of v2 may have been executed
+	l.Stored(s, Origin{Version: "v1", UntilMs: 100})
+	is.True(!l.Misleads(s))
+	version, known := l.Version(s, 50)
+	is.True(known)
+	is.Equal(version, "v1")
+}
+
+// What an earlier run stored counts like a stream that has begun.
+func TestStoredOriginOfAnEarlierRun(t *testing.T) {
+	is := is.New(t)
+	l := NewLog()
+	s := StreamOf("w", "a")
+	l.Expect(s, Origin{Version: "v2", UntilMs: 100})
+	l.Stored(s, Origin{Version: "v1", UntilMs: 100})
+	is.Equal(l.Publish(0)[s].Version, "") // two versions are said to have begun it
+	is.True(l.Misleads(s))
+}
--- a/router/crashwatch/row.go
+++ b/router/crashwatch/row.go
@@ -20,7 +20,7 @@
 func newPublisher(w *Watcher) *ownrow.Row {
 	return ownrow.New(ownrow.Options{
 		Tables: w.Tables, Key: Table + "//" + w.Gateway, Content: (*reportContent)(w),
-		UrgentDelay: maxCrashDelay, LaterDelay: maxAnswerDelay, Subject: "crash", Log: w.Log,
+		UrgentDelay: maxCrashDelay, LaterDelay: func() time.Duration { return maxAnswerDelay }, Subject: "crash", Log: w.Log,
 	})
 }
 
--- a/router/forward/world_test.go
+++ b/router/forward/world_test.go
@@ -266,7 +266,17 @@
 // noOrigins is a StreamOrigins of streams that callers never take up.
 type noOrigins struct{}
 
-func (noOrigins) Began(streamorigin.Stream, string, time.Time) {}
+func (noOrigins) Expect(streamorigin.Stream, string, time.Time) {}
+
+func (noOrigins) Began(context.Context, streamorigin.Stream, string, time.Time) bool { return true }
+
+func (noOrigins) MayBegin(string, string) bool { return true }
+
+func (noOrigins) AwaitVersion(context.Context, string) bool { return false }
+
+func (noOrigins) SoleVersion(context.Context, string, time.Duration) (string, bool) { return "", true }
+
+func (noOrigins) Covers(string, time.Duration) bool { return true }
 
 func (noOrigins) BrokeOff() {}
 
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -163,7 +163,7 @@
 		Gateway: settings.Name, Tables: p.Tables, Clock: p.Clock, TargetEnded: g.forward.client.TargetEnded,
 		Metrics: crashwatch.NewMetrics(g.registry), Log: log, Now: time.Now,
 	})
-	g.origins = streamorigin.New(streamorigin.Options{Gateway: settings.Name, Tables: p.Tables, Clock: p.Clock, Log: log, Now: time.Now})
+	g.origins = streamorigin.New(streamorigin.Options{Gateway: settings.Name, Tables: p.Tables, Clock: p.Clock, Gateways: g.gatewayCount, Log: log, Now: time.Now})
 	g.limits = newLimiter(g)
 	g.relay = relay.New(relay.Options{
 		Catalog:    g.catalog.Load,
@@ -196,6 +196,14 @@
 	return hex.EncodeToString(random[:]), nil
 }
 
+// gatewayCount returns the number of gateways of the deployment, as far as known.
+func (g *Gateway) gatewayCount() int {
+	if g.peers == nil {
+		return 1
+	}
+	return g.peers.homes.Len()
+}
+
 // Ready reports whether the load balancer may send new connections. A gateway that is cut
 // off from all targets is ready as long as any other gateway responds, since that passes
 // its requests on, or is cut off, too.
--- a/router/gateway/target_view.go
+++ b/router/gateway/target_view.go
@@ -67,11 +67,24 @@
 func (v *targetView) updateTable() {
 	targets := slices.Collect(maps.Values(v.current))
 	targets = slices.AppendSeq(targets, maps.Values(v.lapsed))
+	// A target that can be picked must be among the listed versions, which are recorded.
+	v.gateway.origins.SetListed(listedVersions(targets))
 	v.gateway.targets.Update(targets, time.Now())
 	v.gateway.targetCounts.set(targets)
 	v.gateway.hasTarget.Store(len(targets) > 0)
 }
 
+// listedVersions returns the versions of the targets by service.
+func listedVersions(targets []placement.Target) map[string][]string {
+	versions := make(map[string][]string)
+	for _, target := range targets {
+		if !slices.Contains(versions[target.Service], target.Version) {
+			versions[target.Service] = append(versions[target.Service], target.Version)
+		}
+	}
+	return versions
+}
+
 // findLapsed returns the targets that are missing now, for the services that kept
 // fewer than half of their targets.
 func findLapsed(before, now map[string]placement.Target) map[string]placement.Target {
--- a/router/gateway/watch_test.go
+++ b/router/gateway/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
@@ -11,6 +12,7 @@
 
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/router/platformclient"
+	"cuminrock.example/router/streamorigin"
 )
 
 func TestRelistDelayGrowsToItsBound(t *testing.T) {
@@ -24,11 +26,20 @@
 	is.True(relistDelay(0) <= minRelistDelay)
 }
 
+// noClock is a platform clock whose time isn't known.
+type noClock struct{}
+
+func (noClock) LowerBound(time.Time) (int64, bool) { return 0, false }
+func (noClock) UpperBound(time.Time) (int64, bool) { return 0, false }
+
 // A list repeats all targets. Only those that changed are logged.
 func TestListLogsOnlyChangedTargets(t *testing.T) {
 	is := is.New(t)
 	core, logs := observer.New(zapcore.InfoLevel)
-	g := &Gateway{targetCounts: newTargetCounts(prometheus.NewRegistry()), log: zap.New(core), targets: placement.New("z")}
+	g := &Gateway{
+		targetCounts: newTargetCounts(prometheus.NewRegistry()), log: zap.New(core), targets: placement.New("z"),
+		origins: streamorigin.New(streamorigin.Options{Clock: noClock{}, Now: time.Now, Log: zap.NewNop()}),
+	}
 	g.platform.Targets.Parse = func(id string, value []byte) (placement.Target, error) {
 		return placement.Target{ID: id, Service: "s", Address: string(value)}, nil
 	}
--- a/router/ownrow/row.go
+++ b/router/ownrow/row.go
@@ -47,7 +47,8 @@
 	Content Content
 	// UrgentDelay and LaterDelay bound the random delays before the row is written
 	// after Wake and after WakeLater.
-	UrgentDelay, LaterDelay time.Duration
+	UrgentDelay time.Duration
+	LaterDelay  func() time.Duration
 	// Gap is the least time between two writes.
 	Gap time.Duration
 	// Subject begins the log lines.
@@ -123,7 +124,7 @@
 	case <-r.urgent:
 		return wait.For(ctx, rand.N(r.UrgentDelay))
 	case <-r.later:
-		return r.waitUnlessUrgent(ctx, rand.N(r.LaterDelay))
+		return r.waitUnlessUrgent(ctx, rand.N(r.LaterDelay()))
 	}
 }
 
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -23,6 +23,8 @@
 	// RetriesDenied counts failures that weren't retried because the retry budget
 	// was used up.
 	RetriesDenied prometheus.Counter
+	// Resumptions counts streams that callers took up, by how their version was found.
+	Resumptions *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with the registry.
@@ -43,8 +45,10 @@
 			Name: "cuminrock_broken_answers_total", Help: "Answers of targets that ended early."}),
 		RetriesDenied: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cuminrock_retries_denied_total", Help: "Retries that the retry budget forbade."}),
+		Resumptions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cuminrock_resumptions_total", Help: "Streams that callers took up, by how their version was found."}, []string{"origin"}),
 	}
-	registry.MustRegister(m.Requests, m.Duration, m.FirstByte, m.Sends, m.Resends, m.Breaks, m.RetriesDenied)
+	registry.MustRegister(m.Requests, m.Duration, m.FirstByte, m.Sends, m.Resends, m.Breaks, m.RetriesDenied, m.Resumptions)
 	return m
 }
 
--- a/router/relay/options.go
+++ b/router/relay/options.go
@@ -64,14 +64,31 @@
 
 // StreamOrigins knows at which versions streams began.
 type StreamOrigins interface {
+	// Expect records that a stream, which must end by a deadline, is about to be sent to
+	// a target of a version.
+	Expect(s streamorigin.Stream, version string, deadline time.Time)
 	// Began records that a stream, which must end by a deadline, has begun or gone on at
-	// a version.
-	Began(s streamorigin.Stream, version string, deadline time.Time)
+	// a version; an empty one is unknown. It reports false if another version is recorded
+	// for it and can't be corrected: the first event must not be passed on then.
+	Began(ctx context.Context, s streamorigin.Stream, version string, deadline time.Time) bool
 	// BrokeOff records that a stream broke off, so that its caller may take it up.
 	BrokeOff()
 	// Version returns the version that began a stream; false if that can't be found
 	// out.
 	Version(ctx context.Context, s streamorigin.Stream) (string, bool)
+	// MayBegin reports whether streams may begin at a version of a service, as far as
+	// the version is recorded.
+	MayBegin(service, version string) bool
+	// AwaitVersion waits until streams may begin at another listed version of a service.
+	// It reports false if there is none, or not in time.
+	AwaitVersion(ctx context.Context, service string) bool
+	// SoleVersion returns the only version of a service at which a recorded stream of a
+	// lifetime can have begun; empty if there are several or it can't be found out.
+	// Covers is false if such streams may have begun before the first record.
+	SoleVersion(ctx context.Context, service string, lifetime time.Duration) (version string, covers bool)
+	// Covers reports whether no such stream can have begun before the first record, as
+	// far as known without a call.
+	Covers(service string, lifetime time.Duration) bool
 }
 
 // TargetLimits keeps requests within the limits that targets name.
--- a/router/relay/origin_test.go
+++ b/router/relay/origin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,16 +17,54 @@
 // originLog is a StreamOrigins of one gateway.
 type originLog struct {
 	versions map[streamorigin.Stream]string
+	expected []string
 	broke    int
+	// serviceVersions are the recorded versions of the service, all if nil.
+	serviceVersions []string
+	// young is set if streams may have begun before the versions were recorded.
+	young bool
+	// stuck is set if a version that was expected can't be corrected.
+	stuck bool
+	// onAwait is called by AwaitVersion.
+	onAwait func()
 }
 
-func (l *originLog) Began(s streamorigin.Stream, version string, _ time.Time) {
+func (l *originLog) Expect(_ streamorigin.Stream, version string, _ time.Time) {
+	l.expected = append(l.expected, version)
+}
+
+func (l *originLog) Began(_ context.Context, s streamorigin.Stream, version string, _ time.Time) bool {
 	if l.versions == nil {
 		l.versions = make(map[streamorigin.Stream]string)
 	}
 	l.versions[s] = version
+	if version == "" {
+		delete(l.versions, s)
+	}
+	return !l.stuck || !slices.ContainsFunc(l.expected, func(other string) bool { return other != version })
+}
+
+func (l *originLog) MayBegin(_, version string) bool {
+	return l.serviceVersions == nil || slices.Contains(l.serviceVersions, version)
+}
+
+func (l *originLog) AwaitVersion(context.Context, string) bool {
+	if l.onAwait == nil {
+		return false
+	}
+	l.onAwait()
+	return true
+}
+
+func (l *originLog) SoleVersion(context.Context, string, time.Duration) (string, bool) {
+	if len(l.serviceVersions) != 1 {
+		return "", !l.young
+	}
+	return l.serviceVersions[0], !l.young
 }
 
+func (l *originLog) Covers(string, time.Duration) bool { return !l.young }
+
 func (l *originLog) BrokeOff() { l.broke++ }
 
 func (l *originLog) Version(_ context.Context, s streamorigin.Stream) (string, bool) {
@@ -41,6 +80,9 @@
 	up := &upstream{outcomes: outcomes}
 	r := newRelay(resumable(), up)
 	r.Origins = origins
+	if origins.serviceVersions == nil {
+		origins.serviceVersions = slices.Compact(slices.Sorted(slices.Values(versions)))
+	}
 	var targets []placement.Target
 	for i, version := range versions {
 		targets = append(targets, placement.Target{ID: string(rune('a' + i)), Service: "s", Version: version})
@@ -97,7 +139,7 @@
 func TestTakeoversGoOnAtTheFirstVersion(t *testing.T) {
 	is := is.New(t)
 	origins := &originLog{}
-	origins.Began(streamorigin.StreamOf("", "1"), "v2", time.Time{})
+	origins.Began(context.Background(), streamorigin.StreamOf("", "1"), "v2", time.Time{})
 	for i := range 5 {
 		r, up := newVersionedRelay(origins, []string{"v1", "v2", "v1"}, brokenStream)
 		serveWith(context.Background(), r, &Request{ID: string(rune('2' + i)), Resumes: "1", ResumeAfter: "3"})
@@ -121,7 +163,7 @@
 func TestTakeoverAfterTheLastTargetOfItsVersionIsRefused(t *testing.T) {
 	is := is.New(t)
 	origins := &originLog{}
-	origins.Began(streamorigin.StreamOf("", "1"), "v0", time.Time{})
+	origins.Began(context.Background(), streamorigin.StreamOf("", "1"), "v0", time.Time{})
 	r, up := newVersionedRelay(origins, []string{"v1", "v2"}, brokenStream)
 	out := serveWith(context.Background(), r, &Request{ID: "2", Resumes: "1", ResumeAfter: "3"})
 	is.Equal(out.refused.Kind, errkind.NoTarget)
@@ -149,7 +191,7 @@
 func TestTargetThatRestartsAtAnotherVersion(t *testing.T) {
 	is := is.New(t)
 	origins := &originLog{}
-	origins.Began(streamorigin.StreamOf("", "1"), "v1", time.Time{})
+	origins.Began(context.Background(), streamorigin.StreamOf("", "1"), "v1", time.Time{})
 	r, up := newVersionedRelay(origins, []string{"v1"}, brokenStream)
 	r.Targets.Update([]placement.Target{{ID: "a", StartTimeMs: 2, Service: "s", Version: "v2"}}, time.Now())
 	out := serveWith(context.Background(), r, &Request{ID: "2", Resumes: "1", ResumeAfter: "3"})
@@ -182,3 +224,83 @@
 	is.Equal(origins.broke, 0)
 	is.Equal(r.Catalog().Route("h", "/x").Kind, catalog.Stream)
 }
+
+// Guards against answers of two versions after a kill of all gateways: a new process knows
+// only the versions that it has seen itself.
+func TestTakeoverWithoutItsAttemptGoesByTheRecord(t *testing.T) {
+	is := is.New(t)
+	r, up := newVersionedRelay(&originLog{serviceVersions: []string{"v1", "v2"}}, []string{"v2"}, outcome{status: 200, body: lastEvents})
+	out := serveWith(context.Background(), r, &Request{ID: "2", ResumeAfter: "3"})
+	is.Equal(out.refused.Kind, errkind.OriginUnknown)
+	is.True(out.refused.RetryAfter > 0)
+	is.Equal(len(up.sends), 0)
+}
+
+// A record that is younger than streams last says nothing of the first ones. A stream that
+// began since then is known by its request's fingerprint.
+func TestTakeoverWithoutItsAttemptByAYoungRecord(t *testing.T) {
+	is := is.New(t)
+	origins := &originLog{young: true}
+	r, up := newVersionedRelay(origins, []string{"v1", "v1"}, brokenStream, brokenStream, outcome{status: 200, body: lastEvents})
+	r.Catalog().Route("h", "/x").MaxAttempts = 1
+	out := serveWith(context.Background(), r, &Request{ID: "2", ResumeAfter: "3", Body: []byte("a")})
+	is.Equal(out.refused.Kind, errkind.OriginUnknown)
+	serveWith(context.Background(), r, &Request{ID: "1", Body: []byte("a")})
+	is.Equal(len(up.sends), 1)
+	out = serveWith(context.Background(), r, &Request{ID: "2", ResumeAfter: "3", Body: []byte("b")})
+	is.Equal(out.refused.Kind, errkind.OriginUnknown)
+	serveWith(context.Background(), r, &Request{ID: "2", ResumeAfter: "3", Body: []byte("a")})
+	is.Equal(up.versions(), []string{"v1", "v1"})
+}
+
+// Streams begin only at recorded versions; other requests go to all targets.
+func TestStreamsBeginAtRecordedVersions(t *testing.T) {
+	is := is.New(t)
+	for range 20 {
+		r, up := newVersionedRelay(&originLog{serviceVersions: []string{"v1"}}, []string{"v1", "v2", "v2"}, outcome{status: 200, body: firstEvents})
+		serveWith(context.Background(), r, &Request{ID: "1"})
+		is.Equal(up.versions(), []string{"v1"})
+	}
+	origins := &originLog{serviceVersions: []string{"v1"}}
+	r, up := newVersionedRelay(origins, []string{"v2"}, outcome{status: 200, body: firstEvents})
+	out := serveWith(context.Background(), r, &Request{ID: "1"})
+	is.Equal(out.refused.Kind, errkind.NoTarget)
+	origins.onAwait = func() { origins.serviceVersions = []string{"v1", "v2"} }
+	out = serveWith(context.Background(), r, &Request{ID: "1"})
+	is.True(out.finished)
+	is.Equal(up.versions(), []string{"v2"})
+	r, up = newVersionedRelay(&originLog{serviceVersions: []string{"v1"}}, []string{"v2"}, good)
+	route := r.Catalog().Route("h", "/x")
+	route.Kind, route.Resumable = catalog.Idempotent, false
+	serveWith(context.Background(), r, &Request{ID: "1"})
+	is.Equal(len(up.sends), 1)
+}
+
+// Guards against answers of two versions after a kill: the row still names the target that
+// failed before its first event. The caller gets no event then.
+func TestFirstEventIsHeldIfTheRowNamesAnotherVersion(t *testing.T) {
+	is := is.New(t)
+	for range 20 {
+		origins := &originLog{stuck: true}
+		r, up := newVersionedRelay(origins, []string{"v1", "v2"}, failed, outcome{status: 200, body: firstEvents})
+		out := serveWith(context.Background(), r, &Request{ID: "1"})
+		is.Equal(len(up.sends), 2)
+		is.Equal(origins.expected, up.versions())
+		is.Equal(out.status, 0)
+		is.Equal(out.refused.Kind, errkind.TargetFailed)
+	}
+}
+
+// Guards against a stream that goes on at another process than the one that was picked.
+func TestTakeoverAtAReplacedTargetIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	origins := &originLog{}
+	origins.Began(context.Background(), streamorigin.StreamOf("", "1"), "v1", time.Time{})
+	r, up := newVersionedRelay(origins, []string{"v1"}, outcome{status: 200, body: lastEvents})
+	up.onSend = func(s *UpstreamRequest) {
+		r.Targets.Update([]placement.Target{{ID: s.Target.ID, StartTimeMs: 2, Service: "s", Version: "v2"}}, time.Now())
+	}
+	out := serveWith(context.Background(), r, &Request{ID: "2", Resumes: "1", ResumeAfter: "3"})
+	is.Equal(out.status, 0)
+	is.Equal(out.body, "")
+}
--- a/router/relay/send.go
+++ b/router/relay/send.go
@@ -39,15 +39,10 @@
 		if refusal != nil {
 			return nil, refusal
 		}
-		lease, err := p.relay.Targets.Pick(&placement.Request{
-			Service:      p.service.Name,
-			Affinity:     p.Prompt.affinityHash(),
-			SharedTokens: p.Prompt.sharedTokens(),
-			PromptTokens: p.Prompt.inputTokens(),
-			Version:      p.origin.version,
-			Exclude:      p.triedTargets,
-			Now:          p.relay.Now(),
-		})
+		lease, err := p.pickOnce()
+		if err != nil && p.allowsVersion() != nil && p.relay.Origins.AwaitVersion(ctx, p.service.Name) {
+			lease, err = p.pickOnce()
+		}
 		if err != nil {
 			return nil, errkind.FromError(err)
 		}
@@ -66,6 +61,20 @@
 	}
 }
 
+// pickOnce picks a target that wasn't tried yet.
+func (p *proxiedRequest) pickOnce() (*placement.Lease, error) {
+	return p.relay.Targets.Pick(&placement.Request{
+		Service:       p.service.Name,
+		Affinity:      p.Prompt.affinityHash(),
+		SharedTokens:  p.Prompt.sharedTokens(),
+		PromptTokens:  p.Prompt.inputTokens(),
+		Version:       p.origin.version,
+		AllowsVersion: p.allowsVersion(),
+		Exclude:       p.triedTargets,
+		Now:           p.relay.Now(),
+	})
+}
+
 // send sends the request to the leased target. An error ends the lease.
 func (p *proxiedRequest) send(ctx context.Context, lease *slot, resumeAfter string) (*attempt, *errkind.Error) {
 	target, sent := lease.Target(), p.relay.Now()
@@ -73,6 +82,7 @@
 	if source := lease.Source(); source != nil {
 		p.copiedFrom = append(p.copiedFrom, source.ID)
 	}
+	p.expectOrigin(target)
 	p.relay.Egress.Add(headerBytes+len(p.Body), sent)
 	response, err := p.relay.Upstream.Send(ctx, &UpstreamRequest{
 		Request:     p.Request,
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -78,6 +78,10 @@
 			return p.truncatedError(ctx, err)
 		}
 		p.recordEvent(a)
+		if p.events == 0 && !p.recordOrigin(ctx, a.lease.Target()) {
+			a.finish(p, placement.Neutral)
+			return errkind.New(errkind.TargetFailed, "the version of the stream's target couldn't be recorded")
+		}
 		if event.ID != "" {
 			*lastEventID = event.ID
 		}
@@ -138,9 +142,6 @@
 	if !p.writeHeaderOnce(a) {
 		return false
 	}
-	if p.events == 0 {
-		p.recordOrigin(a.lease.Target())
-	}
 	p.events++
 	if p.writer.WriteBody(event.Raw) != nil {
 		return p.abortForCaller()
