Resumed streams ask for tokens at the most urgent rank

Their callers have a part of the answer already, which is lost without the rest. TestResumedStreamAsksForTokensAtTheMostUrgentRank failed before (rank 4 twice).

--- a/router/relay/origin_test.go
+++ b/router/relay/origin_test.go
@@ -12,6 +12,7 @@
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/streamorigin"
+	"cuminrock.example/router/prepaid"
 )
 
 // originLog is a StreamOrigins of one gateway.
@@ -304,3 +305,23 @@
 	is.Equal(out.status, 0)
 	is.Equal(out.body, "")
 }
+
+// rankedBudgets is a Budgets that records the ranks of reservations.
+type rankedBudgets struct{ ranks []int }
+
+func (b *rankedBudgets) Reserve(_ context.Context, _ string, _ *catalog.Workspace, _ int64, rank int, _ time.Duration) (prepaid.Reservation, error) {
+	b.ranks = append(b.ranks, rank)
+	return prepaid.Unlimited{}, nil
+}
+
+// Guards against resumed streams that get no tokens while less urgent new requests do.
+func TestResumedStreamAsksForTokensAtTheMostUrgentRank(t *testing.T) {
+	is := is.New(t)
+	r, _ := newVersionedRelay(&originLog{}, []string{"v1"}, outcome{status: 200, body: firstEvents}, outcome{status: 200, body: lastEvents})
+	budgets := &rankedBudgets{}
+	r.Budgets = budgets
+	r.Catalog().Route("h", "/x").Priority = 4
+	serveWith(context.Background(), r, &Request{ID: "1", Prompt: &Prompt{InputTokens: 1}})
+	serveWith(context.Background(), r, &Request{ID: "2", Resumes: "1", ResumeAfter: "2", Prompt: &Prompt{InputTokens: 1}})
+	is.Equal(budgets.ranks, []int{4, mostUrgent})
+}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -167,13 +167,22 @@
 	if a.route.LatencyGoal > 0 {
 		maxWait = min(maxWait, a.route.LatencyGoal/2)
 	}
-	reservation, err := r.Budgets.Reserve(ctx, a.ID, a.workspace, a.Prompt.MaxTotalTokens(), a.route.Priority, maxWait)
+	reservation, err := r.Budgets.Reserve(ctx, a.ID, a.workspace, a.Prompt.MaxTotalTokens(), a.budgetRank(), maxWait)
 	if err != nil {
 		return nil, errkind.FromError(err)
 	}
 	return reservation, nil
 }
 
+// budgetRank returns the rank at which the request asks for tokens. A stream that is taken up
+// is the most urgent: its caller has a part of the answer, which is lost without the rest.
+func (a *admittedRequest) budgetRank() int {
+	if a.resumesStream() {
+		return mostUrgent
+	}
+	return a.route.Priority
+}
+
 // withRetryAfter sets the Retry-After of an error that may be retried later, bounded
 // by a fraction of the caller's remaining time.
 func withRetryAfter(err *errkind.Error, req *Request, now time.Time) *errkind.Error {
