Tokens are kept for resumed streams that have to wait

The rank alone changes nothing while a balance runs out: a large resumed stream finds too few tokens, and small new requests take each part that is returned before it comes back.

Resumed streams have a rank of their own, more urgent than those of routes (older gateways take it for rank 0). Resumed streams are refused last.

--- a/fleet/allotment/account.go
+++ b/fleet/allotment/account.go
@@ -73,6 +73,8 @@
 	// demandByRank is the demand of each priority rank; rank 0 is the most
 	// urgent.
 	demandByRank [numRanks]demand
+	// kept are the tokens that are kept for resumed streams, the oldest first.
+	kept []keptTokens
 	// platformDownSince is when the platform stopped answering; zero while it
 	// answers.
 	platformDownSince time.Time
@@ -122,6 +124,9 @@
 		return false
 	}
 	a.reserved += tokens
+	if rank == ResumedRank {
+		a.releaseKept()
+	}
 	return true
 }
 
--- a/fleet/allotment/holding.go
+++ b/fleet/allotment/holding.go
@@ -52,7 +52,7 @@
 		a.returned += max(0, a.available())
 		return
 	}
-	surplus := free - desired - a.waiting
+	surplus := free - desired - a.waiting - a.keptForResumed(now)
 	if a.waiting > 0 || surplus <= desired/2 || now.Sub(a.returnedAt) < returnInterval {
 		return
 	}
@@ -76,8 +76,18 @@
 // PriorityReserve returns the tokens that are reserved for more urgent requests
 // while tokens are scarce. While the platform can't be reached, it covers all
 // more urgent requests; when the budget is nearly spent, only the ranks whose
-// mean request size is at most that of this request.
+// mean request size is at most that of this request. What resumed streams wait for is
+// reserved unless the unallocated tokens cover it.
 func (a *Account) PriorityReserve(tokens int64, rank int, now time.Time) int64 {
+	var resumed int64
+	if rank != ResumedRank {
+		resumed = max(a.keptForResumed(now)-a.Unallocated(), 0)
+	}
+	return max(a.rankReserve(tokens, rank, now), resumed)
+}
+
+// rankReserve returns the tokens that are reserved for requests of more urgent ranks.
+func (a *Account) rankReserve(tokens int64, rank int, now time.Time) int64 {
 	if !a.platformDownSince.IsZero() {
 		horizon := max(expectedOutage-now.Sub(a.platformDownSince), minReserveHorizon)
 		return int64(a.urgentRate(rank, math.MaxInt64, now) * horizon.Seconds())
--- a/router/prepaid/waiters.go
+++ b/router/prepaid/waiters.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"cuminrock.example/fleet/allotment"
 	"cuminrock.example/fleet/errkind"
 )
 
@@ -58,6 +60,9 @@
 		aw.wakeup.notify()
 		return refusal
 	}
+	if w.rank == allotment.ResumedRank {
+		aw.account.KeepForResumed(w.tokens, now)
+	}
 	aw.waiters = append(aw.waiters, w)
 	aw.account.AddWaiting(w.tokens)
 	aw.rowsFresh = false
@@ -149,12 +154,20 @@
 }
 
 // refuseNewest refuses the newest waiter, since the balance just read doesn't cover
-// all of them. The lock is held.
+// all of them. Resumed streams are refused last. The lock is held.
 func (aw *accountWorker) refuseNewest() {
 	now := aw.manager.opts.Now()
 	last := len(aw.waiters) - 1
+	for i, w := range aw.waiters {
+		if w.rank != allotment.ResumedRank {
+			last = i
+		}
+	}
 	w := aw.waiters[last]
-	aw.waiters = aw.waiters[:last]
+	aw.waiters = slices.Delete(aw.waiters, last, last+1)
+	if w.rank == allotment.ResumedRank {
+		aw.account.RenewKept(w.tokens, now)
+	}
 	aw.account.AddWaiting(-w.tokens)
 	w.result <- insufficientError(aw.insufficientSince, now)
 	if aw.insufficientSince.IsZero() {
--- a/router/relay/options.go
+++ b/router/relay/options.go
@@ -43,7 +43,7 @@
 type Budgets interface {
 	// Reserve sets aside the most tokens that a request can consume, and waits
 	// up to maxWait for them. The id is the request's; rank is its priority, 0 the
-	// most urgent. The error is of package errkind.
+	// most urgent but for allotment.ResumedRank. The error is of package errkind.
 	Reserve(ctx context.Context, id string, w *catalog.Workspace, tokens int64, rank int, maxWait time.Duration) (prepaid.Reservation, error)
 }
 
--- a/router/relay/origin_test.go
+++ b/router/relay/origin_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"cuminrock.example/fleet/allotment"
 	"cuminrock.example/fleet/catalog"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
@@ -323,5 +324,5 @@
 	r.Catalog().Route("h", "/x").Priority = 4
 	serveWith(context.Background(), r, &Request{ID: "1", Prompt: &Prompt{InputTokens: 1}})
 	serveWith(context.Background(), r, &Request{ID: "2", Resumes: "1", ResumeAfter: "2", Prompt: &Prompt{InputTokens: 1}})
-	is.Equal(budgets.ranks, []int{4, mostUrgent})
+	is.Equal(budgets.ranks, []int{4, allotment.ResumedRank})
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -20,6 +20,7 @@
 
 	"go.uber.org/zap"
 
+	"cuminrock.example/fleet/allotment"
 	"cuminrock.example/fleet/catalog"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/quarantine"
@@ -178,7 +179,7 @@
 // is the most urgent: its caller has a part of the answer, which is lost without the rest.
 func (a *admittedRequest) budgetRank() int {
 	if a.resumesStream() {
-		return mostUrgent
+		return allotment.ResumedRank
 	}
 	return a.route.Priority
 }
