--- a/fleet/allotment/account.go
+++ b/fleet/allotment/account.go
@@ -73,6 +73,8 @@
 	// demandByRank is the demand of each priority rank; rank 0 is the most
 	// urgent.
 	demandByRank [numRanks]demand
+	// kept are the tokens that are kept for resumed streams, the oldest first.
+	kept []keptTokens
 	// platformDownSince is when the platform stopped answering; zero while it
 	// answers.
 	platformDownSince time.Time
@@ -128,15 +130,18 @@
 	kept := a.PriorityReserve(tokens, rank, now)
 	if tokens <= a.Free()-kept {
 		a.earnTurn(tokens)
-		a.reserved += tokens
-		return true
+	} else {
+		mayUse := a.mayUseKept(tokens) && tokens <= a.Free()-a.resumedReserve(rank, now)
+		a.recordKept(tokens, mayUse)
+		if !mayUse {
+			return false
+		}
 	}
-	mayUse := a.mayUseKept(tokens)
-	a.recordKept(tokens, mayUse)
-	if mayUse {
-		a.reserved += tokens
+	a.reserved += tokens
+	if rank == ResumedRank {
+		a.releaseKept()
 	}
-	return mayUse
+	return true
 }
 
 // RecordDemand adds a request for tokens to the demand estimates.
--- a/fleet/allotment/holding.go
+++ b/fleet/allotment/holding.go
@@ -52,7 +52,7 @@
 		a.returned += max(0, a.available())
 		return
 	}
-	surplus := free - desired - a.waiting
+	surplus := free - desired - a.waiting - a.keptForResumed(now)
 	if a.waiting > 0 || surplus <= desired/2 || now.Sub(a.returnedAt) < returnInterval {
 		return
 	}
@@ -77,7 +77,21 @@
 // while tokens are scarce. While the platform can't be reached, it covers all
 // more urgent requests; when the budget is nearly spent, only the ranks whose
 // mean request size is at most that of this request, unless it keeps them for all sizes.
+// What resumed streams wait for is reserved unless the unallocated tokens cover it.
 func (a *Account) PriorityReserve(tokens int64, rank int, now time.Time) int64 {
+	return max(a.rankReserve(tokens, rank, now), a.resumedReserve(rank, now))
+}
+
+// resumedReserve returns the tokens that are reserved for resumed streams.
+func (a *Account) resumedReserve(rank int, now time.Time) int64 {
+	if rank == ResumedRank {
+		return 0
+	}
+	return max(a.keptForResumed(now)-a.Unallocated(), 0)
+}
+
+// rankReserve returns the tokens that are reserved for requests of more urgent ranks.
+func (a *Account) rankReserve(tokens int64, rank int, now time.Time) int64 {
 	if !a.platformDownSince.IsZero() {
 		horizon := max(expectedOutage-now.Sub(a.platformDownSince), minReserveHorizon)
 		return int64(a.urgentRate(rank, math.MaxInt64, now) * horizon.Seconds())
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -45,6 +45,9 @@
 	Version string
 	// Homes are the regions whose targets may get the request.
 	Homes location.Homes
+	// AllowsVersion restricts the choice to targets of versions for which it returns true;
+	// nil means all.
+	AllowsVersion func(version string) bool
 	// Exclude lists the ids of targets that this request has already tried.
 	Exclude []string
 	// Avoid reports the targets that are picked only if there is no other; nil for none.
@@ -173,7 +176,8 @@
 
 // allows reports whether the request may be sent to the target.
 func (r *Request) allows(s *targetState) bool {
-	return (r.Version == "" || s.target.Version == r.Version) && !slices.Contains(r.Exclude, s.target.ID)
+	return (r.Version == "" || s.target.Version == r.Version) &&
+		(r.AllowsVersion == nil || r.AllowsVersion(s.target.Version)) && !slices.Contains(r.Exclude, s.target.ID)
 }
 
 // avoids reports whether the target is picked only if there is no other.
--- a/router/prepaid/waiters.go
+++ b/router/prepaid/waiters.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"cuminrock.example/fleet/allotment"
 	"cuminrock.example/fleet/errkind"
 )
 
@@ -59,6 +60,9 @@
 		aw.wakeup.notify()
 		return refusal
 	}
+	if w.rank == allotment.ResumedRank {
+		aw.account.KeepForResumed(w.tokens, now)
+	}
 	aw.addWaiter(w)
 	aw.account.AddWaiting(w.tokens)
 	aw.rowsFresh = false
@@ -180,12 +184,20 @@
 
 // refuseLast refuses the last waiter, which is the newest one, or the newest of the least
 // urgent if waiters are served by priority, since the balance just read doesn't cover
-// all of them. The lock is held.
+// all of them. Resumed streams are refused last. The lock is held.
 func (aw *accountWorker) refuseLast() {
 	now := aw.manager.opts.Now()
 	last := len(aw.waiters) - 1
+	for i, w := range aw.waiters {
+		if w.rank != allotment.ResumedRank {
+			last = i
+		}
+	}
 	w := aw.waiters[last]
-	aw.waiters = aw.waiters[:last]
+	aw.waiters = slices.Delete(aw.waiters, last, last+1)
+	if w.rank == allotment.ResumedRank {
+		aw.account.RenewKept(w.tokens, now)
+	}
 	aw.account.AddWaiting(-w.tokens)
 	w.result <- aw.manager.insufficientError(aw.insufficientSince, now)
 	if aw.insufficientSince.IsZero() {
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -32,6 +32,8 @@
 	Placements *prometheus.CounterVec
 	// FirstEventRatio is the actual time to the first event over the expected one.
 	FirstEventRatio *prometheus.HistogramVec
+	// Resumptions counts streams that callers took up, by how their version was found.
+	Resumptions *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with the registry.
@@ -55,13 +57,15 @@
 			Name: "cuminrock_retries_denied_total", Help: "Retries that the retry budget forbade."}),
 		RefusedByLocation: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cuminrock_refused_by_location_total", Help: "Requests refused because no data centre may get them."}),
+		Resumptions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cuminrock_resumptions_total", Help: "Streams that callers took up, by how their version was found."}, []string{"origin"}),
 	}
 	m.Placements = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cuminrock_placements_total", Help: "Sends to targets that were picked by expected work."}, []string{"choice", "remote"})
 	m.FirstEventRatio = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "cuminrock_first_event_actual_to_expected_ratio", Help: "Actual time to the first event over the expected one.",
 		Buckets: prometheus.ExponentialBuckets(0.125, 2, 9)}, []string{"route"})
-	registry.MustRegister(m.Requests, m.Duration, m.FirstByte, m.Sends, m.Resends, m.Breaks, m.RetriesDenied, m.RefusedByLocation, m.Placements, m.FirstEventRatio)
+	registry.MustRegister(m.Requests, m.Duration, m.FirstByte, m.Sends, m.Resends, m.Breaks, m.RetriesDenied, m.RefusedByLocation, m.Resumptions, m.Placements, m.FirstEventRatio)
 	return m
 }
 
--- a/router/relay/send.go
+++ b/router/relay/send.go
@@ -42,9 +42,10 @@
 		if refusal != nil {
 			return nil, refusal
 		}
-		r := p.placementRequest()
-		r.Avoid = avoid
-		lease, err := p.relay.Targets.Pick(r)
+		lease, err := p.pickOnce(avoid)
+		if err != nil && p.allowsVersion() != nil && p.relay.Origins.AwaitVersion(ctx, p.service.Name) {
+			lease, err = p.pickOnce(avoid)
+		}
 		if err != nil {
 			return nil, errkind.FromError(err)
 		}
@@ -72,6 +73,13 @@
 	}
 }
 
+// pickOnce picks a target that wasn't tried yet, one to avoid only if there is no other.
+func (p *proxiedRequest) pickOnce(avoid func(placement.Target) bool) (*placement.Lease, error) {
+	r := p.placementRequest()
+	r.AllowsVersion, r.Avoid = p.allowsVersion(), avoid
+	return p.relay.Targets.Pick(r)
+}
+
 // send sends the request to the leased target. An error ends the lease.
 func (p *proxiedRequest) send(ctx context.Context, lease *slot, resumeAfter string) (*attempt, *errkind.Error) {
 	target, sent := lease.Target(), p.relay.Now()
@@ -81,6 +89,7 @@
 	if source := lease.Source(); source != nil {
 		p.copiedFrom = append(p.copiedFrom, source.ID)
 	}
+	p.expectOrigin(target)
 	p.relay.Egress.Add(headerBytes+len(p.Body), sent)
 	response, err := p.relay.Upstream.Send(ctx, &UpstreamRequest{
 		Request:     p.Request,
