--- a/router/targetlimit/cold_world_test.go
+++ b/router/targetlimit/cold_world_test.go
@@ -332,7 +332,10 @@
 
 // send sends a request to a target.
 func (w *coldWorld) send(g *coldGateway, lease *placement.Lease) {
-	time.Sleep(w.between(time.Millisecond, w.transit))
+	w.mu.Lock()
+	transit := w.transit
+	w.mu.Unlock()
+	time.Sleep(w.between(time.Millisecond, transit))
 	w.mu.Lock()
 	var t *coldTarget
 	for _, other := range w.targets {
