--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -159,12 +159,12 @@
 		g.peers = newPeers(g, incarnation, lis.peer.Addr().String())
 		budgets = g.peers.budgets
 	}
-	g.limits = newLimiter(g)
 	g.crashes = crashwatch.New(crashwatch.Options{
-		Gateway: settings.Name, Tables: p.Tables, Clock: p.Clock, TargetEnded: g.forward.client.TargetEnded, Ended: g.limits.ConnectionRefused,
+		Gateway: settings.Name, Tables: p.Tables, Clock: p.Clock, TargetEnded: g.forward.client.TargetEnded, Ended: func(t placement.Target) { g.limits.ConnectionRefused(t) },
 		Metrics: crashwatch.NewMetrics(g.registry), Log: log, Now: time.Now,
 	})
 	g.origins = streamorigin.New(streamorigin.Options{Gateway: settings.Name, Tables: p.Tables, Clock: p.Clock, Log: log, Now: time.Now})
+	g.limits = newLimiter(g)
 	g.relay = relay.New(relay.Options{
 		Catalog:    g.catalog.Load,
 		Targets:    g.targets,
