--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -77,6 +77,7 @@
 func (t *Table) Pick(r *Request) (*Lease, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	r = t.relaxed(r)
 	candidates := t.candidates(r, true)
 	if len(candidates) == 0 {
 		candidates = t.candidates(r, false)
@@ -88,7 +89,7 @@
 		}
 		return nil, errkind.New(errkind.NoTarget, "no target of the service accepts new requests").WithRetryAfter(retryAfter)
 	}
-	s, preferred := t.choose(r.withoutAvoided(candidates), r)
+	s, preferred := t.choose(candidates, r)
 	pendingPromptTokens := r.PromptTokens
 	if preferred != nil {
 		pendingPromptTokens -= r.SharedTokens
@@ -149,25 +150,20 @@
 
 // allows reports whether the request may be sent to the target.
 func (r *Request) allows(s *targetState) bool {
+	if r.Avoid != nil && r.Avoid(s.target) {
+		return false
+	}
 	return (r.Version == "" || s.target.Version == r.Version) && !slices.Contains(r.Exclude, s.target.ID)
 }
 
-// withoutAvoided returns the candidates that the request doesn't avoid, or all if there
-// are none.
-func (r *Request) withoutAvoided(candidates []*targetState) []*targetState {
-	if r.Avoid == nil {
-		return candidates
-	}
-	kept := make([]*targetState, 0, len(candidates))
-	for _, s := range candidates {
-		if !r.Avoid(s.target) {
-			kept = append(kept, s)
-		}
-	}
-	if len(kept) == 0 {
-		return candidates
+// relaxed returns the request, or one that avoids no targets if no others are available.
+func (t *Table) relaxed(r *Request) *Request {
+	if r.Avoid == nil || len(t.candidates(r, true)) > 0 {
+		return r
 	}
-	return kept
+	everywhere := *r
+	everywhere.Avoid = nil
+	return &everywhere
 }
 
 // available reports whether neither the target nor its data centre is suspect,
