--- a/router/targetlimit/cold_test.go
+++ b/router/targetlimit/cold_test.go
@@ -208,9 +208,11 @@
 }
 
 // A share with a burst for each gateway, no limit for targets that have just appeared, and no
-// permits at all, are noticed.
+// permits at all, are noticed under a load with which the right limit holds.
 func TestFaultyLimitsOfColdTargetsAreNoticed(t *testing.T) {
-	for _, c := range []coldCase{{gateways: 7, targets: 12, perTarget: 15}, {gateways: 300, targets: 12, perTarget: 35}} {
+	for _, c := range []coldCase{{gateways: 7, targets: 12, perTarget: 30}, {gateways: 300, targets: 12, perTarget: 50}} {
+		sound := playCold(t, c, noColdFault, 1, joinEmpty)
+		is.New(t).True(float64(sound.excess) <= coldBound)
 		for _, fault := range []coldFault{shareEach, unknownIsWarm, noColdPermits} {
 			t.Run(fmt.Sprintf("%d gateways, fault %d", c.gateways, fault), func(t *testing.T) {
 				w := playCold(t, c, fault, 1, joinEmpty)
