--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -89,6 +89,7 @@
 func (t *Table) Pick(r *Request) (*Lease, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	r = t.relaxed(r)
 	if l := t.pickByWork(r); l != nil {
 		return l, nil
 	}
@@ -99,7 +100,7 @@
 	if len(candidates) == 0 {
 		return nil, t.noTarget(r)
 	}
-	s, preferred := t.choose(r.withoutAvoided(candidates), r)
+	s, preferred := t.choose(candidates, r)
 	pendingPromptTokens := r.PromptTokens
 	if preferred != nil {
 		pendingPromptTokens -= r.SharedTokens
@@ -176,29 +177,21 @@
 
 // allows reports whether the request may be sent to the target.
 func (r *Request) allows(s *targetState) bool {
+	if r.Avoid != nil && r.Avoid(s.target) {
+		return false
+	}
 	return (r.Version == "" || s.target.Version == r.Version) &&
 		(r.AllowsVersion == nil || r.AllowsVersion(s.target.Version)) && !slices.Contains(r.Exclude, s.target.ID)
 }
 
-// avoids reports whether the target is picked only if there is no other.
-func (r *Request) avoids(s *targetState) bool { return r.Avoid != nil && r.Avoid(s.target) }
-
-// withoutAvoided returns the candidates that the request doesn't avoid, or all if there
-// are none.
-func (r *Request) withoutAvoided(candidates []*targetState) []*targetState {
-	if r.Avoid == nil {
-		return candidates
-	}
-	kept := make([]*targetState, 0, len(candidates))
-	for _, s := range candidates {
-		if !r.avoids(s) {
-			kept = append(kept, s)
-		}
-	}
-	if len(kept) == 0 {
-		return candidates
+// relaxed returns the request, or one that avoids no targets if no others are available.
+func (t *Table) relaxed(r *Request) *Request {
+	if r.Avoid == nil || len(t.candidates(r, true)) > 0 {
+		return r
 	}
-	return kept
+	everywhere := *r
+	everywhere.Avoid = nil
+	return &everywhere
 }
 
 // available reports whether neither the target nor its data centre is suspect,
--- a/fleet/placement/workpick.go
+++ b/fleet/placement/workpick.go
@@ -188,7 +188,7 @@
 // consider adds a target to the candidates if it may get the request, is available and
 // isn't one yet. It reports whether the target is a candidate.
 func (t *Table) consider(p *pricing, s *targetState, choice Choice) bool {
-	if !s.work.dataCentre.accepts || !s.accepts(p.r.Now) || !t.mayGet(p.r, s) || p.r.avoids(s) {
+	if !s.work.dataCentre.accepts || !s.accepts(p.r.Now) || !t.mayGet(p.r, s) {
 		return false
 	}
 	for i := range t.work.candidates {
@@ -213,7 +213,7 @@
 	if len(list) == 0 {
 		list = t.candidates(p.r, false)
 	}
-	for _, s := range p.r.withoutAvoided(list) {
+	for _, s := range list {
 		choice := ChoiceScan
 		if p.prefix != nil && slices.Contains(p.prefix.replicasIn(s.work.dataCentre, p.svc), s) {
 			choice = ChoiceReplica
