--- a/fleet/placement/estimate.go
+++ b/fleet/placement/estimate.go
@@ -51,10 +51,3 @@
 func (w *dataCentreWork) hasFreshReports(now workmodel.Instant) bool {
 	return w.reports.value(now) >= minDataCentreReports && now.Sub(w.requests.at) <= loadReportMaxAge
 }
-
-// PlacedByExpectedWork reports whether the service is placed by expected work now.
-func (t *Table) PlacedByExpectedWork(service string, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.placedByWork(service, now) != nil
-}
--- a/router/gateway/admission.go
+++ b/router/gateway/admission.go
@@ -13,13 +13,10 @@
 const waitingMemoryDivisor = 32
 
 // newAdmission returns the gate of requests that compete for slots. It applies to all
-// services if the settings say so, and otherwise to those whose targets report how long
-// work takes there at the moment.
+// services if the settings say so.
 func newAdmission(g *Gateway) *admission.Gate {
 	return admission.New(admission.Options{
-		ServiceApplies: func(service string) bool {
-			return g.settings.Admission || g.targets.PlacedByExpectedWork(service, time.Now())
-		},
+		ServiceApplies: func(string) bool { return g.settings.Admission },
 		Estimator: placementEstimates{g.targets},
 		Limits:    fleetadmission.Options{MaxWaitingBytes: int64(g.settings.MemoryMib) << 20 / waitingMemoryDivisor},
 		Metrics:   admission.NewMetrics(g.registry),
