Gateways read a target's answer on while its caller reads slowly

The goroutine that read the target's answer wrote each event to the caller, so that a caller that read slowly stopped the reading, and the target aborted the answer. Callers' connections now buffer what the caller doesn't take. Both tests of platformtest fail without it: the target can't write its 7.5 MB. A planned stop waits for what is buffered, within its time.

--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -24,11 +24,13 @@
 	"go.uber.org/zap"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/callerbuffer"
 	"cuminrock.example/fleet/catalog"
 	"cuminrock.example/fleet/egress"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/retry"
+	"cuminrock.example/router/callerconn"
 	"cuminrock.example/router/crashwatch"
 	"cuminrock.example/router/exchange"
 	"cuminrock.example/router/lag"
@@ -120,6 +122,7 @@
 	catalog      atomic.Pointer[catalog.Catalog]
 
 	callers         *callerConns
+	callerBuffers   *callerconn.Set
 	callerServer    *http.Server
 	readinessServer *http.Server
 	metricsServer   *http.Server
@@ -147,6 +150,9 @@
 	g.targetCounts = newTargetCounts(g.registry)
 	g.reachability = newReachability(g)
 	g.callers = newCallerConns(int(settings.FileDescriptors), func() time.Duration { return g.Limits().IdleTimeout })
+	g.callerBuffers = callerconn.NewSet(callerconn.Options{
+		Limits: callerbuffer.LimitsFor(int64(settings.MemoryMib) << 20), Registry: g.registry, Log: log, Now: time.Now,
+	})
 	g.egress = egress.NewMeter(settings.LinkMbps)
 	g.forward = newForwarder(g)
 	g.budgets = prepaid.NewManager(prepaid.Options{
@@ -208,6 +214,10 @@
 
 // Serve answers one request; see relay.Relay.
 func (g *Gateway) Serve(ctx context.Context, req *relay.Request, out relay.ResponseWriter) {
+	if conn := callerconn.FromContext(ctx); conn != nil {
+		conn.BeginRequest(req.ID)
+		out = &callerResponse{ResponseWriter: out, conn: conn}
+	}
 	g.relay.Serve(ctx, req, out)
 }
 
--- a/router/gateway/servers.go
+++ b/router/gateway/servers.go
@@ -8,6 +8,8 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
+
+	"cuminrock.example/router/callerconn"
 )
 
 // startServers serves on the listeners.
@@ -19,11 +21,12 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          zap.NewStdLog(g.log),
 		ConnState:         g.callers.onStateChange,
+		ConnContext:       callerconn.ConnContext,
 	}
 	g.readinessServer = &http.Server{Handler: g.readinessRoutes(), ReadHeaderTimeout: headerTimeout}
 	g.metricsServer = &http.Server{Handler: g.metricsRoutes(), ReadHeaderTimeout: headerTimeout}
 	g.wg.Go(func() { g.serve(g.metricsServer, l.metrics) })
-	g.wg.Go(func() { g.serve(g.callerServer, l.caller) })
+	g.wg.Go(func() { g.serve(g.callerServer, g.callerBuffers.Listener(l.caller)) })
 	g.wg.Go(func() { g.serve(g.readinessServer, l.readiness) })
 }
 
--- a/router/gateway/stop.go
+++ b/router/gateway/stop.go
@@ -81,7 +81,7 @@
 }
 
 // shutDownCallerServer stops accepting callers' connections and waits for requests in
-// progress, until the time limit.
+// progress, and for what is buffered for callers that read slowly, until the time limit.
 func (g *Gateway) shutDownCallerServer(limit time.Time) error {
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
@@ -90,5 +90,15 @@
 		g.log.Warn("gateway: aborting requests in progress; the time limit for stopping has passed.", zap.Int64("in_progress", g.relay.Active()))
 		_ = g.callerServer.Close()
 	}
+	return errors.Join(err, g.drainCallerBuffers(ctx))
+}
+
+// drainCallerBuffers waits until callers have taken what is buffered for them, or drops it
+// when ctx ends.
+func (g *Gateway) drainCallerBuffers(ctx context.Context) error {
+	err := g.callerBuffers.Drain(ctx)
+	if err != nil {
+		g.log.Warn("gateway: dropping what callers haven't taken; the time limit for stopping has passed.", zap.Int("callers", g.callerBuffers.Abort()))
+	}
 	return err
 }
