--- a/fleet/callerbuffer/budget.go
+++ b/fleet/callerbuffer/budget.go
@@ -26,6 +26,12 @@
 	// maxIdle is how long a caller may take nothing. A cut of the network that ends
 	// sooner loses no answer.
 	maxIdle = 10 * time.Second
+	// slowAfter is how long bytes must have been held for a caller before it is
+	// disconnected for the others' sake: a long answer to a caller that keeps up takes
+	// some time, too. overshoot is the part of the total that may be held in addition
+	// meanwhile.
+	slowAfter = time.Second
+	overshoot = 0.5
 	// minIdle is the least time without progress that counts when victims are compared,
 	// so that among callers that all take bytes the one that holds most is chosen.
 	minIdle = time.Millisecond
@@ -33,7 +39,8 @@
 
 // Limits bounds the bytes that are held.
 type Limits struct {
-	// PerStream bounds the bytes of one stream, Total those of all callers.
+	// PerStream bounds the bytes of one stream, Total those of all callers. Half of the
+	// total may be held in addition for callers that have been slow for less than a second.
 	PerStream, Total int64
 	// MaxIdle is how long a caller may take nothing while bytes are held for it.
 	MaxIdle time.Duration
@@ -92,8 +99,8 @@
 // buffer is what is held for one caller.
 type buffer struct {
 	bytes int64
-	// takenAt is when the caller last took bytes.
-	takenAt time.Time
+	// since is when bytes were held first, takenAt when the caller last took any.
+	since, takenAt time.Time
 }
 
 // New returns a budget of which nothing is used.
@@ -109,7 +116,7 @@
 	defer b.mu.Unlock()
 	own := b.slow[caller]
 	if own == nil {
-		own = &buffer{takenAt: now}
+		own = &buffer{since: now, takenAt: now}
 		b.slow[caller] = own
 	}
 	if kind == Stream && own.bytes+bytes > b.limits.PerStream {
@@ -119,24 +126,31 @@
 	own.bytes += bytes
 	b.total += bytes
 	for b.total > b.limits.Total {
-		victim := b.mostCostly(now)
+		victim, found := b.mostCostly(now)
+		if !found {
+			break
+		}
 		victims = append(victims, b.disconnect(victim, TotalFull, bytes, now))
 	}
 	return victims
 }
 
 // mostCostly returns the caller with the largest product of bytes held and time without
-// progress. The lock is held, and bytes are held for at least one caller.
-func (b *Budget[K]) mostCostly(now time.Time) K {
-	var victim K
-	most := -1.0
+// progress. Callers that haven't been slow for long are passed over, and there may be none,
+// unless more than the overshoot is held. The lock is held.
+func (b *Budget[K]) mostCostly(now time.Time) (victim K, found bool) {
+	whoever := float64(b.total) > float64(b.limits.Total)*(1+overshoot)
+	most := 0.0
 	for caller, held := range b.slow {
+		if !whoever && now.Sub(held.since) < slowAfter {
+			continue
+		}
 		cost := float64(held.bytes) * max(now.Sub(held.takenAt), minIdle).Seconds()
 		if cost > most {
-			victim, most = caller, cost
+			victim, most, found = caller, cost, true
 		}
 	}
-	return victim
+	return victim, found
 }
 
 // disconnect removes a caller and returns the decision. The lock is held.
--- a/router/callerconn/conn_test.go
+++ b/router/callerconn/conn_test.go
@@ -69,7 +69,10 @@
 		s.record(id, n, err)
 		return
 	}
-	_, _ = fmt.Sscanf(r.URL.Path, "/stream/%d", &n)
+	broken, _ := fmt.Sscanf(r.URL.Path, "/broken/%d", &n)
+	if broken == 0 {
+		_, _ = fmt.Sscanf(r.URL.Path, "/stream/%d", &n)
+	}
 	for i := range n {
 		_, err := io.WriteString(w, event(i))
 		if err == nil {
@@ -80,6 +83,9 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+	if broken > 0 {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func (s *server) now() time.Time {
@@ -174,6 +180,20 @@
 	s.waitFor(func() bool { held, callers := s.set.budget.Held(); return held == 0 && callers == 0 })
 }
 
+// Guards against an answer that is aborted before what precedes the abort is delivered, and
+// against one that looks complete.
+func TestAbortFollowsWhatIsBuffered(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, generous)
+	resp := s.ask("1", "/broken/4000")
+	s.waitFor(func() bool { n, _ := s.state("1"); return n == 4000 })
+	s.waitFor(func() bool { return s.set.countLingering() == 1 })
+	body, err := io.ReadAll(resp.Body)
+	is.Equal(err, io.ErrUnexpectedEOF)
+	is.True(string(body) == events(4000))
+	s.waitFor(func() bool { return s.set.countLingering() == 0 })
+}
+
 // Guards against a cost for callers that keep up: nothing is buffered for them.
 func TestNothingIsBufferedForACallerThatKeepsUp(t *testing.T) {
 	is := is.New(t)
@@ -272,6 +292,7 @@
 	const total = 8 << 20
 	s := serve(t, callerbuffer.Limits{PerStream: 4 << 20, Total: total, MaxIdle: time.Minute})
 	for i := range 12 {
+		s.advance(time.Second)
 		id := fmt.Sprint("silent", i)
 		s.ask(id, "/stream/2000")
 		s.waitFor(func() bool {
