--- a/router/gateway/admission.go
+++ b/router/gateway/admission.go
@@ -17,11 +17,11 @@
 func newAdmission(g *Gateway) *admission.Gate {
 	return admission.New(admission.Options{
 		ServiceApplies: func(string) bool { return g.settings.Admission },
-		Estimator: placementEstimates{g.targets},
-		Limits:    fleetadmission.Options{MaxWaitingBytes: int64(g.settings.MemoryMib) << 20 / waitingMemoryDivisor},
-		Metrics:   admission.NewMetrics(g.registry),
-		Log:       g.log,
-		Now:       time.Now,
+		Estimator:      placementEstimates{g.targets},
+		Limits:         fleetadmission.Options{MaxWaitingBytes: int64(g.settings.MemoryMib) << 20 / waitingMemoryDivisor},
+		Metrics:        admission.NewMetrics(g.registry),
+		Log:            g.log,
+		Now:            time.Now,
 	})
 }
 
