Check a platform configuration before it is sent

Cause: an operator's mistake in a configuration (a share of a service that isn't listed, a route that another one shadows, a latency goal above the timeout) showed only in the requests that failed.

--- a/ctl/cmd/cuminrockctl/main.go
+++ b/ctl/cmd/cuminrockctl/main.go
@@ -12,6 +12,7 @@
 
 	"cuminrock.example/ctl/budgetcmd"
 	"cuminrock.example/ctl/cli"
+	"cuminrock.example/ctl/configcmd"
 	"cuminrock.example/ctl/demo"
 	"cuminrock.example/ctl/emulatecmd"
 	"cuminrock.example/ctl/loadcmd"
@@ -35,6 +36,7 @@
 	register("load", loadcmd.Commands(env))
 	register("budgets", budgetcmd.Commands(env))
 	register("fleet", operatorcmd.Commands(env))
+	register("configuration", configcmd.Commands(env))
 	register("sheet", sheetcmd.Commands(sheetcmd.Options{TopUps: sheetcmd.TopUpFuncs{RowKey: budget.TopUpKey, Apply: topUp}}))
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
