--- a/router/relay/origin.go
+++ b/router/relay/origin.go
@@ -155,5 +155,14 @@
 	if p.route.Kind != catalog.Stream || p.origin.begun {
 		return nil
 	}
-	return func(version string) bool { return p.relay.Origins.MayBegin(p.service.Name, version) }
+	// A pick asks for the version of each target; there are one or two versions.
+	allowed := make(map[string]bool, 2)
+	return func(version string) bool {
+		allows, known := allowed[version]
+		if !known {
+			allows = p.relay.Origins.MayBegin(p.service.Name, version)
+			allowed[version] = allows
+		}
+		return allows
+	}
 }
--- a/router/relay/send.go
+++ b/router/relay/send.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"cuminrock.example/fleet/catalog"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
 )
@@ -40,7 +41,7 @@
 			return nil, refusal
 		}
 		lease, err := p.pickOnce()
-		if err != nil && p.allowsVersion() != nil && p.relay.Origins.AwaitVersion(ctx, p.service.Name) {
+		if err != nil && !p.origin.begun && p.route.Kind == catalog.Stream && p.relay.Origins.AwaitVersion(ctx, p.service.Name) {
 			lease, err = p.pickOnce()
 		}
 		if err != nil {
--- a/router/streamorigin/registry_test.go
+++ b/router/streamorigin/registry_test.go
@@ -15,6 +15,7 @@
 	"cuminrock.example/fleet/streamorigin"
 	"cuminrock.example/router/platformclient"
 	"cuminrock.example/router/platformclient/platformfake"
+	"cuminrock.example/router/wait"
 )
 
 // seeds is the number of seeds of the simulation; more are run by hand.
@@ -353,13 +354,17 @@
 }
 
 func (c *countedWrites) Scan(ctx context.Context, prefix, after string, limit int) ([]*pb.Row, bool, error) {
-	time.Sleep(5 * time.Millisecond)
+	if !wait.For(ctx, 5*time.Millisecond) {
+		return nil, false, ctx.Err()
+	}
 	return c.TableStore.Scan(ctx, prefix, after, limit)
 }
 
 func (c *countedWrites) Commit(ctx context.Context, txn *pb.CommitRequest) (*pb.CommitResponse, error) {
 	c.count.Add(1)
-	time.Sleep(5 * time.Millisecond)
+	if !wait.For(ctx, 5*time.Millisecond) {
+		return nil, ctx.Err()
+	}
 	return c.TableStore.Commit(ctx, txn)
 }
 
--- a/router/streamorigin/versions.go
+++ b/router/streamorigin/versions.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -51,6 +52,8 @@
 	registry *Registry
 	wakeup   chan struct{}
 	reader   *reader[map[string]storedRecord]
+	// hasRead is set once this run has read the rows.
+	hasRead atomic.Bool
 
 	mu sync.Mutex
 	// listed has the versions of the listed targets by service.
@@ -131,21 +134,21 @@
 	}
 }
 
-// record records the listed versions unless the rows have them. Before a write it waits
-// for a random time and reads again, since all gateways list a new version together.
+// record records the listed versions unless the rows have them. Before it reads and writes,
+// it waits for a random time, since all gateways list a new version together. A run that
+// hasn't read the rows yet reads them at once first: they usually have the versions.
 func (v *versions) record(ctx context.Context) error {
-	if v.nothingToDo() {
-		return nil
-	}
-	rows, err := v.readNow(ctx)
-	if err != nil {
-		return err
+	if !v.hasRead.Load() {
+		_, err := v.readNow(ctx)
+		if err != nil {
+			return err
+		}
 	}
-	if len(v.outdated(rows)) == 0 {
+	if v.nothingToDo() {
 		return nil
 	}
 	wait.For(ctx, rand.N(v.registry.spread()))
-	rows, err = v.readNow(ctx)
+	rows, err := v.readNow(ctx)
 	if err != nil {
 		return err
 	}
@@ -226,6 +229,10 @@
 		return err
 	}
 	if !resp.Committed {
+		for _, row := range resp.Conflicts {
+			stored, _ := decodeVersions(row.Value) // an invalid row counts as missing
+			v.merge(row.Key[len(versionsPrefix):], stored)
+		}
 		return trace.CompareFailed("another gateway recorded versions meanwhile")
 	}
 	for service, record := range records {
@@ -269,6 +276,7 @@
 	for service, row := range rows {
 		v.merge(service, row.VersionRecord)
 	}
+	v.hasRead.Store(true)
 	return rows, nil
 }
 
