Placement by expected work: bursts, cuts, and prompts that crash targets

Seen in platformtest with the switch forced on for all services (a trial): a burst of 12 requests over targets that report nothing went to one of four; targets seemed slow after a cut, since requests had gone through other gateways; and a prompt that crashes targets went on to targets that others were using, so that a sound request found three gone. Requests at targets of unknown slots count now, speeds are forgotten with failures, and targets of the prefix don't cost a connection.

--- a/fleet/placement/outcome.go
+++ b/fleet/placement/outcome.go
@@ -102,6 +102,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.failuresForgottenAt = now
+	t.forgetTimes()
 	for _, s := range t.byID {
 		s.consecutiveFailures = 0
 		s.health.Reset()
--- a/fleet/placement/workcost.go
+++ b/fleet/placement/workcost.go
@@ -26,9 +26,17 @@
 	// spreadShare is the cost of having one more target keep a prefix, as a share of the
 	// time to read it: other parts lose their place in that cache.
 	spreadShare = 0.4
-	// connectCost is the cost of a target to which there is probably no open connection,
-	// in ms. It keeps the number of targets that a router connects to small.
+	// connectCost is the cost of a random target to which there is probably no open
+	// connection, in ms. It keeps the number of targets that a router connects to small. It
+	// doesn't apply to targets of the prefix: requests that crash targets would go to those
+	// that other requests use.
 	connectCost = 5
+	// tieSpread is the random part of the cost of targets other than those of the prefix,
+	// in ms, so that routers which know nothing don't choose the same.
+	tieSpread = 0.5
+	// occupancyShare is the part of the time of a request without waiting that counts for
+	// the use of all slots of a target.
+	occupancyShare = 0.1
 	// usedMaxAge is how long a target that was sent to counts as connected.
 	usedMaxAge = 10 * time.Second
 	// remoteBytesCost is the cost of sending a thousand prompt tokens to another data
@@ -41,9 +49,10 @@
 	// the mean. Within these it is twice the time that a request runs.
 	minReportMemory = 250 * time.Millisecond
 	maxReportMemory = 2 * time.Second
-	// unknownSlots is the number of slots assumed for weighing the effect on other
-	// requests where no target reports any.
-	unknownSlots = 16
+	// unknownSlots is the number of requests at a target that doubles the time of another
+	// one, where no target reports its slots. Without it, a burst through one gateway went
+	// to one of several targets that report nothing.
+	unknownSlots = 8
 )
 
 // workCandidate is a target and what the request is expected to cost there, in ms.
@@ -199,9 +208,15 @@
 	c.firstEvent = c.factor*(model.BaseTime()+model.ReadTime(c.ahead+c.unread)) + c.slotWait + c.copying
 	c.firstEvent += p.pathCost(s)
 	c.cost = c.firstEvent + p.effectOnOthers(c, requests, slots)
-	if !s.recentlyUsed(now) {
+	if c.choice == ChoiceReplica {
+		return
+	}
+	if c.choice != ChoiceScan && !s.recentlyUsed(now) {
 		c.cost += connectCost
 	}
+	if !p.noRandom {
+		c.cost += tieSpread * p.table.work.uniform()
+	}
 }
 
 // priceReading sets the tokens to be read, and the source and time of a copy.
@@ -232,7 +247,7 @@
 	if slots == 0 {
 		occupancy = requests / unknownSlots
 	}
-	effect := c.factor * occupancy * (model.ReadTime(c.unread) + model.StepGrowth()*p.output.Tokens)
+	effect := c.factor * occupancy * (model.ReadTime(c.unread) + model.StepGrowth()*p.output.Tokens + occupancyShare*model.BaseTime())
 	if p.prefix == nil || c.choice == ChoiceReplica || p.prefix.holds(c.state, p.now) {
 		return effect
 	}
@@ -308,7 +323,7 @@
 // which may be off by the spread, in the unit of the duration of requests.
 func slotWait(requests, spread, slots, duration float64) float64 {
 	if slots <= 0 {
-		return 0
+		return requests / unknownSlots * duration
 	}
 	excess := requests + 1 - slots
 	// softening approximates the mean excess of a normal distribution above zero.
--- a/fleet/placement/worklearn.go
+++ b/fleet/placement/worklearn.go
@@ -108,6 +108,9 @@
 		return
 	}
 	w.firstAt = now
+	if l.pickedAt.Before(l.table.failuresForgottenAt) {
+		return
+	}
 	l.learnWait(now.Sub(l.pickedAt))
 	w.svc.model.ObserveWait(now.Sub(l.pickedAt))
 }
@@ -130,6 +133,20 @@
 	model.ObserveFirstEvent(duration(max(float64(atTarget)/float64(time.Millisecond)-w.slotWait, 0)/w.factor), w.read)
 }
 
+// forgetTimes forgets how slow targets and paths seemed: while a router is cut off from
+// all targets, its requests go through others and take longer. The table's lock must be
+// held.
+func (t *Table) forgetTimes() {
+	for _, s := range t.byID {
+		s.work.speed = workmodel.Speed{}
+	}
+	for _, svc := range t.work.services {
+		for _, dc := range svc.dataCentres {
+			dc.known.path = workmodel.NewMean(priorPath)
+		}
+	}
+}
+
 // maxPath bounds what one observation says about the path to a data centre, in ms.
 const maxPath = 500
 
@@ -137,7 +154,7 @@
 // run. The table's lock must be held.
 func (l *Lease) learnEnd(result Result, now time.Time) {
 	w := l.work
-	if w == nil || result != OK {
+	if w == nil || result != OK || l.pickedAt.Before(l.table.failuresForgottenAt) {
 		return
 	}
 	took := now.Sub(l.pickedAt)
