Placement by expected work: speeds relative to the service, prefixes that keep apart

Seen with the switch forced on in platformtest (trials): a prompt that crashes targets still reached those of other prefixes, whose 20 tokens weighed less than the random part; after one request of 100 ms its target seemed slow, so that the next one opened a new connection during a short cut and got a 503. In a sequence of single requests the target in use seemed faster than all others, since estimates were too long for every target. Speeds are relative to the service's mean now and learned as the service's times are.

--- a/fleet/placement/workcost.go
+++ b/fleet/placement/workcost.go
@@ -26,11 +26,17 @@
 	// spreadShare is the cost of having one more target keep a prefix, as a share of the
 	// time to read it: other parts lose their place in that cache.
 	spreadShare = 0.4
+	// spreadFixed is a further cost of it in ms. Prompts that crash targets thus go to the
+	// targets of their own prefix, also if it is short, and not to those of others.
+	spreadFixed = 3
 	// connectCost is the cost of a random target to which there is probably no open
 	// connection, in ms. It keeps the number of targets that a router connects to small. It
 	// doesn't apply to targets of the prefix: requests that crash targets would go to those
-	// that other requests use.
-	connectCost = 5
+	// that other requests use. In services all of whose targets are compared it is
+	// scanConnectCost, which prefers an open connection among idle targets: a new one may
+	// fail where an open one survives a short cut.
+	connectCost     = 5
+	scanConnectCost = 1.5
 	// tieSpread is the random part of the cost of targets other than those of the prefix,
 	// in ms, so that routers which know nothing don't choose the same.
 	tieSpread = 0.5
@@ -42,6 +48,9 @@
 	// remoteBytesCost is the cost of sending a thousand prompt tokens to another data
 	// centre, in ms; links between data centres are shared.
 	remoteBytesCost = 0.5
+	// minPath is the least cost of another data centre, in ms: without load requests stay in
+	// their own.
+	minPath = 2
 	// meanMemory is how long the mean of a target's reports is preferred to that of its
 	// data centre.
 	meanMemory = 8 * time.Second
@@ -205,14 +214,18 @@
 		unreadOthers = max(unreadOthers, min(waiting, others))
 	}
 	c.ahead = float64(max(s.pendingPromptTokens, 0)) + unreadOthers*model.Unread()
-	c.firstEvent = c.factor*(model.BaseTime()+model.ReadTime(c.ahead+c.unread)) + c.slotWait + c.copying
+	c.firstEvent = c.factor*model.Calibration()*(model.BaseTime()+model.ReadTime(c.ahead+c.unread)) + c.slotWait + c.copying
 	c.firstEvent += p.pathCost(s)
 	c.cost = c.firstEvent + p.effectOnOthers(c, requests, slots)
 	if c.choice == ChoiceReplica {
 		return
 	}
-	if c.choice != ChoiceScan && !s.recentlyUsed(now) {
-		c.cost += connectCost
+	if !s.recentlyUsed(now) {
+		if c.choice == ChoiceScan {
+			c.cost += scanConnectCost
+		} else {
+			c.cost += connectCost
+		}
 	}
 	if !p.noRandom {
 		c.cost += tieSpread * p.table.work.uniform()
@@ -251,7 +264,7 @@
 	if p.prefix == nil || c.choice == ChoiceReplica || p.prefix.holds(c.state, p.now) {
 		return effect
 	}
-	return effect + spreadShare*model.ReadTime(float64(p.r.SharedTokens))
+	return effect + spreadFixed + spreadShare*model.ReadTime(float64(p.r.SharedTokens))
 }
 
 // pathCost returns the cost of using another data centre, in ms.
@@ -260,7 +273,7 @@
 	if dc.local {
 		return 0
 	}
-	return dc.known.path.Value() + remoteBytesCost*float64(p.r.PromptTokens)/1000
+	return max(dc.known.path.Value(), minPath) + remoteBytesCost*float64(p.r.PromptTokens)/1000
 }
 
 // slots returns the number of requests that the target runs at once; 0 if it is unknown.
--- a/fleet/placement/worklearn.go
+++ b/fleet/placement/worklearn.go
@@ -120,7 +120,8 @@
 func (l *Lease) learnWait(took time.Duration) {
 	w, model := l.work, l.work.svc.model
 	now := l.pickedAt.Add(took)
-	normal := model.BaseTime() + model.ReadTime(w.read)
+	uncalibrated := model.BaseTime() + model.ReadTime(w.read)
+	normal := model.Calibration() * uncalibrated
 	atTarget := took - duration(w.path+w.copying)
 	if dc := l.state.work.dataCentre; !dc.local {
 		observed := (took - duration(w.factor*normal+w.slotWait+w.copying)).Seconds() * 1000
@@ -129,8 +130,10 @@
 	if atTarget <= 0 {
 		return
 	}
-	l.state.work.speed.Observe(atTarget, duration(normal+w.slotWait/w.factor), workmodel.At(now))
-	model.ObserveFirstEvent(duration(max(float64(atTarget)/float64(time.Millisecond)-w.slotWait, 0)/w.factor), w.read)
+	l.state.work.speed.Observe(atTarget, duration(normal+w.slotWait/w.factor), model.Trust(), workmodel.At(now))
+	reading := max(float64(atTarget)/float64(time.Millisecond)-w.slotWait, 0) / w.factor
+	model.ObserveCalibration(reading / max(uncalibrated, 1))
+	model.ObserveFirstEvent(duration(reading), w.read)
 }
 
 // forgetTimes forgets how slow targets and paths seemed: while a router is cut off from
--- a/fleet/workmodel/line.go
+++ b/fleet/workmodel/line.go
@@ -53,6 +53,13 @@
 	l.fixed = max((p-l.slope*b)/a, 0)
 }
 
+// trustWeight is the number of observations after which a line is trusted by half: the
+// first ones may all be of one slow target.
+const trustWeight = 10
+
+// Trust returns how far the line is learned, from 0 to 1.
+func (l *Line) Trust() float64 { return l.n / (l.n + trustWeight) }
+
 // Fixed returns the value at 0.
 func (l *Line) Fixed() float64 { return l.fixed }
 
--- a/fleet/workmodel/service.go
+++ b/fleet/workmodel/service.go
@@ -13,6 +13,8 @@
 	// duration is how long a request runs and wait how long it waits for the first event,
 	// in ms. unread is the number of tokens that one has the target read.
 	duration, wait, unread Mean
+	// calibration is the mean of actual over expected times to the first event.
+	calibration Mean
 }
 
 // The priors stand for an engine of the usual size until observations replace them:
@@ -36,9 +38,23 @@
 		duration:   NewMean(priorDuration),
 		wait:       NewMean(priorFirstEvent),
 		unread:     NewMean(0),
+
+		calibration: NewMean(1),
 	}
 }
 
+// Trust returns how far the times to first events are learned, from 0 to 1.
+func (s *Service) Trust() float64 { return s.firstEvent.Trust() }
+
+// Calibration returns the factor by which times to first events differ from the estimates
+// of all targets. Without it, the targets in use seem fast where estimates are too long.
+func (s *Service) Calibration() float64 { return s.calibration.Value() }
+
+// ObserveCalibration records an actual over an expected time to the first event.
+func (s *Service) ObserveCalibration(ratio float64) {
+	s.calibration.Observe(min(max(ratio, 1/maxObservedRatio), maxObservedRatio))
+}
+
 // ReadTime returns the time in which a target reads tokens, in ms.
 func (s *Service) ReadTime(tokens float64) float64 { return s.firstEvent.Slope() * tokens / 1000 }
 
