--- a/fleet/placement/workcost.go
+++ b/fleet/placement/workcost.go
@@ -26,14 +26,31 @@
 	// spreadShare is the cost of having one more target keep a prefix, as a share of the
 	// time to read it: other parts lose their place in that cache.
 	spreadShare = 0.4
-	// connectCost is the cost of a target to which there is probably no open connection,
-	// in ms. It keeps the number of targets that a router connects to small.
-	connectCost = 5
+	// spreadFixed is a further cost of it in ms. Prompts that crash targets thus go to the
+	// targets of their own prefix, also if it is short, and not to those of others.
+	spreadFixed = 3
+	// connectCost is the cost of a random target to which there is probably no open
+	// connection, in ms. It keeps the number of targets that a router connects to small. It
+	// doesn't apply to targets of the prefix: requests that crash targets would go to those
+	// that other requests use. In services all of whose targets are compared it is
+	// scanConnectCost, which prefers an open connection among idle targets: a new one may
+	// fail where an open one survives a short cut.
+	connectCost     = 5
+	scanConnectCost = 1.5
+	// tieSpread is the random part of the cost of targets other than those of the prefix,
+	// in ms, so that routers which know nothing don't choose the same.
+	tieSpread = 0.5
+	// occupancyShare is the part of the time of a request without waiting that counts for
+	// the use of all slots of a target.
+	occupancyShare = 0.1
 	// usedMaxAge is how long a target that was sent to counts as connected.
 	usedMaxAge = 10 * time.Second
 	// remoteBytesCost is the cost of sending a thousand prompt tokens to another data
 	// centre, in ms; links between data centres are shared.
 	remoteBytesCost = 0.5
+	// minPath is the least cost of another data centre, in ms: without load requests stay in
+	// their own.
+	minPath = 2
 	// meanMemory is how long the mean of a target's reports is preferred to that of its
 	// data centre.
 	meanMemory = 8 * time.Second
@@ -41,9 +58,10 @@
 	// the mean. Within these it is twice the time that a request runs.
 	minReportMemory = 250 * time.Millisecond
 	maxReportMemory = 2 * time.Second
-	// unknownSlots is the number of slots assumed for weighing the effect on other
-	// requests where no target reports any.
-	unknownSlots = 16
+	// unknownSlots is the number of requests at a target that doubles the time of another
+	// one, where no target reports its slots. Without it, a burst through one gateway went
+	// to one of several targets that report nothing.
+	unknownSlots = 8
 )
 
 // workCandidate is a target and what the request is expected to cost there, in ms.
@@ -196,11 +214,21 @@
 		unreadOthers = max(unreadOthers, min(waiting, others))
 	}
 	c.ahead = float64(max(s.pendingPromptTokens, 0)) + unreadOthers*model.Unread()
-	c.firstEvent = c.factor*(model.BaseTime()+model.ReadTime(c.ahead+c.unread)) + c.slotWait + c.copying
+	c.firstEvent = c.factor*model.Calibration()*(model.BaseTime()+model.ReadTime(c.ahead+c.unread)) + c.slotWait + c.copying
 	c.firstEvent += p.pathCost(s)
 	c.cost = c.firstEvent + p.effectOnOthers(c, requests, slots)
+	if c.choice == ChoiceReplica {
+		return
+	}
 	if !s.recentlyUsed(now) {
-		c.cost += connectCost
+		if c.choice == ChoiceScan {
+			c.cost += scanConnectCost
+		} else {
+			c.cost += connectCost
+		}
+	}
+	if !p.noRandom {
+		c.cost += tieSpread * p.table.work.uniform()
 	}
 }
 
@@ -232,11 +260,11 @@
 	if slots == 0 {
 		occupancy = requests / unknownSlots
 	}
-	effect := c.factor * occupancy * (model.ReadTime(c.unread) + model.StepGrowth()*p.output.Tokens)
+	effect := c.factor * occupancy * (model.ReadTime(c.unread) + model.StepGrowth()*p.output.Tokens + occupancyShare*model.BaseTime())
 	if p.prefix == nil || c.choice == ChoiceReplica || p.prefix.holds(c.state, p.now) {
 		return effect
 	}
-	return effect + spreadShare*model.ReadTime(float64(p.r.SharedTokens))
+	return effect + spreadFixed + spreadShare*model.ReadTime(float64(p.r.SharedTokens))
 }
 
 // pathCost returns the cost of using another data centre, in ms.
@@ -245,7 +273,7 @@
 	if dc.local {
 		return 0
 	}
-	return dc.known.path.Value() + remoteBytesCost*float64(p.r.PromptTokens)/1000
+	return max(dc.known.path.Value(), minPath) + remoteBytesCost*float64(p.r.PromptTokens)/1000
 }
 
 // slots returns the number of requests that the target runs at once; 0 if it is unknown.
@@ -308,7 +336,7 @@
 // which may be off by the spread, in the unit of the duration of requests.
 func slotWait(requests, spread, slots, duration float64) float64 {
 	if slots <= 0 {
-		return 0
+		return requests / unknownSlots * duration
 	}
 	excess := requests + 1 - slots
 	// softening approximates the mean excess of a normal distribution above zero.
--- a/fleet/placement/worklearn.go
+++ b/fleet/placement/worklearn.go
@@ -108,6 +108,9 @@
 		return
 	}
 	w.firstAt = now
+	if l.pickedAt.Before(l.table.failuresForgottenAt) {
+		return
+	}
 	l.learnWait(now.Sub(l.pickedAt))
 	w.svc.model.ObserveWait(now.Sub(l.pickedAt))
 }
@@ -117,7 +120,8 @@
 func (l *Lease) learnWait(took time.Duration) {
 	w, model := l.work, l.work.svc.model
 	now := l.pickedAt.Add(took)
-	normal := model.BaseTime() + model.ReadTime(w.read)
+	uncalibrated := model.BaseTime() + model.ReadTime(w.read)
+	normal := model.Calibration() * uncalibrated
 	atTarget := took - duration(w.path+w.copying)
 	if dc := l.state.work.dataCentre; !dc.local {
 		observed := (took - duration(w.factor*normal+w.slotWait+w.copying)).Seconds() * 1000
@@ -126,8 +130,24 @@
 	if atTarget <= 0 {
 		return
 	}
-	l.state.work.speed.Observe(atTarget, duration(normal+w.slotWait/w.factor), workmodel.At(now))
-	model.ObserveFirstEvent(duration(max(float64(atTarget)/float64(time.Millisecond)-w.slotWait, 0)/w.factor), w.read)
+	l.state.work.speed.Observe(atTarget, duration(normal+w.slotWait/w.factor), model.Trust(), workmodel.At(now))
+	reading := max(float64(atTarget)/float64(time.Millisecond)-w.slotWait, 0) / w.factor
+	model.ObserveCalibration(reading / max(uncalibrated, 1))
+	model.ObserveFirstEvent(duration(reading), w.read)
+}
+
+// forgetTimes forgets how slow targets and paths seemed: while a router is cut off from
+// all targets, its requests go through others and take longer. The table's lock must be
+// held.
+func (t *Table) forgetTimes() {
+	for _, s := range t.byID {
+		s.work.speed = workmodel.Speed{}
+	}
+	for _, svc := range t.work.services {
+		for _, dc := range svc.dataCentres {
+			dc.known.path = workmodel.NewMean(priorPath)
+		}
+	}
 }
 
 // maxPath bounds what one observation says about the path to a data centre, in ms.
@@ -137,7 +157,7 @@
 // run. The table's lock must be held.
 func (l *Lease) learnEnd(result Result, now time.Time) {
 	w := l.work
-	if w == nil || result != OK {
+	if w == nil || result != OK || l.pickedAt.Before(l.table.failuresForgottenAt) {
 		return
 	}
 	took := now.Sub(l.pickedAt)
