--- a/router/relay/location.go
+++ b/router/relay/location.go
@@ -5,20 +5,6 @@
 	"cuminrock.example/fleet/placement"
 )
 
-// placementRequest returns what decides which target gets the next send.
-func (p *proxiedRequest) placementRequest() *placement.Request {
-	return &placement.Request{
-		Service:      p.service.Name,
-		Affinity:     p.Prompt.affinityHash(),
-		SharedTokens: p.Prompt.sharedTokens(),
-		PromptTokens: p.Prompt.inputTokens(),
-		Version:      p.origin.version,
-		Homes:        p.homes(),
-		Exclude:      p.triedTargets,
-		Now:          p.relay.Now(),
-	}
-}
-
 // refuseByLocation refuses a request that no data centre may get. It is called before
 // the origin of a stream is looked up and tokens are reserved, which may take a while, and
 // again once the version is known that a stream needs.
--- a/router/relay/send.go
+++ b/router/relay/send.go
@@ -39,7 +39,16 @@
 		if refusal != nil {
 			return nil, refusal
 		}
-		lease, err := p.relay.Targets.Pick(p.placementRequest())
+		lease, err := p.relay.Targets.Pick(&placement.Request{
+			Service:      p.service.Name,
+			Affinity:     p.Prompt.affinityHash(),
+			SharedTokens: p.Prompt.sharedTokens(),
+			PromptTokens: p.Prompt.inputTokens(),
+			Version:      p.origin.version,
+			Exclude:      p.triedTargets,
+			Homes:        p.homes(),
+			Now:          p.relay.Now(),
+		})
 		if err != nil {
 			return nil, errkind.FromError(err)
 		}
