--- a/fleet/allotment/account.go
+++ b/fleet/allotment/account.go
@@ -73,9 +73,15 @@
 	// demandByRank is the demand of each priority rank; rank 0 is the most
 	// urgent.
 	demandByRank [numRanks]demand
+	// kept are the tokens that are kept for resumed streams, the oldest first.
+	kept []keptTokens
 	// platformDownSince is when the platform stopped answering; zero while it
 	// answers.
 	platformDownSince time.Time
+	// keepForAllSizes is set if scarce tokens are kept for more urgent requests of any
+	// size.
+	keepForAllSizes bool
+	turn            turn
 	// bounds all apply at the same time.
 	bounds []UsageBound
 }
@@ -118,10 +124,23 @@
 // bound doesn't admit them, or if the remainder would cut into the reserve for
 // more urgent requests.
 func (a *Account) Reserve(tokens int64, rank int, now time.Time) bool {
-	if tokens > a.Free()-a.PriorityReserve(tokens, rank, now) || tokens > a.Headroom(now) {
+	if tokens > a.Free() || tokens > a.Headroom(now) {
 		return false
 	}
+	kept := a.PriorityReserve(tokens, rank, now)
+	if tokens <= a.Free()-kept {
+		a.earnTurn(tokens)
+	} else {
+		mayUse := a.mayUseKept(tokens) && tokens <= a.Free()-a.resumedReserve(rank, now)
+		a.recordKept(tokens, mayUse)
+		if !mayUse {
+			return false
+		}
+	}
 	a.reserved += tokens
+	if rank == ResumedRank {
+		a.releaseKept()
+	}
 	return true
 }
 
@@ -141,6 +160,10 @@
 	}
 }
 
+// SetKeepForAllSizes sets whether tokens are kept for more urgent requests of any size when
+// the budget is nearly spent, instead of only for those that aren't larger on average.
+func (a *Account) SetKeepForAllSizes(on bool) { a.keepForAllSizes = on }
+
 // Settle ends a reservation, of which used tokens were consumed.
 func (a *Account) Settle(reserved, used int64) {
 	a.reserved -= reserved
--- a/fleet/catalog/catalog.go
+++ b/fleet/catalog/catalog.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cuminrock.example/fleet/location"
 )
 
 // Kind is the type of a request. It determines whether the request may be
@@ -78,6 +80,8 @@
 	MaxAttempts int
 	// Public routes need no API key.
 	Public bool
+	// Homes are the regions whose targets may get the route's requests.
+	Homes location.Homes
 }
 
 // Repeatable reports whether a request of the route may be executed more than
@@ -112,6 +116,16 @@
 	Name string
 	// Engine is nil for services that do not generate tokens.
 	Engine *Engine
+	// ColdStart is nil for services whose targets take all requests from the start on.
+	ColdStart *ColdStart
+}
+
+// ColdStart describes targets that take few requests for a while after their start.
+type ColdStart struct {
+	// Period is how long a target stays cold; 0 if that isn't known.
+	Period time.Duration
+	// PerSecond is the number of requests a second that a cold target takes.
+	PerSecond float64
 }
 
 // Engine describes the model engines of a service.
@@ -129,6 +143,8 @@
 	// PrepaidTokens is the total number of tokens that may be consumed; nil means no
 	// limit.
 	PrepaidTokens *int64
+	// Homes are the regions whose targets may get the workspace's requests.
+	Homes location.Homes
 }
 
 // Spec lists the contents of a Catalog.
@@ -197,3 +213,15 @@
 
 // ServiceCount returns the number of services.
 func (c *Catalog) ServiceCount() int { return len(c.services) }
+
+// LongestColdPeriod returns the longest cold period of all services' targets; 0 if none of
+// them are cold after their start.
+func (c *Catalog) LongestColdPeriod() time.Duration {
+	var longest time.Duration
+	for _, s := range c.services {
+		if s.ColdStart != nil {
+			longest = max(longest, s.ColdStart.Period)
+		}
+	}
+	return longest
+}
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/location"
 	"cuminrock.example/fleet/mix"
 )
 
@@ -36,11 +37,22 @@
 	// SharedTokens is the size of those parts and PromptTokens that of the
 	// whole prompt.
 	SharedTokens, PromptTokens int64
+	// MaxOutputTokens is the most output tokens that the request declares. Route and
+	// Workspace are the key by which the length of its answer is learned.
+	MaxOutputTokens  int64
+	Route, Workspace string
 	// Version restricts the choice to targets of one version; empty means all.
 	Version string
+	// Homes are the regions whose targets may get the request.
+	Homes location.Homes
+	// AllowsVersion restricts the choice to targets of versions for which it returns true;
+	// nil means all.
+	AllowsVersion func(version string) bool
 	// Exclude lists the ids of targets that this request has already tried.
 	Exclude []string
-	Now     time.Time
+	// Avoid reports the targets that are picked only if there is no other; nil for none.
+	Avoid func(Target) bool
+	Now   time.Time
 }
 
 // Lease is a request's slot at a target. Its holder must call Done exactly
@@ -62,6 +74,8 @@
 	source *Target
 	// pickedAt is when the target was picked.
 	pickedAt time.Time
+	// work is set if the target was picked by expected work.
+	work *workLease
 }
 
 // Target returns the picked target.
@@ -75,16 +89,16 @@
 func (t *Table) Pick(r *Request) (*Lease, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	r = t.relaxed(r)
+	if l := t.pickByWork(r); l != nil {
+		return l, nil
+	}
 	candidates := t.candidates(r, true)
 	if len(candidates) == 0 {
 		candidates = t.candidates(r, false)
 	}
 	if len(candidates) == 0 {
-		retryAfter := t.untilAccepting(r.Service, r.Now)
-		if retryAfter == 0 {
-			retryAfter = noTargetRetryAfter
-		}
-		return nil, errkind.New(errkind.NoTarget, "no target of the service accepts new requests").WithRetryAfter(retryAfter)
+		return nil, t.noTarget(r)
 	}
 	s, preferred := t.choose(candidates, r)
 	pendingPromptTokens := r.PromptTokens
@@ -96,14 +110,23 @@
 	return l, nil
 }
 
+// noTarget returns the error of a request that no target may get.
+func (t *Table) noTarget(r *Request) error {
+	retryAfter := t.untilAccepting(r)
+	if retryAfter == 0 {
+		retryAfter = noTargetRetryAfter
+	}
+	return errkind.New(errkind.NoTarget, "no target of the service accepts new requests").WithRetryAfter(retryAfter)
+}
+
 // Take returns a slot at one process of a target, for a request that another router
-// passes on. It reports false if the process isn't listed, is leaving or asked for
-// quiet. Limits are the other router's concern.
+// passes on. It reports false if the process isn't listed, is leaving, asked for quiet
+// or is in an evacuated data centre. Limits are the other router's concern.
 func (t *Table) Take(p Process, promptTokens int64, now time.Time) (*Lease, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.byID[p.ID]
-	if s == nil || s.target.Process() != p || s.announced.leaving || s.announced.quiet(now) {
+	if s == nil || s.target.Process() != p || s.announced.leaving || s.announced.quiet(now) || t.evacuated.Has(s.target.DataCentre) {
 		return nil, false
 	}
 	return t.lease(s, promptTokens, now), true
@@ -129,12 +152,13 @@
 }
 
 // candidates returns the targets that may get the request: never one that is
-// leaving, asked for quiet or takes no more within its limit. If healthy is set, it leaves out unavailable ones;
+// leaving, asked for quiet, takes no more within its limit or is in a data centre that
+// the request may not be sent to. If healthy is set, it leaves out unavailable ones;
 // Pick calls it again without if none is left.
 func (t *Table) candidates(r *Request, healthy bool) []*targetState {
 	var candidates []*targetState
 	for _, s := range t.services[r.Service] {
-		if !r.allows(s) || !s.acceptsNew(r.Now) {
+		if !t.mayGet(r, s) {
 			continue
 		}
 		if healthy && !t.available(s, r.Now) {
@@ -145,16 +169,40 @@
 	return candidates
 }
 
+// mayGet reports whether the target may get the request at all, also while it is
+// unavailable.
+func (t *Table) mayGet(r *Request, s *targetState) bool {
+	return r.allows(s) && t.locationAllows(r, s) && s.acceptsNew(r.Now)
+}
+
 // allows reports whether the request may be sent to the target.
 func (r *Request) allows(s *targetState) bool {
-	return (r.Version == "" || s.target.Version == r.Version) && !slices.Contains(r.Exclude, s.target.ID)
+	if r.Avoid != nil && r.Avoid(s.target) {
+		return false
+	}
+	return (r.Version == "" || s.target.Version == r.Version) &&
+		(r.AllowsVersion == nil || r.AllowsVersion(s.target.Version)) && !slices.Contains(r.Exclude, s.target.ID)
+}
+
+// relaxed returns the request, or one that avoids no targets if no others are available.
+func (t *Table) relaxed(r *Request) *Request {
+	if r.Avoid == nil || len(t.candidates(r, true)) > 0 {
+		return r
+	}
+	everywhere := *r
+	everywhere.Avoid = nil
+	return &everywhere
 }
 
 // available reports whether neither the target nor its data centre is suspect,
 // the target has not just refused a request, and the data centre isn't silent.
 func (t *Table) available(s *targetState, now time.Time) bool {
-	dc := t.dataCentreState(s.target.DataCentre)
-	return s.health.Accepts(now) && !now.Before(s.refusedUntil) && dc.health.Accepts(now) && !dc.silent(now)
+	return s.accepts(now) && t.dataCentreState(s.target.DataCentre).accepts(now)
+}
+
+// accepts reports whether the target isn't suspect and has not just refused a request.
+func (s *targetState) accepts(now time.Time) bool {
+	return s.health.Accepts(now) && !now.Before(s.refusedUntil)
 }
 
 // choose picks one of the candidates. It also returns the preferred target for
--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"cuminrock.example/fleet/breaker"
+	"cuminrock.example/fleet/location"
 )
 
 // Target is one process that serves requests.
@@ -34,6 +35,9 @@
 	Version string
 	// Leaving targets get no new requests.
 	Leaving bool
+	// ColdFor is how long the target stays cold, as its entry says: it takes few
+	// requests until then. 0 means that it isn't cold.
+	ColdFor time.Duration
 }
 
 // Load is the number of requests that a target reports about itself.
@@ -41,13 +45,18 @@
 	Running, Waiting int
 	// Slots is the number of requests that it runs at once; 0 if it doesn't tell.
 	Slots int
+	// PacePercent is how long work takes at the target at this moment, in percent of
+	// the normal time; 0 if it doesn't tell.
+	PacePercent int
 }
 
 // Table picks targets. It is safe for concurrent use.
 type Table struct {
 	dataCentre string
 
-	mu          sync.Mutex
+	mu sync.Mutex
+	// work is the state of the placement by expected work.
+	work        expectedWork
 	services    map[string][]*targetState
 	byID        map[string]*targetState
 	dataCentres map[string]*dataCentreState
@@ -55,11 +64,13 @@
 	lastPlacement map[uint64]placementRecord
 	// past holds what targets announced that are no longer listed.
 	past map[Process]pastTarget
-	// versions has, by service and version, when a target of it was last listed.
-	versions map[string]map[string]time.Time
 	// failuresForgottenAt is the time up to which failures of requests say nothing about
 	// their targets.
 	failuresForgottenAt time.Time
+	// evacuated are the data centres whose targets get no new requests.
+	evacuated location.DataCentres
+	// regions are those of the data centres.
+	regions location.Regions
 }
 
 // targetState is a target and what the table knows about it.
@@ -88,11 +99,13 @@
 	deferredUntil time.Time
 	// refusedUntil is the end of the pause after a refusal.
 	refusedUntil time.Time
+	// work is what the placement by expected work knows about the target.
+	work targetWork
 }
 
 // New returns a table without targets for a router in the given data centre.
 func New(dataCentre string) *Table {
-	return &Table{dataCentre: dataCentre, services: make(map[string][]*targetState), byID: make(map[string]*targetState), dataCentres: make(map[string]*dataCentreState), lastPlacement: make(map[uint64]placementRecord), past: make(map[Process]pastTarget), versions: make(map[string]map[string]time.Time)}
+	return &Table{dataCentre: dataCentre, services: make(map[string][]*targetState), byID: make(map[string]*targetState), dataCentres: make(map[string]*dataCentreState), lastPlacement: make(map[uint64]placementRecord), past: make(map[Process]pastTarget)}
 }
 
 // Update replaces the list of targets. A target whose process still runs at the
@@ -119,7 +132,7 @@
 		t.services[target.Service] = append(t.services[target.Service], s)
 	}
 	t.rememberPast(old, now)
-	t.recordVersions(targets, now)
+	t.indexTargets()
 }
 
 // Targets returns all known targets.
--- a/router/forward/forward.go
+++ b/router/forward/forward.go
@@ -10,8 +10,8 @@
 //   - After that, a request whose response doesn't arrive may have run.
 //   - A gateway sends a forwarded request to the target itself or not at all, so that
 //     requests can't go in circles.
-//   - A gateway doesn't send to a target that it knows to be leaving, or that asked it
-//     for quiet.
+//   - A gateway doesn't send to a target that it knows to be leaving, that asked it for
+//     quiet, or whose data centre it knows to be evacuated.
 package forward
 
 import (
@@ -19,6 +19,8 @@
 	"net/http"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
@@ -91,12 +93,17 @@
 }
 
 func encodeAnnouncement(a placement.Announcement) *pb.TargetAnnouncement {
-	return &pb.TargetAnnouncement{Leaving: a.Leaving, QuietMs: a.Quiet.Milliseconds(), LimitPerSecond: a.Limit, MaxRefusals: int64(a.MaxRefusals)}
+	out := &pb.TargetAnnouncement{Leaving: a.Leaving, QuietMs: a.Quiet.Milliseconds(), LimitPerSecond: a.Limit, MaxRefusals: int64(a.MaxRefusals)}
+	if a.ColdKnown {
+		out.ColdMs = proto.Int64(a.ColdFor.Milliseconds())
+	}
+	return out
 }
 
 func decodeAnnouncement(a *pb.TargetAnnouncement) placement.Announcement {
 	return placement.Announcement{
 		Leaving: a.GetLeaving(), Quiet: time.Duration(a.GetQuietMs()) * time.Millisecond, Limit: a.GetLimitPerSecond(), MaxRefusals: int(a.GetMaxRefusals()),
+		ColdFor: time.Duration(a.GetColdMs()) * time.Millisecond, ColdKnown: a != nil && a.ColdMs != nil,
 	}
 }
 
@@ -122,7 +129,7 @@
 		req.Priority = &priority
 	}
 	if s.Source != nil {
-		req.SourceAddress = s.Source.Address
+		req.SourceAddress, req.SourceDataCentre = s.Source.Address, s.Source.DataCentre
 	}
 	return req
 }
@@ -141,7 +148,7 @@
 		s.Priority = &priority
 	}
 	if req.SourceAddress != "" {
-		s.Source = &placement.Target{Address: req.SourceAddress}
+		s.Source = &placement.Target{Address: req.SourceAddress, DataCentre: req.SourceDataCentre}
 	}
 	return s
 }
--- a/router/forward/world_test.go
+++ b/router/forward/world_test.go
@@ -138,7 +138,7 @@
 	gateways := forwarding.New(self)
 	gateways.Update(registered)
 	metrics := NewMetrics(prometheus.NewRegistry())
-	g.client = NewClient(Options{Direct: direct, Reachability: known, ConnectionRefused: g.connectionRefused, Gateways: gateways, Peers: &simPeers{world: w, caller: g}, Metrics: metrics, Log: zap.NewNop(), Now: time.Now})
+	g.client = NewClient(Options{Direct: direct, Reachability: known, ConnectionRefused: g.connectionRefused, Evacuated: g.targets.Evacuated, Gateways: gateways, Peers: &simPeers{world: w, caller: g}, Metrics: metrics, Log: zap.NewNop(), Now: time.Now})
 	go g.client.Run(ctx)
 	served := known
 	if wrong.acceptAlways {
@@ -266,7 +266,17 @@
 // noOrigins is a StreamOrigins of streams that callers never take up.
 type noOrigins struct{}
 
-func (noOrigins) Began(streamorigin.Stream, string, time.Time) {}
+func (noOrigins) Expect(streamorigin.Stream, string, time.Time) {}
+
+func (noOrigins) Began(context.Context, streamorigin.Stream, string, time.Time) bool { return true }
+
+func (noOrigins) MayBegin(string, string) bool { return true }
+
+func (noOrigins) AwaitVersion(context.Context, string) bool { return false }
+
+func (noOrigins) SoleVersion(context.Context, string, time.Duration) (string, bool) { return "", true }
+
+func (noOrigins) Covers(string, time.Duration) bool { return true }
 
 func (noOrigins) BrokeOff() {}
 
@@ -281,6 +291,10 @@
 	return targetlimit.Permit{Granted: true}
 }
 
+func (noLimits) Cold(placement.Target) bool { return false }
+
+func (noLimits) ConnectionRefused(placement.Target) {}
+
 func (noLimits) Answered(placement.Target, placement.Announcement, *placement.Load, time.Time) {}
 
 func (noLimits) Release(placement.Target, targetlimit.Permit, targetlimit.Outcome) {}
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -18,17 +18,21 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/fleet/callerbuffer"
 	"cuminrock.example/fleet/catalog"
 	"cuminrock.example/fleet/egress"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/retry"
+	"cuminrock.example/router/admission"
+	"cuminrock.example/router/callerconn"
 	"cuminrock.example/router/crashwatch"
 	"cuminrock.example/router/exchange"
 	"cuminrock.example/router/lag"
@@ -78,16 +82,23 @@
 	// Upstream sends requests to targets over the connections of Conns.
 	Upstream relay.Upstream
 	Conns    *exchange.Pool
+	// Collectors are metrics of the adapter.
+	Collectors []prometheus.Collector
 	// NewHandler returns the handler of callers' requests.
 	NewHandler func(*Gateway) http.Handler
 	// ReadinessPath is the path of the load balancer's readiness check.
 	ReadinessPath string
 }
 
-// ConfigSource says where the configuration is stored and how to parse it.
+// ConfigSource says where the operator's rows are stored and how to parse them: the
+// configuration, and one for each evacuated data centre.
 type ConfigSource struct {
 	Table, Key string
 	Parse      func([]byte) (*catalog.Catalog, error)
+	// EvacuationOf returns the data centre that a key evacuates; false for other keys.
+	EvacuationOf func(key string) (dataCentre string, ok bool)
+	// CheckEvacuation returns an error if the value isn't that of an evacuation.
+	CheckEvacuation func(value []byte) error
 }
 
 // TargetSource says where targets are registered and how to parse an entry.
@@ -106,6 +117,8 @@
 
 	relay   *relay.Relay
 	budgets *prepaid.Manager
+	// admission is nil unless the settings switch it on.
+	admission *admission.Gate
 	// peers is nil if the gateway has no listener for others.
 	peers        *peers
 	targets      *placement.Table
@@ -118,8 +131,12 @@
 	lag          lag.Monitor
 	egress       *egress.Meter
 	catalog      atomic.Pointer[catalog.Catalog]
+	// onWithdrawn is called for each data centre whose evacuation was withdrawn, before
+	// its targets get requests again.
+	onWithdrawn func(dataCentre string)
 
 	callers         *callerConns
+	callerBuffers   *callerconn.Set
 	callerServer    *http.Server
 	readinessServer *http.Server
 	metricsServer   *http.Server
@@ -143,16 +160,23 @@
 	openedAt := time.Now()
 	debug.SetMemoryLimit(int64(settings.MemoryMib) << 20 * memoryPermille / permille)
 	g := &Gateway{settings: settings, platform: p, log: log, registry: prometheus.NewRegistry(), addresses: lis.addresses()}
+	g.registry.MustRegister(p.Collectors...)
 	g.targets = placement.New(settings.DataCentre)
+	g.targets.UseExpectedWork(settings.ExpectedWork, xxhash.Sum64String(settings.Name+incarnation))
+	g.targets.SetRegions(settings.DataCentreRegions)
 	g.targetCounts = newTargetCounts(g.registry)
+	g.onWithdrawn = g.markCold
 	g.reachability = newReachability(g)
 	g.callers = newCallerConns(int(settings.FileDescriptors), func() time.Duration { return g.Limits().IdleTimeout })
+	g.callerBuffers = callerconn.NewSet(callerconn.Options{
+		Limits: callerbuffer.LimitsFor(int64(settings.MemoryMib) << 20), Registry: g.registry, Log: log, Now: time.Now,
+	})
 	g.egress = egress.NewMeter(settings.LinkMbps)
 	g.forward = newForwarder(g)
 	g.budgets = prepaid.NewManager(prepaid.Options{
 		Tables: p.Tables, Clock: p.Clock, Machine: settings.Name + "." + settings.Doors.Caller,
 		Holder: settings.Name + "." + incarnation, PreviousRunsEndedBy: openedAt,
-		Metrics: prepaid.NewMetrics(g.registry), Log: log, Now: time.Now,
+		ByPriority: settings.Admission, Metrics: prepaid.NewMetrics(g.registry), Log: log, Now: time.Now,
 	})
 	var budgets relay.Budgets = g.budgets
 	if lis.peer != nil {
@@ -160,10 +184,11 @@
 		budgets = g.peers.budgets
 	}
 	g.crashes = crashwatch.New(crashwatch.Options{
-		Gateway: settings.Name, Tables: p.Tables, Clock: p.Clock, TargetEnded: g.forward.client.TargetEnded,
+		Gateway: settings.Name, Tables: p.Tables, Clock: p.Clock, TargetEnded: g.forward.client.TargetEnded, Ended: func(t placement.Target) { g.limits.ConnectionRefused(t) },
 		Metrics: crashwatch.NewMetrics(g.registry), Log: log, Now: time.Now,
 	})
-	g.origins = streamorigin.New(streamorigin.Options{Gateway: settings.Name, Tables: p.Tables, Clock: p.Clock, Log: log, Now: time.Now})
+	g.origins = streamorigin.New(streamorigin.Options{Gateway: settings.Name, Tables: p.Tables, Clock: p.Clock, Gateways: g.gatewayCount, Log: log, Now: time.Now})
+	g.admission = newAdmission(g)
 	g.limits = newLimiter(g)
 	g.relay = relay.New(relay.Options{
 		Catalog:    g.catalog.Load,
@@ -178,12 +203,15 @@
 		Egress:     g.egress,
 		Metrics:    relay.NewMetrics(g.registry),
 		Log:        log,
+		Admission:  g.admission,
 		Now:        time.Now,
 	})
 	g.startServers(lis)
 	g.startWatching(lis)
 	log.Info("gateway: started.", zap.String("name", settings.Name), zap.String("incarnation", incarnation),
-		zap.String("callers", settings.Doors.Caller), zap.String("store", settings.StoreAddress))
+		zap.String("callers", settings.Doors.Caller), zap.String("store", settings.StoreAddress),
+		zap.Strings("contracts", settings.Contracts), zap.Bool("expected_work", settings.ExpectedWork),
+		zap.Any("data_centre_regions", settings.DataCentreRegions))
 	return g, nil
 }
 
@@ -196,6 +224,14 @@
 	return hex.EncodeToString(random[:]), nil
 }
 
+// gatewayCount returns the number of gateways of the deployment, as far as known.
+func (g *Gateway) gatewayCount() int {
+	if g.peers == nil {
+		return 1
+	}
+	return g.peers.homes.Len()
+}
+
 // Ready reports whether the load balancer may send new connections. A gateway that is cut
 // off from all targets is ready as long as any other gateway responds, since that passes
 // its requests on, or is cut off, too.
@@ -208,6 +244,10 @@
 
 // Serve answers one request; see relay.Relay.
 func (g *Gateway) Serve(ctx context.Context, req *relay.Request, out relay.ResponseWriter) {
+	if conn := callerconn.FromContext(ctx); conn != nil {
+		conn.BeginRequest(req.ID)
+		out = &callerResponse{ResponseWriter: out, conn: conn}
+	}
 	g.relay.Serve(ctx, req, out)
 }
 
--- a/router/gateway/target_view.go
+++ b/router/gateway/target_view.go
@@ -38,6 +38,7 @@
 	for _, row := range rows {
 		v.applyRow(row, before)
 	}
+	v.gateway.limits.ReplaceTargets(slices.Collect(maps.Values(v.current)))
 	v.logGone(before)
 	v.lapsed = findLapsed(before, v.current)
 	v.lapsedUntil = time.Now().Add(lapsedGracePeriod)
@@ -51,6 +52,11 @@
 	for _, row := range rows {
 		delete(v.lapsed, row.Key)
 		v.applyRow(row, v.current)
+		if target, listed := v.current[row.Key]; listed {
+			v.gateway.limits.WriteTarget(target)
+		} else {
+			v.gateway.limits.DeleteTarget(row.Key)
+		}
 	}
 	v.updateTable()
 }
@@ -67,11 +73,24 @@
 func (v *targetView) updateTable() {
 	targets := slices.Collect(maps.Values(v.current))
 	targets = slices.AppendSeq(targets, maps.Values(v.lapsed))
+	// A target that can be picked must be among the listed versions, which are recorded.
+	v.gateway.origins.SetListed(listedVersions(targets))
 	v.gateway.targets.Update(targets, time.Now())
 	v.gateway.targetCounts.set(targets)
 	v.gateway.hasTarget.Store(len(targets) > 0)
 }
 
+// listedVersions returns the versions of the targets by service.
+func listedVersions(targets []placement.Target) map[string][]string {
+	versions := make(map[string][]string)
+	for _, target := range targets {
+		if !slices.Contains(versions[target.Service], target.Version) {
+			versions[target.Service] = append(versions[target.Service], target.Version)
+		}
+	}
+	return versions
+}
+
 // findLapsed returns the targets that are missing now, for the services that kept
 // fewer than half of their targets.
 func findLapsed(before, now map[string]placement.Target) map[string]placement.Target {
@@ -109,6 +128,7 @@
 		return
 	}
 	v.current[row.Key] = target
+	old.ColdFor = target.ColdFor // counts down with each entry
 	if !had || old != target {
 		v.gateway.log.Info("targets: registered.", zap.String("target", target.ID), zap.String("service", target.Service),
 			zap.String("address", target.Address), zap.String("version", target.Version), zap.Bool("leaving", target.Leaving))
--- a/router/relay/limits_test.go
+++ b/router/relay/limits_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,6 +19,8 @@
 // targetLimits gives permits for some targets, and records answers.
 type targetLimits struct {
 	permitted map[string]bool
+	cold      map[string]bool
+	ended     []string
 	asked     []string
 	answered  []float64
 	released  []uint64
@@ -25,7 +29,13 @@
 
 func (l *targetLimits) Acquire(_ context.Context, target placement.Target, _ time.Duration) targetlimit.Permit {
 	l.asked = append(l.asked, target.ID)
-	return targetlimit.Permit{Granted: l.permitted[target.ID], ID: uint64(len(l.asked)), RetryAfter: 3 * time.Second}
+	return targetlimit.Permit{Granted: l.permitted[target.ID], ID: uint64(len(l.asked)), RetryAfter: 3 * time.Second, Cold: l.cold[target.ID]}
+}
+
+func (l *targetLimits) Cold(target placement.Target) bool { return l.cold[target.ID] }
+
+func (l *targetLimits) ConnectionRefused(target placement.Target) {
+	l.ended = append(l.ended, target.ID)
 }
 
 func (l *targetLimits) Release(_ placement.Target, p targetlimit.Permit, o targetlimit.Outcome) {
@@ -55,6 +65,29 @@
 	is.Equal(limits.released, []uint64{uint64(len(limits.asked))})
 }
 
+// After a cold target without a permit a request goes to a target that isn't cold, however
+// many cold ones look emptier.
+func TestRequestAvoidsColdTargetsAfterADenial(t *testing.T) {
+	is := is.New(t)
+	limits := &targetLimits{permitted: map[string]bool{"d": true}, cold: map[string]bool{"a": true, "b": true, "c": true}}
+	out, up := serveLimited(context.Background(), limits, good)
+	is.Equal(out.body, "good")
+	is.Equal(up.sends[0].Target.ID, "d")
+	is.True(len(limits.asked) <= 2)
+}
+
+// A target whose address refuses connections has ended, and a cold one may take its place.
+// One that can't be reached otherwise may be as it was.
+func TestRefusedConnectionTellsThatATargetHasEnded(t *testing.T) {
+	is := is.New(t)
+	limits := &targetLimits{permitted: map[string]bool{"a": true, "b": true, "c": true, "d": true}}
+	out, up := serveLimited(context.Background(), limits,
+		outcome{err: errkind.Wrap(errkind.TargetUnreachable, os.ErrDeadlineExceeded, "cut")},
+		outcome{err: errkind.Wrap(errkind.TargetUnreachable, syscall.ECONNREFUSED, "refused")}, good)
+	is.Equal(out.body, "good")
+	is.Equal(limits.ended, []string{up.sends[1].Target.ID})
+}
+
 // Without any permit the request is refused at once, as not run, and the caller is
 // told when to come back.
 func TestRequestWithoutAnyPermitIsRefused(t *testing.T) {
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -11,6 +11,8 @@
 
 // Metrics counts requests, their outcomes and their sends to targets.
 type Metrics struct {
+	// Refusals counts refused requests that haven't run, by cause.
+	Refusals *prometheus.CounterVec
 	// Requests counts finished requests by route and outcome.
 	Requests *prometheus.CounterVec
 	// Duration and FirstByte are latencies in seconds, by route.
@@ -23,12 +25,22 @@
 	// RetriesDenied counts failures that weren't retried because the retry budget
 	// was used up.
 	RetriesDenied prometheus.Counter
+	// RefusedByLocation counts requests that no data centre may get.
+	RefusedByLocation prometheus.Counter
+	// Placements counts sends to targets that were picked by expected work, by why the
+	// target was a candidate and whether it is in another data centre.
+	Placements *prometheus.CounterVec
+	// FirstEventRatio is the actual time to the first event over the expected one.
+	FirstEventRatio *prometheus.HistogramVec
+	// Resumptions counts streams that callers took up, by how their version was found.
+	Resumptions *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with the registry.
 func NewMetrics(registry prometheus.Registerer) *Metrics {
 	buckets := prometheus.ExponentialBuckets(0.005, 2, 12)
 	m := &Metrics{
+		Refusals: newRefusals(registry),
 		Requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cuminrock_requests_total", Help: "Finished requests."}, []string{"route", "outcome"}),
 		Duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -43,8 +55,17 @@
 			Name: "cuminrock_broken_answers_total", Help: "Answers of targets that ended early."}),
 		RetriesDenied: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cuminrock_retries_denied_total", Help: "Retries that the retry budget forbade."}),
+		RefusedByLocation: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cuminrock_refused_by_location_total", Help: "Requests refused because no data centre may get them."}),
+		Resumptions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cuminrock_resumptions_total", Help: "Streams that callers took up, by how their version was found."}, []string{"origin"}),
 	}
-	registry.MustRegister(m.Requests, m.Duration, m.FirstByte, m.Sends, m.Resends, m.Breaks, m.RetriesDenied)
+	m.Placements = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cuminrock_placements_total", Help: "Sends to targets that were picked by expected work."}, []string{"choice", "remote"})
+	m.FirstEventRatio = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "cuminrock_first_event_actual_to_expected_ratio", Help: "Actual time to the first event over the expected one.",
+		Buckets: prometheus.ExponentialBuckets(0.125, 2, 9)}, []string{"route"})
+	registry.MustRegister(m.Requests, m.Duration, m.FirstByte, m.Sends, m.Resends, m.Breaks, m.RetriesDenied, m.RefusedByLocation, m.Resumptions, m.Placements, m.FirstEventRatio)
 	return m
 }
 
--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -11,6 +11,7 @@
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/quarantine"
+	"cuminrock.example/router/admission"
 	"cuminrock.example/router/prepaid"
 )
 
@@ -30,6 +31,8 @@
 	reservation prepaid.Reservation
 	// fingerprint is that of the admitted request.
 	fingerprint fingerprint
+	// ticket is nil if the request isn't subject to admission.
+	ticket *admission.Ticket
 	// traits are what the request may have in common with others.
 	traits []quarantine.Trait
 
@@ -42,6 +45,10 @@
 	copiedFrom         []string
 	sends              int
 	unreachableTargets int
+	// decision is how the last target was picked, and actualFirstEvent the time from then
+	// to its first event, or to its whole answer if that isn't a stream; 0 before it.
+	decision         placement.Decision
+	actualFirstEvent time.Duration
 	// mayHaveRun is true when a target may have run the request.
 	mayHaveRun bool
 	// origin is where the stream began.
@@ -80,6 +87,7 @@
 	a.finished = true
 	a.response.Close()
 	a.lease.Done(result, p.relay.Now())
+	p.ticket.Ended()
 }
 
 // recordBreak records an answer that ended early.
@@ -154,14 +162,18 @@
 		p.reservation.Settle(0)
 		return
 	}
-	perEvent := int64(1)
-	if p.service.Engine != nil {
-		perEvent = max(p.service.Engine.MaxTokensPerEvent, 1)
-	}
-	p.consumedTokens = p.Prompt.InputTokens + min(p.events*perEvent, p.Prompt.MaxOutputTokens)
+	p.consumedTokens = p.Prompt.InputTokens + min(p.events*p.tokensPerEvent(), p.Prompt.MaxOutputTokens)
 	p.reservation.Settle(p.consumedTokens)
 }
 
+// tokensPerEvent returns the most output tokens that an event holds.
+func (p *proxiedRequest) tokensPerEvent() int64 {
+	if p.service.Engine == nil {
+		return 1
+	}
+	return max(p.service.Engine.MaxTokensPerEvent, 1)
+}
+
 // logDone records the metrics and writes the log line of a finished request.
 func (p *proxiedRequest) logDone(req *Request, err *errkind.Error) {
 	took := p.relay.Now().Sub(req.Arrived)
@@ -176,9 +188,22 @@
 		fields = append(fields, zap.String("route", p.route.Name), zap.String("workspace", p.workspaceName()),
 			zap.Stringer("fingerprint", p.fingerprint), zap.Uint64("config", p.catalog.Version), zap.Int64("events", p.events), zap.Int64("consumed", p.consumedTokens), zap.Duration("first_byte", p.firstByte))
 	}
+	if p.decision.Choice != placement.ChoiceNone {
+		fields = append(fields, zap.Object("placement", loggedDecision(p.decision)), zap.Duration("actual_first_event", p.actualFirstEvent))
+	}
+	if p.admittedRequest != nil && p.homes() != nil {
+		fields = append(fields, zap.Strings("home_regions", p.homes().Names()))
+	}
 	if req.ResumeAfter != "" {
 		fields = append(fields, zap.String("resumes", req.Resumes), zap.String("resume_after", req.ResumeAfter))
 	}
+	if p.ticket != nil {
+		fields = append(fields, zap.Duration("waited_for_slot", p.ticket.Waited))
+	}
+	if cause := refusalCause(err); cause != "" {
+		p.relay.Metrics.Refusals.WithLabelValues(cause).Inc()
+		fields = append(fields, zap.String("refused_for", cause))
+	}
 	if err != nil {
 		fields = append(fields, zap.Error(err))
 	}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -20,6 +20,7 @@
 
 	"go.uber.org/zap"
 
+	"cuminrock.example/fleet/allotment"
 	"cuminrock.example/fleet/catalog"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/quarantine"
@@ -70,7 +71,10 @@
 	p := &proxiedRequest{relay: r, writer: &meteredWriter{ResponseWriter: w, relay: r}}
 	err := r.serve(ctx, req, p)
 	if err != nil {
-		refusal := withRetryAfter(err, req, r.Now())
+		refusal := p.timedByAdmission(err)
+		if refusal == nil {
+			refusal = withRetryAfter(err, req, r.Now())
+		}
 		w.WriteError(refusal)
 		p.retryAfter = refusal.RetryAfter
 		p.outcome = refusal.Kind.String()
@@ -101,10 +105,20 @@
 	if err != nil {
 		return err
 	}
+	err = p.refuseByLocation()
+	if err != nil {
+		return err
+	}
 	err = p.findOrigin(ctx)
 	if err != nil {
 		return err
 	}
+	if p.origin.version != "" {
+		err = p.refuseByLocation()
+		if err != nil {
+			return err
+		}
+	}
 	r.Retries.ForService(a.service.Name).Deposit()
 	reservation, err := r.reserve(ctx, a)
 	if err != nil {
@@ -112,6 +126,10 @@
 	}
 	p.reservation = reservation
 	defer p.settle()
+	err = p.awaitSlot(ctx)
+	if err != nil {
+		return err
+	}
 	if a.route.Kind == catalog.Stream {
 		return p.serveStream(ctx)
 	}
@@ -167,13 +185,23 @@
 	if a.route.LatencyGoal > 0 {
 		maxWait = min(maxWait, a.route.LatencyGoal/2)
 	}
-	reservation, err := r.Budgets.Reserve(ctx, a.ID, a.workspace, a.Prompt.MaxTotalTokens(), a.route.Priority, maxWait)
+	reservation, err := r.Budgets.Reserve(ctx, a.ID, a.workspace, a.Prompt.MaxTotalTokens(), a.budgetRank(), maxWait)
 	if err != nil {
 		return nil, errkind.FromError(err)
 	}
+	r.recordTokens(a)
 	return reservation, nil
 }
 
+// budgetRank returns the rank at which the request asks for tokens. A stream that is taken up
+// is the most urgent: its caller has a part of the answer, which is lost without the rest.
+func (a *admittedRequest) budgetRank() int {
+	if a.resumesStream() {
+		return allotment.ResumedRank
+	}
+	return a.route.Priority
+}
+
 // withRetryAfter sets the Retry-After of an error that may be retried later, bounded
 // by a fraction of the caller's remaining time.
 func withRetryAfter(err *errkind.Error, req *Request, now time.Time) *errkind.Error {
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -10,6 +10,7 @@
 
 	"cuminrock.example/fleet/catalog"
 	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/location"
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/quarantine"
 )
@@ -68,6 +69,14 @@
 	return p.InputTokens
 }
 
+// maxOutputTokens returns the most tokens to generate; 0 without a prompt.
+func (p *Prompt) maxOutputTokens() int64 {
+	if p == nil {
+		return 0
+	}
+	return p.MaxOutputTokens
+}
+
 // sharedTokens returns the size of the parts that other requests may share: all
 // but the last.
 func (p *Prompt) sharedTokens() int64 {
@@ -157,6 +166,8 @@
 	// ResumeAfter is the id of the last event that the caller has received; empty
 	// for none.
 	ResumeAfter string
+	// Homes are the regions whose targets may get the request.
+	Homes location.Homes
 }
 
 // UpstreamResponse is a target's response, whose body is still to be read. It must
@@ -208,6 +219,15 @@
 	deadline  time.Time
 }
 
+// homes returns the regions whose targets may get the request: those that its route and
+// its workspace both allow.
+func (a *admittedRequest) homes() location.Homes {
+	if a.workspace == nil {
+		return a.route.Homes
+	}
+	return a.route.Homes.And(a.workspace.Homes)
+}
+
 // priority returns the priority sent to targets, nil for a request without a prompt.
 // The workspace's priority takes precedence over the route's.
 func (a *admittedRequest) priority() *int {
--- a/router/relay/send.go
+++ b/router/relay/send.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
+	"cuminrock.example/fleet/catalog"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
 )
@@ -17,6 +19,7 @@
 func (p *proxiedRequest) sendToNextTarget(ctx context.Context, resumeAfter string) (*attempt, *errkind.Error) {
 	for {
 		lease, failure := p.pickTarget(ctx)
+		p.ticket.Placed()
 		if failure != nil {
 			return nil, failure
 		}
@@ -34,45 +37,60 @@
 // pickTarget picks a target for the next send. It skips targets that have no permit
 // left for it, up to maxDeniedPermits.
 func (p *proxiedRequest) pickTarget(ctx context.Context) (*slot, *errkind.Error) {
+	var avoid func(placement.Target) bool
 	for denied := 0; ; denied++ {
 		refusal := p.refuseHarmful()
 		if refusal != nil {
 			return nil, refusal
 		}
-		lease, err := p.relay.Targets.Pick(&placement.Request{
-			Service:      p.service.Name,
-			Affinity:     p.Prompt.affinityHash(),
-			SharedTokens: p.Prompt.sharedTokens(),
-			PromptTokens: p.Prompt.inputTokens(),
-			Version:      p.origin.version,
-			Exclude:      p.triedTargets,
-			Now:          p.relay.Now(),
-		})
+		lease, err := p.pickOnce(avoid)
+		if err != nil && !p.origin.begun && p.route.Kind == catalog.Stream && p.relay.Origins.AwaitVersion(ctx, p.service.Name) {
+			lease, err = p.pickOnce(avoid)
+		}
 		if err != nil {
 			return nil, errkind.FromError(err)
 		}
 		permit := p.relay.Limits.Acquire(ctx, lease.Target(), p.deadline.Sub(p.relay.Now()))
 		if permit.Granted {
-			return &slot{Lease: lease, limits: p.relay.Limits, permit: permit}, nil
+			s := &slot{Lease: lease, limits: p.relay.Limits, permit: permit}
+			if !p.relay.Targets.Evacuated(lease.Target().DataCentre) {
+				return s, nil
+			}
+			// The evacuation began while the permit was asked for.
+			s.Done(placement.Neutral, p.relay.Now())
+			continue
 		}
 		if ctx.Err() != nil {
 			lease.Done(placement.Neutral, p.relay.Now())
 			return nil, p.interruptedError(ctx, ctx.Err())
 		}
 		lease.Defer(permit.RetryAfter, p.relay.Now())
+		if permit.Cold {
+			avoid = p.relay.Limits.Cold // there may be as many cold targets as after a cut
+		}
 		if denied == maxDeniedPermits {
 			return nil, errkind.New(errkind.NoTarget, "the targets take no more requests now").WithRetryAfter(permit.RetryAfter)
 		}
 	}
 }
 
+// pickOnce picks a target that wasn't tried yet, one to avoid only if there is no other.
+func (p *proxiedRequest) pickOnce(avoid func(placement.Target) bool) (*placement.Lease, error) {
+	r := p.placementRequest()
+	r.AllowsVersion, r.Avoid = p.allowsVersion(), avoid
+	return p.relay.Targets.Pick(r)
+}
+
 // send sends the request to the leased target. An error ends the lease.
 func (p *proxiedRequest) send(ctx context.Context, lease *slot, resumeAfter string) (*attempt, *errkind.Error) {
 	target, sent := lease.Target(), p.relay.Now()
+	p.decision, p.actualFirstEvent = lease.Decision(), 0
+	p.relay.Metrics.recordPlacement(p.decision)
 	p.triedTargets = append(p.triedTargets, target.ID)
 	if source := lease.Source(); source != nil {
 		p.copiedFrom = append(p.copiedFrom, source.ID)
 	}
+	p.expectOrigin(target)
 	p.relay.Egress.Add(headerBytes+len(p.Body), sent)
 	response, err := p.relay.Upstream.Send(ctx, &UpstreamRequest{
 		Request:     p.Request,
@@ -86,6 +104,7 @@
 
 		PromptTokens: p.Prompt.inputTokens(),
 		Repeatable:   p.route.Repeatable(),
+		Homes:        p.homes(),
 	})
 	if err != nil {
 		return nil, p.handleSendFailure(ctx, lease, sent, err)
@@ -107,6 +126,9 @@
 	switch failure.Kind {
 	case errkind.TargetUnreachable:
 		result = placement.Unreachable
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			p.relay.Limits.ConnectionRefused(lease.Target())
+		}
 	case errkind.TargetRefused:
 		p.sends++
 		result = placement.Refused
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -69,6 +69,9 @@
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			p.recordComplete(a)
+			if p.ResumeAfter == "" {
+				a.lease.RecordOutput(p.events * p.tokensPerEvent())
+			}
 			a.finish(p, placement.OK)
 			return p.finishStream(a)
 		}
@@ -78,6 +81,10 @@
 			return p.truncatedError(ctx, err)
 		}
 		p.recordEvent(a)
+		if p.events == 0 && !p.recordOrigin(ctx, a.lease.Target()) {
+			a.finish(p, placement.Neutral)
+			return errkind.New(errkind.TargetFailed, "the version of the stream's target couldn't be recorded")
+		}
 		if event.ID != "" {
 			*lastEventID = event.ID
 		}
@@ -93,6 +100,7 @@
 	now := p.relay.Now()
 	if a.firstEventAt.IsZero() {
 		a.firstEventAt = now
+		p.recordFirstEvent(a, now)
 	}
 	if !a.outlivedProbation && now.Sub(a.firstEventAt) >= quarantine.Probation {
 		a.outlivedProbation = true
@@ -138,9 +146,6 @@
 	if !p.writeHeaderOnce(a) {
 		return false
 	}
-	if p.events == 0 {
-		p.recordOrigin(a.lease.Target())
-	}
 	p.events++
 	if p.writer.WriteBody(event.Raw) != nil {
 		return p.abortForCaller()
@@ -156,6 +161,7 @@
 	}
 	p.status = a.response.Status()
 	p.firstByte = p.relay.Now().Sub(p.Arrived)
+	p.ticket.FirstEvent()
 	if p.writer.WriteHeader(p.status, a.response.Header(), -1) != nil {
 		return p.abortForCaller()
 	}
