Streams don't go on at a target that was replaced; waits for versions leave time; review

Cause, found by review: an answer that broke off went on at a target which another process had replaced under its id before its first event, at another version (TestAnswerIsNotGoneOnWithAtAReplacedTarget failed before: the second part was passed on). A refusal could be held for a second while a version was being recorded, whatever time its caller had left. Streams that can't be taken up waited for versions, too. The limit of denied permits could be stepped over by an evacuation. A request that isn't a stream got the rank of a resumed one by its Last-Event-Id.

Change: the check at the first event of each attempt; a third of the time left for the wait, for resumable streams only; the limit is a lower bound; the rank needs a stream.

--- a/router/relay/admission.go
+++ b/router/relay/admission.go
@@ -27,7 +27,7 @@
 	switch {
 	case !r.subjectToAdmission(a):
 		return a.route.Priority
-	case a.ResumeAfter != "":
+	case a.resumesStream():
 		return mostUrgent
 	case a.workspace != nil && a.workspace.Priority != nil:
 		return *a.workspace.Priority
--- a/router/relay/admission_test.go
+++ b/router/relay/admission_test.go
@@ -145,6 +145,8 @@
 	admitted := &admittedRequest{Request: promptRequest(), route: &catalog.Route{Priority: 3}, service: &catalog.Service{}, workspace: &catalog.Workspace{Priority: &priority}}
 	is.Equal(r.rank(admitted), 1)
 	admitted.ResumeAfter = "5"
+	is.Equal(r.rank(admitted), 1) // not a stream
+	admitted.route.Kind = catalog.Stream
 	is.Equal(r.rank(admitted), mostUrgent)
 	r.Admission = nil
 	is.Equal(r.rank(admitted), 3)
--- a/router/relay/origin.go
+++ b/router/relay/origin.go
@@ -149,10 +149,36 @@
 	return recorded
 }
 
+// mayPassOn reports whether the first event of an attempt may be passed on: it begins the
+// stream, or goes on with it at the process that was picked for its version.
+func (p *proxiedRequest) mayPassOn(ctx context.Context, target placement.Target) bool {
+	if p.events == 0 {
+		return p.recordOrigin(ctx, target)
+	}
+	return !p.relay.Targets.Replaced(target)
+}
+
+// beginsResumableStream reports whether the request is about to begin a stream that its
+// caller may take up later.
+func (p *proxiedRequest) beginsResumableStream() bool {
+	return p.route.Kind == catalog.Stream && p.route.Resumable && !p.origin.begun
+}
+
+// awaitVersion waits for a short time until streams may begin at another listed version. It
+// leaves the caller time to try again.
+func (p *proxiedRequest) awaitVersion(ctx context.Context) bool {
+	if !p.beginsResumableStream() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.deadline.Sub(p.relay.Now())/lookupDivisor)
+	defer cancel()
+	return p.relay.Origins.AwaitVersion(ctx, p.service.Name)
+}
+
 // allowsVersion returns the condition on the versions of targets, nil for none: a stream
-// begins only at a version that is recorded.
+// that may be taken up begins only at a version that is recorded.
 func (p *proxiedRequest) allowsVersion() func(string) bool {
-	if p.route.Kind != catalog.Stream || p.origin.begun {
+	if !p.beginsResumableStream() {
 		return nil
 	}
 	// A pick asks for the version of each target; there are one or two versions.
--- a/router/relay/origin_test.go
+++ b/router/relay/origin_test.go
@@ -326,3 +326,19 @@
 	serveWith(context.Background(), r, &Request{ID: "2", Resumes: "1", ResumeAfter: "2", Prompt: &Prompt{InputTokens: 1}})
 	is.Equal(budgets.ranks, []int{4, allotment.ResumedRank})
 }
+
+// Guards against an answer that goes on at another version: the target that was picked for
+// its version is replaced under its id before it sends its first event.
+func TestAnswerIsNotGoneOnWithAtAReplacedTarget(t *testing.T) {
+	is := is.New(t)
+	r, up := newVersionedRelay(&originLog{}, []string{"v1", "v1"}, brokenStream, outcome{status: 200, body: lastEvents})
+	up.onSend = func(s *UpstreamRequest) {
+		if len(up.sends) == 2 {
+			r.Targets.Update([]placement.Target{{ID: s.Target.ID, StartTimeMs: 2, Service: "s", Version: "v2"}}, time.Now())
+		}
+	}
+	out := serveWith(context.Background(), r, &Request{ID: "1"})
+	is.Equal(len(up.sends), 2)
+	is.True(out.aborted)
+	is.True(!out.finished)
+}
--- a/router/relay/send.go
+++ b/router/relay/send.go
@@ -9,7 +9,6 @@
 
 	"go.uber.org/zap"
 
-	"cuminrock.example/fleet/catalog"
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
 )
@@ -44,7 +43,7 @@
 			return nil, refusal
 		}
 		lease, err := p.pickOnce(avoid)
-		if err != nil && !p.origin.begun && p.route.Kind == catalog.Stream && p.relay.Origins.AwaitVersion(ctx, p.service.Name) {
+		if err != nil && p.awaitVersion(ctx) {
 			lease, err = p.pickOnce(avoid)
 		}
 		if err != nil {
@@ -68,7 +67,7 @@
 		if permit.Cold {
 			avoid = p.relay.Limits.Cold // there may be as many cold targets as after a cut
 		}
-		if denied == maxDeniedPermits {
+		if denied >= maxDeniedPermits {
 			return nil, errkind.New(errkind.NoTarget, "the targets take no more requests now").WithRetryAfter(permit.RetryAfter)
 		}
 	}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -80,10 +80,11 @@
 			a.finish(p, AttemptResult(ctx, err))
 			return p.truncatedError(ctx, err)
 		}
+		first := a.firstEventAt.IsZero()
 		p.recordEvent(a)
-		if p.events == 0 && !p.recordOrigin(ctx, a.lease.Target()) {
+		if first && !p.mayPassOn(ctx, a.lease.Target()) {
 			a.finish(p, placement.Neutral)
-			return errkind.New(errkind.TargetFailed, "the version of the stream's target couldn't be recorded")
+			return errkind.New(errkind.TargetFailed, "the version of the stream's target couldn't be recorded, or another process has taken its place")
 		}
 		if event.ID != "" {
 			*lastEventID = event.ID
