Tokens are kept for resumed streams soon after a gateway's start only

Change: only within 10 s of the first read of the rows, when the streams that a kill of all gateways cut come back. TestTokensAreKeptForResumedStreamsSoonAfterTheStartOnly.

--- a/fleet/allotment/resumed.go
+++ b/fleet/allotment/resumed.go
@@ -15,6 +15,10 @@
 	resumedHold = 1200 * time.Millisecond
 	// maxKept bounds the resumed streams for which tokens are kept.
 	maxKept = 1000
+	// resumedPeriod is the time from the first read of the rows in which tokens are kept. The
+	// streams that a kill of all gateways cut are resumed then. Later, when single streams
+	// are resumed, keeping their tokens back costs more requests than it serves.
+	resumedPeriod = 10 * time.Second
 )
 
 // keptTokens are tokens that are kept for a resumed stream.
@@ -23,9 +27,12 @@
 	until  time.Time
 }
 
-// KeepForResumed keeps tokens for a resumed stream that can't have them now. Without it,
-// requests that are smaller take each of the tokens that are returned.
+// KeepForResumed keeps tokens for a resumed stream that can't have them now, soon after
+// the start. Without it, requests that are smaller take each of the tokens that are returned.
 func (a *Account) KeepForResumed(tokens int64, now time.Time) {
+	if a.Synced() && now.Sub(a.firstSyncedAt) > resumedPeriod {
+		return
+	}
 	a.kept = slices.DeleteFunc(a.kept, func(k keptTokens) bool { return !now.Before(k.until) })
 	if len(a.kept) < maxKept {
 		a.kept = append(a.kept, keptTokens{tokens: tokens, until: now.Add(resumedHold)})
--- a/fleet/allotment/resumed_test.go
+++ b/fleet/allotment/resumed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -35,3 +36,16 @@
 	a.KeepForResumed(200, testStart)
 	is.True(a.Reserve(90, 9, testStart))
 }
+
+// Guards against tokens that are kept from other requests long after the start, whenever a
+// single stream is resumed near the end of a balance.
+func TestTokensAreKeptForResumedStreamsSoonAfterTheStartOnly(t *testing.T) {
+	is := is.New(t)
+	var a Account
+	a.SetPrepaid(100)
+	a.Sync(Rows{Total: 100, Taken: 100, TotalVersion: 4, HolderVersion: 4}, testStart)
+	is.True(a.Reserve(50, 0, testStart))
+	later := testStart.Add(resumedPeriod + time.Millisecond)
+	a.KeepForResumed(60, later)
+	is.True(a.Reserve(10, 0, later))
+}
