--- a/fleet/placement/workcost.go
+++ b/fleet/placement/workcost.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"cuminrock.example/fleet/workmodel"
@@ -123,77 +122,6 @@
 	return p
 }
 
-// findSources finds the two targets that most likely have the shared parts: those to
-// which this router sent them, then the first ranked ones of the data centres.
-func (p *pricing) findSources() {
-	for i := len(p.prefix.holders) - 1; i >= 0; i-- {
-		if s := p.prefix.holders[i].state; p.table.byID[s.target.ID] == s {
-			p.offerSource(s)
-		}
-	}
-	for _, ranked := range p.prefix.replicas {
-		if p.second != nil && p.secondChance > homeLikelihood {
-			return
-		}
-		for _, s := range ranked[:min(len(ranked), minReplicas)] {
-			if !p.recentlyStarted(s) {
-				p.offerSource(s)
-				break
-			}
-		}
-	}
-}
-
-// offerSource takes a listed target as a source if it may be used and is likelier than those
-// found before.
-func (p *pricing) offerSource(s *targetState) {
-	if s == p.source || !p.table.mayCopyFrom(p.r, s) {
-		return
-	}
-	chance := p.cachedChance(s)
-	switch {
-	case chance > p.sourceChance:
-		p.second, p.secondChance = p.source, p.sourceChance
-		p.source, p.sourceChance = s, chance
-	case chance > p.secondChance:
-		p.second, p.secondChance = s, chance
-	}
-}
-
-// cachedChance returns how likely a target has the shared parts.
-func (p *pricing) cachedChance(s *targetState) float64 {
-	if p.prefix == nil {
-		return 0
-	}
-	if p.prefix.holds(s, p.now) {
-		return sentLikelihood
-	}
-	if p.recentlyStarted(s) {
-		return 0
-	}
-	for _, ranked := range p.prefix.replicas {
-		for i, replica := range ranked[:min(len(ranked), minReplicas)] {
-			switch {
-			case replica != s:
-			case i == 0 && p.seen:
-				return homeLikelihood
-			case i == 0:
-				return newHomeLikelihood
-			case p.seen:
-				return replicaLikelihood
-			default:
-				return newReplicaChance
-			}
-		}
-	}
-	return 0
-}
-
-// recentlyStarted reports whether a target has had little time to fill its cache.
-func (p *pricing) recentlyStarted(s *targetState) bool {
-	return p.r.Now.Sub(s.registeredAt) <= cacheFillTime
-}
-
 // price sets the expected costs of a candidate that has its target and choice.
 func (p *pricing) price(c *workCandidate) {
 	s, now, model := c.state, p.now, p.svc.model
@@ -283,74 +211,3 @@
 	}
 	return float64(p.svc.slots)
 }
-
-// updateDataCentres sets for each data centre what a pick asks for each candidate: whether
-// it is available, and the number of requests that a target is expected to have of which
-// nothing is known.
-func (p *pricing) updateDataCentres() {
-	svc, now := p.svc, p.now
-	for _, dc := range svc.dataCentres {
-		dc.accepts = p.table.dataCentreState(dc.name).accepts(p.r.Now)
-		dc.level = svc.requests.value
-		if known := &dc.known.requests; known.known {
-			dc.level += (known.value - dc.level) * workmodel.Fading(now.Sub(known.at), meanMemory)
-		}
-	}
-}
-
-// expectedRequests returns the expected number of requests at the target, and how far
-// the number may be off. A report gives way to the mean of the target's reports, and
-// that to the mean of its data centre, as they age.
-func (s *targetState) expectedRequests(memory time.Duration, now workmodel.Instant) (expected, spread float64) {
-	own := float64(min(s.sentSinceReport, s.inFlight))
-	level := s.work.dataCentre.level
-	if s.work.requests.known {
-		level += (s.work.requests.value - level) * workmodel.Fading(now.Sub(s.work.requests.at), meanMemory)
-	}
-	weight := 0.0
-	if s.work.reportedAt != 0 {
-		weight = workmodel.Fading(now.Sub(s.work.reportedAt), memory)
-		level += (s.reportedRequests() - level) * weight
-	}
-	expected = max(level+own, float64(s.inFlight))
-	return expected, math.Sqrt(level * (1 - weight*weight))
-}
-
-// reportedRequests returns the number of requests in the target's last report, as far as
-// it is believed.
-func (s *targetState) reportedRequests() float64 {
-	requests := s.load.Running + s.load.Waiting
-	if s.load.Slots > 0 {
-		requests = min(requests, maxReportedRequests*s.load.Slots)
-	}
-	return float64(requests)
-}
-
-// reportMemory returns the time in which a report gives way to the mean.
-func (svc *workService) reportMemory() time.Duration {
-	memory := time.Duration(2 * svc.model.Duration() * float64(time.Millisecond))
-	return min(max(memory, minReportMemory), maxReportMemory)
-}
-
-// slotWait returns the expected wait for a slot at a target with a number of requests,
-// which may be off by the spread, in the unit of the duration of requests.
-func slotWait(requests, spread, slots, duration float64) float64 {
-	if slots <= 0 {
-		return requests / unknownSlots * duration
-	}
-	excess := requests + 1 - slots
-	// softening approximates the mean excess of a normal distribution above zero.
-	softening := 0.55 * max(spread, 0.3)
-	switch x := excess / softening; {
-	case x < -12:
-		return 0
-	case x < 12:
-		excess = softening * math.Log1p(math.Exp(x))
-	}
-	return excess / slots * duration
-}
-
-// recentlyUsed reports whether this router probably has a connection to the target.
-func (s *targetState) recentlyUsed(now workmodel.Instant) bool {
-	return s.work.usedAt != 0 && now.Sub(s.work.usedAt) <= usedMaxAge
-}
