--- a/fleet/allotment/account.go
+++ b/fleet/allotment/account.go
@@ -120,9 +120,9 @@
 func (a *Account) Synced() bool { return !a.syncedAt.IsZero() }
 
 // Reserve reserves the maximum number of tokens that a request can use. It
-// returns false and changes nothing if too few tokens are held, if a usage
+// returns false and reserves nothing if too few tokens are held, if a usage
 // bound doesn't admit them, or if the remainder would cut into the reserve for
-// more urgent requests.
+// more urgent requests and it isn't the request's turn.
 func (a *Account) Reserve(tokens int64, rank int, now time.Time) bool {
 	if tokens > a.Free() || tokens > a.Headroom(now) {
 		return false
--- a/router/relay/admission.go
+++ b/router/relay/admission.go
@@ -20,9 +20,10 @@
 	return r.Admission != nil && r.Admission.Applies(a.service.Name)
 }
 
-// rank returns the priority by which a request gets tokens and slots. Where admission
-// doesn't apply, it is the route's. Where it does, the workspace's takes precedence, and a
-// stream that goes on is among the most urgent, since its caller already has a part of it.
+// rank returns the priority by which a request gets a slot and is told when to come back;
+// budgetRank is that for tokens. Where admission doesn't apply, it is the route's. Where it
+// does, the workspace's takes precedence, and a stream that goes on is among the most urgent,
+// since its caller already has a part of it.
 func (r *Relay) rank(a *admittedRequest) int {
 	switch {
 	case !r.subjectToAdmission(a):
