--- a/review/standins/record.go
+++ b/review/standins/record.go
@@ -15,6 +15,8 @@
 	file    *os.File
 	out     *bufio.Writer
 	started time.Time
+	// ran has the ids of the requests that runners have run.
+	ran map[string]bool
 }
 
 func newRecord(path string) (*record, error) {
@@ -22,7 +24,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: file, out: bufio.NewWriter(file), started: time.Now()}, nil
+	return &record{file: file, out: bufio.NewWriter(file), started: time.Now(), ran: make(map[string]bool)}, nil
 }
 
 // line writes one line: the time in seconds, what happened, and pairs of names and values.
@@ -36,6 +38,20 @@
 	_ = r.out.WriteByte('\n')
 }
 
+// addRun records that a runner has begun to run a request.
+func (r *record) addRun(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ran[id] = true
+}
+
+// hasRun reports whether a runner has begun to run a request.
+func (r *record) hasRun(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ran[id]
+}
+
 // say writes a line to the file and to standard output.
 func (r *record) say(format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -102,6 +102,7 @@
 	r.mu.Lock()
 	r.runs++
 	r.mu.Unlock()
+	r.record.addRun(id)
 	r.record.line("run", "id", id, "runner", r.id, "tenant", q.Header.Get("X-Tenant"), "tokens", q.Header.Get("X-Token-Usage"), "bytes", len(body))
 	w.Header().Set("X-Response-Signature", r.id+"."+id)
 	if !r.engine {
