Relay: say who ended an answer, how long its target was silent, why none followed

The hypotheses of the incident couldn't be told apart: breaks had no cause. cuminrock_attempts_ended_early_total has ended_by (caller, deadline, silence, system, target, other); the lines of a broken answer and of a failed send have ended_by and the time since the target was last heard; request done has no_retry, the reason why no further send followed. No decision changes.

--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -22,6 +22,9 @@
 	Sends, Resends prometheus.Counter
 	// Breaks counts answers of targets that ended early.
 	Breaks prometheus.Counter
+	// EarlyEnds counts attempts that ended before their answer was complete, by who ended
+	// them.
+	EarlyEnds *prometheus.CounterVec
 	// RetriesDenied counts failures that weren't retried because the retry budget
 	// was used up.
 	RetriesDenied prometheus.Counter
@@ -53,6 +56,8 @@
 			Name: "cuminrock_resends_total", Help: "Requests sent to a further target."}),
 		Breaks: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cuminrock_broken_answers_total", Help: "Answers of targets that ended early."}),
+		EarlyEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cuminrock_attempts_ended_early_total", Help: "Sends to targets that ended before their answer was complete, by who ended them."}, []string{"ended_by"}),
 		RetriesDenied: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cuminrock_retries_denied_total", Help: "Retries that the retry budget forbade."}),
 		RefusedByLocation: prometheus.NewCounter(prometheus.CounterOpts{
@@ -65,7 +70,7 @@
 	m.FirstEventRatio = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "cuminrock_first_event_actual_to_expected_ratio", Help: "Actual time to the first event over the expected one.",
 		Buckets: prometheus.ExponentialBuckets(0.125, 2, 9)}, []string{"route"})
-	registry.MustRegister(m.Requests, m.Duration, m.FirstByte, m.Sends, m.Resends, m.Breaks, m.RetriesDenied, m.RefusedByLocation, m.Resumptions, m.Placements, m.FirstEventRatio)
+	registry.MustRegister(m.Requests, m.Duration, m.FirstByte, m.Sends, m.Resends, m.Breaks, m.EarlyEnds, m.RetriesDenied, m.RefusedByLocation, m.Resumptions, m.Placements, m.FirstEventRatio)
 	return m
 }
 
--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -63,6 +63,10 @@
 	status    int
 	// retryAfter is the Retry-After of a refusal.
 	retryAfter time.Duration
+	// heardAt is when a target last sent a header or an event.
+	heardAt time.Time
+	// noRetry is why the request wasn't sent again after its last failure; empty if it was.
+	noRetry string
 }
 
 // attempt is one send to a target that has responded.
@@ -100,7 +104,8 @@
 		p.recordConnectionLoss(ctx, a.lease.Target(), a.sent, err)
 	}
 	p.relay.Metrics.Breaks.Inc()
-	p.relay.Log.Info("relay: an answer broke off.", zap.String("request", p.ID), zap.String("target", a.lease.Target().ID),
+	p.relay.Metrics.EarlyEnds.WithLabelValues(endedBy(ctx, err)).Inc()
+	p.relay.Log.Info("relay: an answer broke off.", zap.String("request", p.ID), zap.String("ended_by", endedBy(ctx, err)), zap.Duration("silent_for", p.relay.Now().Sub(p.heardAt)), zap.String("target", a.lease.Target().ID),
 		zap.String("version", a.lease.Target().Version), zap.Stringer("fingerprint", p.fingerprint), zap.Int64("events", p.events), zap.Duration("since_first_event", answering),
 		zap.Strings("prompt_parts", p.Prompt.sharedPartIDs()), zap.Error(err))
 }
@@ -121,26 +126,32 @@
 // within its deadline and send limit, when the target refused it or the route
 // allows repeats, and when the retry budget allows it.
 func (p *proxiedRequest) mayRetry(ctx context.Context, failure *errkind.Error) bool {
-	if ctx.Err() != nil || p.sends >= p.route.MaxAttempts || p.unreachableTargets >= maxUnreachableTargets {
-		return false
-	}
-	if p.origin.begun && p.origin.version == "" {
-		return false // no other target is known to have the same version
-	}
-	switch failure.Kind {
-	case errkind.TargetRefused:
-	case errkind.TargetFailed, errkind.TargetSilent:
-		if !p.route.Repeatable() {
-			return false
-		}
-	default:
-		return false
-	}
-	allowed := p.relay.Retries.ForService(p.service.Name).Withdraw()
-	if !allowed {
+	p.noRetry = p.noRetryReason(ctx, failure)
+	if p.noRetry == "" && !p.relay.Retries.ForService(p.service.Name).Withdraw() {
 		p.relay.Metrics.RetriesDenied.Inc()
+		p.noRetry = noRetryBudget
+	}
+	return p.noRetry == ""
+}
+
+// noRetryReason returns why the request may not be sent again after a failure, whatever
+// the retry budget allows; empty if it may.
+func (p *proxiedRequest) noRetryReason(ctx context.Context, failure *errkind.Error) string {
+	repeatable := p.route.Repeatable() && (failure.Kind == errkind.TargetFailed || failure.Kind == errkind.TargetSilent)
+	switch {
+	case ctx.Err() != nil:
+		return noRetryTime
+	case p.sends >= p.route.MaxAttempts:
+		return noRetryAttempts
+	case p.unreachableTargets >= maxUnreachableTargets:
+		return noRetryUnreachable
+	case p.origin.begun && p.origin.version == "":
+		return noRetryOrigin // no other target is known to have the same version
+	case failure.Kind != errkind.TargetRefused && !repeatable:
+		return noRetryUnrepeatable
+	default:
+		return ""
 	}
-	return allowed
 }
 
 // finalError returns the error to report. An error that says "not run" is reported
@@ -197,6 +208,9 @@
 	if req.ResumeAfter != "" {
 		fields = append(fields, zap.String("resumes", req.Resumes), zap.String("resume_after", req.ResumeAfter))
 	}
+	if p.noRetry != "" {
+		fields = append(fields, zap.String("no_retry", p.noRetry))
+	}
 	if p.ticket != nil {
 		fields = append(fields, zap.Duration("waited_for_slot", p.ticket.Waited))
 	}
--- a/router/relay/send.go
+++ b/router/relay/send.go
@@ -110,6 +110,7 @@
 	}
 	p.sends++
 	p.mayHaveRun = true
+	p.heardAt = p.relay.Now()
 	if load := response.Load(); load != nil {
 		lease.ReportLoad(*load, p.relay.Now())
 	}
@@ -139,6 +140,7 @@
 	default:
 		p.sends++
 		p.mayHaveRun = true
+		p.relay.Metrics.EarlyEnds.WithLabelValues(endedBy(ctx, err)).Inc()
 		p.recordConnectionLoss(ctx, lease.Target(), sent, err)
 	}
 	if ctx.Err() != nil {
@@ -146,7 +148,7 @@
 		result = AttemptResult(ctx, err)
 	}
 	lease.Done(result, p.relay.Now())
-	p.relay.Log.Info("relay: a send failed.", zap.String("request", p.ID),
+	p.relay.Log.Info("relay: a send failed.", zap.String("request", p.ID), zap.String("ended_by", endedBy(ctx, err)), zap.Duration("waited", p.relay.Now().Sub(sent)),
 		zap.String("target", lease.Target().ID), zap.String("version", lease.Target().Version), zap.Int("sends", p.sends),
 		zap.Stringer("kind", failure.Kind), zap.Stringer("fingerprint", p.fingerprint), zap.Strings("prompt_parts", p.Prompt.sharedPartIDs()), zap.Error(err))
 	return failure
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -107,6 +107,7 @@
 		a.outlivedProbation = true
 		p.relay.Crashes.Answered(p.traits, a.firstEventAt)
 	}
+	p.heardAt = now
 	a.lease.RecordProgress(now)
 }
 
