Relay: a silent target keeps its request until another one has accepted it

Cause: a gateway closed its connection to a silent target first and asked afterwards whether another send was allowed. The retry budget holds 4 per service, so of hundreds of streams that reach the limit in one moment all but a few were closed.

Now another target is asked while the silent one keeps the request. What refuses (the retry budget, the attempts, versions, permits, locations, the target itself) leaves the request where it is; the silent one is given up once the other has answered, or hasn't refused for 0.3 s. If others are silent, too, only targets that were heard meanwhile are asked (fleet/placement). Each send is read by a goroutine of its own.

TestStreamThatStallsWithinAnEventGoesOnElsewhere repeated its stream until the retry budget allowed a second send; a stream without one now lasts until its deadline. The test earns the budget with sound streams first, and the first stalled stream must go on.

--- a/fleet/placement/candidates.go
+++ b/fleet/placement/candidates.go
@@ -31,7 +31,7 @@
 // mayGet reports whether the target may get the request at all, also while it is
 // unavailable.
 func (t *Table) mayGet(r *Request, s *targetState) bool {
-	return r.allows(s) && t.locationAllows(r, s) && s.acceptsNew(r.Now)
+	return r.allows(s) && r.heardInTime(s) && t.locationAllows(r, s) && s.acceptsNew(r.Now)
 }
 
 // allows reports whether the request may be sent to the target.
--- a/fleet/placement/outcome.go
+++ b/fleet/placement/outcome.go
@@ -39,6 +39,7 @@
 func (l *Lease) RecordProgress(now time.Time) {
 	l.table.mu.Lock()
 	defer l.table.mu.Unlock()
+	l.state.heard(now)
 	l.markPromptProcessed()
 	l.learnFirstEvent(now)
 	l.dataCentreState().recordProgress(now)
@@ -67,15 +68,18 @@
 	}
 	switch result {
 	case OK:
+		s.heard(now)
 		s.consecutiveFailures = 0
 		s.health.Reset()
 		l.dataCentreState().recordResponse(now)
 	case Refused:
+		s.heard(now)
 		s.refusedUntil = now.Add(refusalPause)
 		l.dataCentreState().recordResponse(now)
 	case Failed:
 		s.recordFailure(now, failuresToSuspect)
 	case Silent:
+		s.leftSilentAt = now
 		s.recordFailure(now, failuresToSuspect)
 		l.table.recordUnreachable(s, now)
 	case Unreachable:
--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -51,6 +51,11 @@
 	// Avoid reports the targets that are picked only if there is no other; nil for none.
 	Avoid func(Target) bool
 	Now   time.Time
+	// SilentSince is the time since which nothing has arrived from the request's target,
+	// for a request that looks for another one; zero for all others.
+	SilentSince time.Time
+	// heardSince, if it isn't zero, restricts the choice to targets that were heard since.
+	heardSince time.Time
 }
 
 // Lease is a request's slot at a target. Its holder must call Done exactly
@@ -87,7 +92,7 @@
 func (t *Table) Pick(r *Request) (*Lease, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r = t.relaxed(r)
+	r = t.relaxed(t.whileSilent(r))
 	if l := t.pickByWork(r); l != nil {
 		return l, nil
 	}
@@ -132,6 +137,7 @@
 
 // lease returns a slot at the target. The table's lock must be held.
 func (t *Table) lease(s *targetState, pendingPromptTokens int64, now time.Time) *Lease {
+	s.beginSilence(now)
 	s.inFlight++
 	s.sentSinceReport++
 	s.pendingPromptTokens += pendingPromptTokens
--- /dev/null
+++ b/fleet/placement/silence.go
@@ -0,0 +1,59 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// silenceShare is the part of a target's silence for which another one must have been
+// silent, too, to count as silent.
+const silenceShare = 2
+
+// RecordHeard records that the target has answered, if only with a header.
+func (l *Lease) RecordHeard(now time.Time) {
+	l.table.mu.Lock()
+	defer l.table.mu.Unlock()
+	l.state.heard(now)
+}
+
+// heard records that something has arrived from the target.
+func (s *targetState) heard(now time.Time) { s.heardAt, s.silentSince = now, now }
+
+// isSilent reports whether nothing has arrived from the target since a time while requests
+// are in flight, or one was taken away from it after that time for its silence.
+func (s *targetState) isSilent(since time.Time) bool {
+	waiting := s.inFlight > 0 && s.silentSince.Before(since)
+	left := s.leftSilentAt.After(since) && s.heardAt.Before(s.leftSilentAt)
+	return waiting || left
+}
+
+// beginSilence starts the time for which nothing arrives from the target when the first
+// request is sent to it.
+func (s *targetState) beginSilence(now time.Time) {
+	if s.inFlight == 0 {
+		s.silentSince = now
+	}
+}
+
+// whileSilent restricts a request whose target is silent to targets that were heard
+// meanwhile, if others are silent as well: then the silence isn't its target's alone, and a
+// target of which nothing is known is likely to be silent, too.
+func (t *Table) whileSilent(r *Request) *Request {
+	if r.SilentSince.IsZero() {
+		return r
+	}
+	since := r.Now.Add(-r.Now.Sub(r.SilentSince) / silenceShare)
+	for _, s := range t.services[r.Service] {
+		if s.isSilent(since) && !slices.Contains(r.Exclude, s.target.ID) {
+			restricted := *r
+			restricted.heardSince = since
+			return &restricted
+		}
+	}
+	return r
+}
+
+// heardInTime reports whether the target was heard since the request requires it.
+func (r *Request) heardInTime(s *targetState) bool {
+	return r.heardSince.IsZero() || !s.heardAt.Before(r.heardSince)
+}
--- a/fleet/placement/table.go
+++ b/fleet/placement/table.go
@@ -81,6 +81,11 @@
 	registeredAt time.Time
 	// inFlight counts this router's requests in flight.
 	inFlight int
+	// heardAt is when something last arrived from the target. silentSince is the time
+	// since which nothing has, while requests are in flight.
+	heardAt, silentSince time.Time
+	// leftSilentAt is when a request was last taken away from the target for its silence.
+	leftSilentAt time.Time
 	// pendingPromptTokens counts the prompt tokens of this router's requests
 	// that have had no first event yet.
 	pendingPromptTokens int64
--- a/fleet/retry/retry.go
+++ b/fleet/retry/retry.go
@@ -54,6 +54,16 @@
 	return false
 }
 
+// Refund gives back a retry that wasn't used.
+func (b *Budget) Refund() {
+	for {
+		old := b.tokens.Load()
+		if b.tokens.CompareAndSwap(old, min(old+budgetUnit, b.capacity)) {
+			return
+		}
+	}
+}
+
 // Policy limits the retries of one request.
 type Policy struct {
 	// MaxAttempts is the maximum number of sends of one request.
--- a/router/forward/exchange.go
+++ b/router/forward/exchange.go
@@ -5,8 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"os"
-	"sync"
 	"syscall"
 	"time"
 
@@ -37,9 +35,6 @@
 	unread []byte
 	// ended is the error of all further reads.
 	ended error
-
-	mu       sync.Mutex
-	deadline time.Time
 }
 
 // part is a message of the gateway, or the error that ends the stream.
@@ -92,30 +87,15 @@
 	}
 }
 
-// next returns the next part, or an error at the deadline, at the end of the request
-// or if the gateway is lost.
+// next returns the next part, or an error at the end of the request or if the gateway is
+// lost.
 func (x *exchange) next() (*pb.ForwardResponse, error) {
-	x.mu.Lock()
-	deadline := x.deadline
-	x.mu.Unlock()
-	var expired <-chan time.Time
-	if !deadline.IsZero() {
-		left := time.Until(deadline)
-		if left <= 0 {
-			return nil, os.ErrDeadlineExceeded
-		}
-		timer := time.NewTimer(left)
-		defer timer.Stop()
-		expired = timer.C
-	}
 	select {
 	case p := <-x.parts:
 		if p.err != nil {
 			return nil, x.lost(p.err)
 		}
 		return p.message, nil
-	case <-expired:
-		return nil, os.ErrDeadlineExceeded
 	case <-x.ctx.Done():
 		return nil, x.lost(x.ctx.Err())
 	}
@@ -177,14 +157,6 @@
 	}
 }
 
-// SetReadDeadline implements relay.UpstreamResponse.
-func (x *exchange) SetReadDeadline(t time.Time) error {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.deadline = t
-	return nil
-}
-
 // Status implements relay.UpstreamResponse.
 func (x *exchange) Status() int { return int(x.head.Status) }
 
--- a/router/forward/network_test.go
+++ b/router/forward/network_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -34,11 +33,14 @@
 const (
 	peerLatency    = 1500 * time.Microsecond
 	connectTimeout = 300 * time.Millisecond
-	unackedTimeout = 2500 * time.Millisecond
-	plainWork      = 15 * time.Millisecond
-	firstEvent     = 100 * time.Millisecond
-	eventGap       = 50 * time.Millisecond
-	streamEvents   = 20
+	// silentTimeout is when a connection fails whose other end acknowledges nothing, and
+	// unackedLimit when that is told.
+	silentTimeout = 10 * time.Second
+	unackedLimit  = 800 * time.Millisecond
+	plainWork     = 15 * time.Millisecond
+	firstEvent    = 100 * time.Millisecond
+	eventGap      = 50 * time.Millisecond
+	streamEvents  = 20
 	// newConnectionShare is the part of the sends that need a new connection.
 	newConnectionShare = 0.3
 )
@@ -117,7 +119,7 @@
 			return nil, errkind.Wrap(errkind.TargetUnreachable, err, "the target is unreachable")
 		}
 	}
-	r := &simResponse{gateway: g, ctx: ctx, id: s.Request.ID, stream: strings.HasPrefix(s.Request.RequestURI, "/stream")}
+	r := &simResponse{gateway: g, ctx: ctx, id: s.Request.ID, stream: strings.HasPrefix(s.Request.RequestURI, "/stream"), onUnacknowledged: s.OnUnacknowledged}
 	err := r.transfer(0)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.TargetFailed, err, "the exchange failed")
@@ -150,9 +152,8 @@
 	stream  bool
 	next    int
 	done    bool
-
-	mu       sync.Mutex
-	deadline time.Time
+	// onUnacknowledged is that of the request.
+	onUnacknowledged func()
 }
 
 // transfer waits for a part of the response, over links that may break meanwhile.
@@ -171,19 +172,18 @@
 	}
 }
 
-// hang waits until the links are open, or the connection fails.
+// hang waits until the links are open, or the connection fails. Meanwhile a request that
+// has no response yet isn't acknowledged.
 func (r *simResponse) hang() error {
-	failAt := time.Now().Add(unackedTimeout)
+	failAt, tellAt := time.Now().Add(silentTimeout), time.Now().Add(unackedLimit)
 	for r.gateway.currentLinks() == linksHang {
 		err := pause(r.ctx, 10*time.Millisecond)
 		if err != nil {
 			return err
 		}
-		r.mu.Lock()
-		deadline := r.deadline
-		r.mu.Unlock()
-		if !deadline.IsZero() && time.Now().After(deadline) {
-			return os.ErrDeadlineExceeded
+		if r.next == 0 && r.onUnacknowledged != nil && time.Now().After(tellAt) {
+			r.onUnacknowledged()
+			tellAt = time.Now().Add(unackedLimit / 2)
 		}
 		if time.Now().After(failAt) {
 			return syscall.ETIMEDOUT
@@ -213,14 +213,6 @@
 	return n, nil
 }
 
-// SetReadDeadline implements relay.UpstreamResponse.
-func (r *simResponse) SetReadDeadline(t time.Time) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.deadline = t
-	return nil
-}
-
 // Status implements relay.UpstreamResponse.
 func (r *simResponse) Status() int { return http.StatusOK }
 
--- a/router/relay/location.go
+++ b/router/relay/location.go
@@ -16,6 +16,7 @@
 		Homes:        p.homes(),
 		Exclude:      p.triedTargets,
 		Now:          p.relay.Now(),
+		SilentSince:  p.silentSince,
 
 		MaxOutputTokens: p.Prompt.maxOutputTokens(),
 		Route:           p.route.Name,
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -25,6 +25,8 @@
 	// EarlyEnds counts attempts that ended before their answer was complete, by who ended
 	// them.
 	EarlyEnds *prometheus.CounterVec
+	// Replacements counts searches for a target that takes the place of a silent one.
+	Replacements *prometheus.CounterVec
 	// RetriesDenied counts failures that weren't retried because the retry budget
 	// was used up.
 	RetriesDenied prometheus.Counter
@@ -58,6 +60,8 @@
 			Name: "cuminrock_broken_answers_total", Help: "Answers of targets that ended early."}),
 		EarlyEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cuminrock_attempts_ended_early_total", Help: "Sends to targets that ended before their answer was complete, by who ended them."}, []string{"ended_by"}),
+		Replacements: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cuminrock_replacements_total", Help: "Searches for a target that takes the place of a silent one, by result."}, []string{"result"}),
 		RetriesDenied: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cuminrock_retries_denied_total", Help: "Retries that the retry budget forbade."}),
 		RefusedByLocation: prometheus.NewCounter(prometheus.CounterOpts{
@@ -70,7 +74,7 @@
 	m.FirstEventRatio = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "cuminrock_first_event_actual_to_expected_ratio", Help: "Actual time to the first event over the expected one.",
 		Buckets: prometheus.ExponentialBuckets(0.125, 2, 9)}, []string{"route"})
-	registry.MustRegister(m.Requests, m.Duration, m.FirstByte, m.Sends, m.Resends, m.Breaks, m.EarlyEnds, m.RetriesDenied, m.RefusedByLocation, m.Resumptions, m.Placements, m.FirstEventRatio)
+	registry.MustRegister(m.Requests, m.Duration, m.FirstByte, m.Sends, m.Resends, m.Breaks, m.EarlyEnds, m.Replacements, m.RetriesDenied, m.RefusedByLocation, m.Resumptions, m.Placements, m.FirstEventRatio)
 	return m
 }
 
--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -63,37 +63,16 @@
 	status    int
 	// retryAfter is the Retry-After of a refusal.
 	retryAfter time.Duration
+	// replacements counts the targets that were asked to take the place of a silent one, and
+	// silentSince is set while one is picked.
+	replacements int
+	silentSince  time.Time
 	// heardAt is when a target last sent a header or an event.
 	heardAt time.Time
 	// noRetry is why the request wasn't sent again after its last failure; empty if it was.
 	noRetry string
 }
 
-// attempt is one send to a target that has responded.
-type attempt struct {
-	lease *slot
-	// sent is when the request was sent.
-	sent     time.Time
-	response UpstreamResponse
-	// firstEventAt is when the first event of the stream arrived; zero before it.
-	firstEventAt time.Time
-	// outlivedProbation is set once the request is known not to crash the target.
-	outlivedProbation bool
-	finished          bool
-}
-
-// finish closes the response and ends the target's lease. Only the first call has
-// an effect.
-func (a *attempt) finish(p *proxiedRequest, result placement.Result) {
-	if a.finished {
-		return
-	}
-	a.finished = true
-	a.response.Close()
-	a.lease.Done(result, p.relay.Now())
-	p.ticket.Ended()
-}
-
 // recordBreak records an answer that ended early.
 func (p *proxiedRequest) recordBreak(ctx context.Context, a *attempt, err error) {
 	var answering time.Duration
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -163,6 +163,9 @@
 	PromptTokens int64
 	// Repeatable is set if the request may be sent to another target after it was lost.
 	Repeatable bool
+	// OnUnacknowledged, if set, is called from time to time while the target's machine
+	// hasn't acknowledged the whole request and no response has arrived. It must not block.
+	OnUnacknowledged func()
 	// ResumeAfter is the id of the last event that the caller has received; empty
 	// for none.
 	ResumeAfter string
@@ -178,8 +181,6 @@
 	Header() http.Header
 	// Read reads the body. The error is io.EOF only at the end of a complete body.
 	Read(p []byte) (int, error)
-	// SetReadDeadline sets the deadline of the following reads; zero means none.
-	SetReadDeadline(t time.Time) error
 	// Load is the load that the target reports; nil without a report.
 	Load() *placement.Load
 	// EndsWithConnection reports whether the body has no length of its own: it is
--- a/router/relay/send.go
+++ b/router/relay/send.go
@@ -80,47 +80,47 @@
 	return p.relay.Targets.Pick(r)
 }
 
-// send sends the request to the leased target. An error ends the lease.
+// send sends the request to the leased target and waits for the header of the response. An
+// error ends the lease.
 func (p *proxiedRequest) send(ctx context.Context, lease *slot, resumeAfter string) (*attempt, *errkind.Error) {
-	target, sent := lease.Target(), p.relay.Now()
-	p.decision, p.actualFirstEvent = lease.Decision(), 0
-	p.relay.Metrics.recordPlacement(p.decision)
-	p.triedTargets = append(p.triedTargets, target.ID)
-	if source := lease.Source(); source != nil {
-		p.copiedFrom = append(p.copiedFrom, source.ID)
+	a, s := p.next(ctx, p.launch(ctx, lease, resumeAfter), resumeAfter)
+	failure := p.begin(ctx, a, s)
+	if failure != nil {
+		return nil, failure
 	}
-	p.expectOrigin(target)
-	p.relay.Egress.Add(headerBytes+len(p.Body), sent)
-	response, err := p.relay.Upstream.Send(ctx, &UpstreamRequest{
-		Request:     p.Request,
-		Target:      target,
-		Source:      lease.Source(),
-		Workspace:   p.workspaceName(),
-		Deadline:    p.deadline,
-		Priority:    p.priority(),
-		Urgent:      p.urgent(),
-		ResumeAfter: resumeAfter,
+	return a, nil
+}
 
-		PromptTokens: p.Prompt.inputTokens(),
-		Repeatable:   p.route.Repeatable(),
-		Homes:        p.homes(),
-	})
-	if err != nil {
-		return nil, p.handleSendFailure(ctx, lease, sent, err)
+// begin takes an attempt's response, its first step. An error ends the attempt.
+func (p *proxiedRequest) begin(ctx context.Context, a *attempt, s step) *errkind.Error {
+	if s.err != nil {
+		failure := p.recordSendFailure(ctx, a, s.err)
+		if failure.Kind == errkind.TargetRefused {
+			p.sends++
+		}
+		return failure
 	}
-	p.sends++
-	p.mayHaveRun = true
+	a.response = s.response
+	p.countSend()
 	p.heardAt = p.relay.Now()
-	if load := response.Load(); load != nil {
-		lease.ReportLoad(*load, p.relay.Now())
+	a.lease.RecordHeard(p.heardAt)
+	if load := a.response.Load(); load != nil {
+		a.lease.ReportLoad(*load, p.heardAt)
 	}
-	p.recordAnnouncement(lease, sent, response.Announcement())
-	return &attempt{lease: lease, sent: sent, response: response}, nil
+	p.recordAnnouncement(a.lease, a.sent, a.response.Announcement())
+	return nil
+}
+
+// countSend counts a request that a target may have run.
+func (p *proxiedRequest) countSend() {
+	p.sends++
+	p.mayHaveRun = true
 }
 
-// handleSendFailure records a failed send and ends the target's lease. It returns
-// the error for the request.
-func (p *proxiedRequest) handleSendFailure(ctx context.Context, lease *slot, sent time.Time, err error) *errkind.Error {
+// recordSendFailure records a failed send and ends the attempt. It returns the error for
+// the request.
+func (p *proxiedRequest) recordSendFailure(ctx context.Context, a *attempt, err error) *errkind.Error {
+	lease := a.lease
 	failure := errkind.FromError(err)
 	result := AttemptResult(ctx, err)
 	switch failure.Kind {
@@ -130,25 +130,23 @@
 			p.relay.Limits.ConnectionRefused(lease.Target())
 		}
 	case errkind.TargetRefused:
-		p.sends++
 		result = placement.Refused
 		var refusal *Refusal
 		if errors.As(err, &refusal) && !refusal.Misdirected {
 			lease.turnedAway = refusal.Status == http.StatusServiceUnavailable
-			p.recordAnnouncement(lease, sent, refusal.Announcement)
+			p.recordAnnouncement(lease, a.sent, refusal.Announcement)
 		}
 	default:
-		p.sends++
-		p.mayHaveRun = true
+		p.countSend()
 		p.relay.Metrics.EarlyEnds.WithLabelValues(endedBy(ctx, err)).Inc()
-		p.recordConnectionLoss(ctx, lease.Target(), sent, err)
+		p.recordConnectionLoss(ctx, lease.Target(), a.sent, err)
 	}
 	if ctx.Err() != nil {
 		failure = p.interruptedError(ctx, failure)
 		result = AttemptResult(ctx, err)
 	}
-	lease.Done(result, p.relay.Now())
-	p.relay.Log.Info("relay: a send failed.", zap.String("request", p.ID), zap.String("ended_by", endedBy(ctx, err)), zap.Duration("waited", p.relay.Now().Sub(sent)),
+	a.release(p, result)
+	p.relay.Log.Info("relay: a send failed.", zap.String("request", p.ID), zap.String("ended_by", endedBy(ctx, err)), zap.Duration("waited", p.relay.Now().Sub(a.sent)),
 		zap.String("target", lease.Target().ID), zap.String("version", lease.Target().Version), zap.Int("sends", p.sends),
 		zap.Stringer("kind", failure.Kind), zap.Stringer("fingerprint", p.fingerprint), zap.Strings("prompt_parts", p.Prompt.sharedPartIDs()), zap.Error(err))
 	return failure
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"syscall"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -17,15 +16,6 @@
 	"cuminrock.example/router/eventstream"
 )
 
-const (
-	// silenceGapGoals is how many times the route's gap goal a resumable stream may
-	// be silent before it is resumed at another target.
-	silenceGapGoals = 4
-	// minSilence is the lower bound of that time. A sound target may be silent for a
-	// second or so.
-	minSilence = 1800 * time.Millisecond
-)
-
 // serveStream serves a request that is answered with an event stream. The header is
 // written with the first event, so that the request can still be retried if it
 // fails before.
@@ -59,14 +49,21 @@
 	if failure != nil {
 		return failure
 	}
-	status := a.response.Status()
-	if status != http.StatusOK {
-		return p.handleNonOK(ctx, a, lastEventID)
-	}
-	events := eventstream.NewReader(a.response)
 	for {
-		p.setSilenceDeadline(a.response)
-		event, err := events.Next()
+		if a.response.Status() != http.StatusOK {
+			return p.handleNonOK(ctx, a, lastEventID)
+		}
+		var s step
+		a, s = p.next(ctx, a, *lastEventID)
+		if a.response == nil {
+			// Another target has taken the place of a silent one.
+			failure = p.begin(ctx, a, s)
+			if failure != nil {
+				return failure
+			}
+			continue
+		}
+		event, err := s.event, s.err
 		if errors.Is(err, io.EOF) {
 			p.recordComplete(a)
 			if p.ResumeAfter == "" {
@@ -128,20 +125,6 @@
 	}
 }
 
-// setSilenceDeadline sets a deadline for the next event if the stream can be resumed
-// at another target.
-func (p *proxiedRequest) setSilenceDeadline(response UpstreamResponse) {
-	if !p.route.Resumable || p.sends >= p.route.MaxAttempts {
-		return
-	}
-	silence := max(minSilence, silenceGapGoals*p.route.EventGapGoal)
-	if p.events == 0 {
-		silence = max(silence, 2*p.route.LatencyGoal)
-	}
-	// If the deadline can't be set, the request's own deadline still applies.
-	_ = response.SetReadDeadline(time.Now().Add(silence))
-}
-
 // forwardEvent forwards an event to the caller. It reports false when the caller has
 // disconnected.
 func (p *proxiedRequest) forwardEvent(a *attempt, event *eventstream.Event) bool {
