Exchange: the system ends no exchange for its target's silence

Cause: requests that may be repeated had a TCP_USER_TIMEOUT of 0.8 s, others of 2.5 s. On Linux it also bounds probes of a window that the target has closed, and decides when keep-alive gives up. A body of some MB fills the window of a paused target.

Now the deadline of an exchange is its only bound; keep-alive gives up after 10 s.

TestTargetThatReadsNothingForSeconds... takes the place of TestUserTimeoutAllowsForASilentSecond, which checked the values of the option: it waits 3 s, longer than any of them, and checks that the option isn't set.

--- a/router/exchange/conn.go
+++ b/router/exchange/conn.go
@@ -56,26 +56,11 @@
 	// long it may stay there.
 	idleSince time.Time
 	idleLimit time.Duration
-	// userTimeout is the connection's TCP_USER_TIMEOUT.
-	userTimeout time.Duration
 }
 
 func newConn(c net.Conn) *conn {
 	head := &headLimiter{source: c}
-	return &conn{Conn: c, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), userTimeout: UserTimeout}
-}
-
-// setUserTimeout sets the TCP_USER_TIMEOUT for the next exchange. If that fails, the
-// former one stays, which changes only when a dead connection is noticed.
-func (c *conn) setUserTimeout(timeout time.Duration) {
-	sys, ok := c.Conn.(syscall.Conn)
-	if !ok || c.userTimeout == timeout {
-		return
-	}
-	raw, err := sys.SyscallConn()
-	if err == nil && setUserTimeout(raw, timeout) == nil {
-		c.userTimeout = timeout
-	}
+	return &conn{Conn: c, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
 }
 
 // reusable reports whether an idle connection is open and has no unread data. The
--- a/router/exchange/exchange.go
+++ b/router/exchange/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,17 +47,19 @@
 	// that id.
 	EchoHeader string
 	EchoValue  string
-	// Repeatable is set if the request may be sent again after it was lost.
-	Repeatable bool
+	// OnUnacknowledged, if set, is called from time to time while the target's machine
+	// hasn't acknowledged the whole request and no response has arrived. It must not block.
+	OnUnacknowledged func()
 }
 
 // Response is a response whose header was read. It must be closed.
 type Response struct {
-	Status   int
-	Header   http.Header
-	body     io.ReadCloser
-	x        *exchange
-	complete bool
+	Status int
+	Header http.Header
+	body   io.ReadCloser
+	x      *exchange
+	// complete is set at the end of the body. Close may be called during a Read.
+	complete atomic.Bool
 	// endsWithConnection is set if the body has neither a length nor chunks.
 	endsWithConnection bool
 }
@@ -80,11 +83,12 @@
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
-	c.setUserTimeout(req.userTimeout())
 	x := &exchange{pool: p, conn: c, request: req, written: make(chan struct{})}
 	x.cancelWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	x.write()
+	watch := x.watchAcknowledgement()
 	resp, err := x.readResponse()
+	watch.stop()
 	if err != nil {
 		x.abort()
 		return nil, errors.Join(ErrBroken, err)
@@ -146,7 +150,7 @@
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	if err == io.EOF {
-		r.complete = true
+		r.complete.Store(true)
 	}
 	return n, err
 }
@@ -162,7 +166,7 @@
 // Close ends the exchange. The connection is returned to the pool only if the request
 // was written and the body was read completely, and no further data has arrived.
 func (r *Response) Close() {
-	if !r.complete || !r.x.keepAlive || !r.x.requestWritten() {
+	if !r.complete.Load() || !r.x.keepAlive || !r.x.requestWritten() {
 		r.x.abort()
 		return
 	}
@@ -200,14 +204,6 @@
 	return defaultIdleLimit
 }
 
-// userTimeout returns the TCP_USER_TIMEOUT of the request's exchange.
-func (r *Request) userTimeout() time.Duration {
-	if r.Repeatable {
-		return repeatableUserTimeout
-	}
-	return UserTimeout
-}
-
 // encode returns the bytes of the request. A body is always sent with its length.
 func (r *Request) encode() []byte {
 	var b bytes.Buffer
--- a/router/exchange/exchange_test.go
+++ b/router/exchange/exchange_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -209,32 +210,27 @@
 	is.Equal(idleLimit(http.Header{}), defaultIdleLimit)
 }
 
-// A TCP_USER_TIMEOUT also decides when keep-alive gives up, whatever its count: a target
-// that is silent for a second or so keeps its connection, and one that is gone loses it.
-func TestUserTimeoutAllowsForASilentSecond(t *testing.T) {
+// A target that reads nothing for seconds keeps a large request: neither the window that
+// it closes nor keep-alive ends the exchange, and whoever wants to know is told meanwhile.
+func TestTargetThatReadsNothingForSecondsKeepsItsRequest(t *testing.T) {
 	is := is.New(t)
-	const silentSecond = 1500 * time.Millisecond
-	is.True(UserTimeout > silentSecond)
-	is.True(keepAliveIdle+keepAliveInterval > silentSecond)
-	is.True(keepAliveIdle+keepAliveCount*keepAliveInterval >= UserTimeout)
+	const silence = 3 * time.Second
 	target := newTestTarget(t)
-	answer := func(c net.Conn, r *bufio.Reader) {
-		for _, id := range []string{"1", "2", "3"} {
-			_, _ = readRequest(r)
-			_, _ = io.WriteString(c, responseText(id, "ok"))
-		}
-	}
-	target.serve(answer)
+	target.serve(func(c net.Conn, r *bufio.Reader) {
+		time.Sleep(silence)
+		_, body := readRequest(r)
+		_, _ = io.WriteString(c, responseText("1", strconv.Itoa(len(body)>>20)))
+	})
 	pool := NewPool(time.Now)
-	for n, repeatable := range []bool{false, true, false} {
-		req := target.request(strconv.Itoa(n+1), "")
-		req.Repeatable = repeatable
-		resp, err := pool.Do(context.Background(), req)
-		is.NoErr(err)
-		is.Equal(readAll(t, resp), "ok")
-		c := pool.idle[req.Address][0]
-		is.Equal(userTimeoutOf(t, c), req.userTimeout())
-	}
+	req := target.request("1", strings.Repeat("x", 8<<20))
+	var told atomic.Int64
+	req.OnUnacknowledged = func() { told.Add(1) }
+	resp, err := pool.Do(context.Background(), req)
+	is.NoErr(err)
+	is.Equal(readAll(t, resp), "8")
+	is.True(told.Load() >= 2)
+	is.True(keepAliveIdle+keepAliveCount*keepAliveInterval > silence)
+	is.Equal(userTimeoutOf(t, resp.x.conn), time.Duration(0)) // it would decide when keep-alive gives up, too
 }
 
 // userTimeoutOf returns the TCP_USER_TIMEOUT of a connection.
--- a/router/exchange/pool.go
+++ b/router/exchange/pool.go
@@ -14,17 +14,11 @@
 const (
 	// dialTimeout bounds the time to connect.
 	dialTimeout = 300 * time.Millisecond
-	// UserTimeout is the TCP_USER_TIMEOUT: how long sent data, and the probes of
-	// keep-alive, may stay unacknowledged before the connection is closed. A sound target
-	// may be silent for a second or so.
-	UserTimeout = 2500 * time.Millisecond
-	// repeatableUserTimeout applies to requests that may be repeated, which are rather
-	// sent to another target.
-	repeatableUserTimeout = 800 * time.Millisecond
-	// keepAliveIdle, keepAliveInterval and keepAliveCount configure TCP keep-alive.
+	// keepAliveIdle, keepAliveInterval and keepAliveCount configure TCP keep-alive. A
+	// machine that answers none of these probes is gone; one that is only silent isn't.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
-	keepAliveCount    = 2
+	keepAliveCount    = 9
 	// maxIdlePerTarget bounds the idle connections to one target.
 	maxIdlePerTarget = 32
 	// defaultIdleLimit is how long an idle connection is kept if the target sends
@@ -50,12 +44,13 @@
 	idle map[string][]*conn
 }
 
-// NewPool returns an empty pool.
+// NewPool returns an empty pool. Its connections have no TCP_USER_TIMEOUT, which would end
+// an exchange with a sound target that reads nothing for a while: the deadline of each
+// exchange bounds it.
 func NewPool(now func() time.Time) *Pool {
 	dialer := net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
-		Control:         UserTimeoutControl(UserTimeout),
 	}
 	return &Pool{Dial: dialer.DialContext, now: now, idle: make(map[string][]*conn)}
 }
