--- a/router/exchange/exchange_test.go
+++ b/router/exchange/exchange_test.go
@@ -108,6 +108,62 @@
 	is.Equal(readAll(t, resp), "two")
 }
 
+// Guards against refusals that aren't true (REFUSED), and requests that run twice (TWICE): a
+// target writes an earlier refusal once more on a kept connection, at once, with the next
+// answer or without an id.
+func TestEarlierRefusalWrittenOnceMoreIsNotTheNextAnswer(t *testing.T) {
+	refusal := func(id string) string {
+		return "HTTP/1.1 503 Service Unavailable\r\n" + id + "X-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"
+	}
+	for name, c := range map[string]struct {
+		again string
+		early bool
+	}{
+		"before the next request": {refusal("Request-Id: 1\r\n"), true},
+		"with the next answer":    {refusal("Request-Id: 1\r\n"), false},
+		"without an id":           {refusal(""), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			target := newTestTarget(t)
+			serve := func(conn net.Conn, r *bufio.Reader) {
+				for {
+					req, _ := readRequest(r)
+					if req == nil {
+						return
+					}
+					id := req.Header.Get(echoHeader)
+					if id == "1" {
+						_, _ = io.WriteString(conn, refusal("Request-Id: 1\r\n"))
+						if c.early {
+							time.Sleep(20 * time.Millisecond)
+							_, _ = io.WriteString(conn, c.again)
+						}
+						continue
+					}
+					if !c.early {
+						_, _ = io.WriteString(conn, c.again)
+					}
+					_, _ = io.WriteString(conn, responseText(id, "ok"))
+				}
+			}
+			target.serve(serve)
+			target.serve(serve)
+			pool := NewPool(time.Now)
+			resp, err := pool.Do(context.Background(), target.request("1", ""))
+			is.NoErr(err)
+			is.Equal(readAll(t, resp), "full")
+			if c.early {
+				time.Sleep(50 * time.Millisecond)
+			}
+			resp, err = pool.Do(context.Background(), target.request("2", ""))
+			is.NoErr(err)
+			is.Equal(resp.Status, http.StatusOK)
+			is.Equal(readAll(t, resp), "ok")
+		})
+	}
+}
+
 func TestConnectionWithStrayBytesIsNotReused(t *testing.T) {
 	is := is.New(t)
 	target := newTestTarget(t)
