--- a/fleet/placement/pick.go
+++ b/fleet/placement/pick.go
@@ -92,7 +92,15 @@
 func (t *Table) Pick(r *Request) (*Lease, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r = t.relaxed(t.whileSilent(r))
+	if !r.SilentSince.IsZero() {
+		return t.pickWhileSilent(r)
+	}
+	return t.pick(r)
+}
+
+// pick does the same. The table's lock must be held.
+func (t *Table) pick(r *Request) (*Lease, error) {
+	r = t.relaxed(r)
 	if l := t.pickByWork(r); l != nil {
 		return l, nil
 	}
--- a/fleet/placement/silence.go
+++ b/fleet/placement/silence.go
@@ -35,22 +35,26 @@
 	}
 }
 
-// whileSilent restricts a request whose target is silent to targets that were heard
-// meanwhile, if others are silent as well: then the silence isn't its target's alone, and a
-// target of which nothing is known is likely to be silent, too.
-func (t *Table) whileSilent(r *Request) *Request {
-	if r.SilentSince.IsZero() {
-		return r
-	}
+// pickWhileSilent picks a target for a request whose target is silent: one that was heard
+// meanwhile. One of which nothing is known is picked only if no other is silent as well:
+// otherwise the silence isn't the target's alone, and others are likely to be silent, too.
+// The table's lock must be held.
+func (t *Table) pickWhileSilent(r *Request) (*Lease, error) {
 	since := r.Now.Add(-r.Now.Sub(r.SilentSince) / silenceShare)
-	for _, s := range t.services[r.Service] {
-		if s.isSilent(since) && !slices.Contains(r.Exclude, s.target.ID) {
-			restricted := *r
-			restricted.heardSince = since
-			return &restricted
-		}
+	heard := *r
+	heard.heardSince = since
+	l, err := t.pick(&heard)
+	if err == nil || t.othersSilent(r, since) {
+		return l, err
 	}
-	return r
+	return t.pick(r)
+}
+
+// othersSilent reports whether a target that the request hasn't tried is silent.
+func (t *Table) othersSilent(r *Request, since time.Time) bool {
+	return slices.ContainsFunc(t.services[r.Service], func(s *targetState) bool {
+		return s.isSilent(since) && !slices.Contains(r.Exclude, s.target.ID)
+	})
 }
 
 // heardInTime reports whether the target was heard since the request requires it.
