--- a/router/relay/replacement.go
+++ b/router/relay/replacement.go
@@ -68,17 +68,15 @@
 		case <-search:
 		}
 		replacement := p.replace(ctx, a, resumeAfter, since)
-		if replacement != nil {
+		if replacement == nil {
+			search = time.After(replacementInterval)
+		} else {
 			p.giveUp(a, since)
-			a, since = replacement, p.relay.Now()
+			a, since, search = replacement, p.relay.Now(), nil
 		}
 		if s, ok := a.takeHeld(); ok {
 			return a, s
 		}
-		search = time.After(replacementInterval)
-		if replacement != nil {
-			search = nil
-		}
 	}
 }
 
