Relay: only an answer takes a request away from a silent target

Beside load 1 of 350 answers ended early (502) in TestSilentTargetsEndNoAnswer, in the case with full targets. Cause: a target that hadn't refused a request within 0.3 s was taken to have accepted it, and the silent one was given up; the refusal came later.

--- a/router/relay/replacement.go
+++ b/router/relay/replacement.go
@@ -13,7 +13,7 @@
 
 // A target's silence is no reason to end an answer: a sound target may be silent for a
 // while, and all may be at once. Where the request may be repeated, another target is asked
-// to take the place of the silent one, which keeps the request until that has accepted it.
+// to take the place of the silent one, which keeps the request until that has answered it.
 // Whatever keeps another target from taking it, from the retry budget to a refusal, leaves
 // the request where it is.
 const (
@@ -26,7 +26,7 @@
 	// replacementInterval is the time between two searches for another target.
 	replacementInterval = 400 * time.Millisecond
 	// maxOverlap bounds the time for which two targets have the request. One that hasn't
-	// refused it by then has accepted it.
+	// answered by then loses it: it might still refuse it.
 	maxOverlap = 300 * time.Millisecond
 	// maxReplacements bounds the targets that are asked for one request.
 	maxReplacements = 3
@@ -36,8 +36,10 @@
 const (
 	replacementAccepted = "accepted"
 	replacementRefused  = "refused"
-	// replacementNeedless means that the silent target went on meanwhile.
+	// replacementNeedless means that the silent target went on meanwhile, replacementLate
+	// that the other one didn't answer in time.
 	replacementNeedless = "needless"
+	replacementLate     = "late"
 	replacementNone     = "none"
 )
 
@@ -68,11 +70,10 @@
 		case <-search:
 		}
 		replacement := p.replace(ctx, a, resumeAfter, since)
-		if replacement == nil {
-			search = time.After(replacementInterval)
-		} else {
+		search = time.After(replacementInterval)
+		if replacement != nil {
 			p.giveUp(a, since)
-			a, since, search = replacement, p.relay.Now(), nil
+			a = replacement // it holds its response
 		}
 		if s, ok := a.takeHeld(); ok {
 			return a, s
@@ -90,7 +91,7 @@
 }
 
 // replace asks another target to take the place of one that has been silent since a time.
-// It returns nil if none accepts the request, or the silent target goes on meanwhile.
+// It returns nil if none answers the request in time, or the silent target goes on meanwhile.
 func (p *proxiedRequest) replace(ctx context.Context, silent *attempt, resumeAfter string, since time.Time) *attempt {
 	lease := p.pickReplacement(ctx, silent, since)
 	if lease == nil {
@@ -113,6 +114,9 @@
 			result = replacementRefused
 		}
 	case <-overlap.C:
+		result = replacementLate
+		p.countSend()
+		a.release(p, placement.Neutral)
 	}
 	p.relay.Metrics.Replacements.WithLabelValues(result).Inc()
 	if result != replacementAccepted {
