--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -39,7 +39,7 @@
 	}
 	b.WriteString("\r\n")
 	b.Write(body)
-	record("sent", map[string]any{"id": a.ID, "to": c.RemoteAddr().String(), "method": method, "path": path, "fields": fields})
+	record("sent", map[string]any{"id": a.ID, "to": c.RemoteAddr().String(), "method": method, "path": path, "fields": shortened(fields)})
 	c.SetDeadline(time.Now().Add(timeout + time.Second))
 	_, a.Err = c.Write(b.Bytes())
 	if a.Err == nil {
@@ -63,3 +63,16 @@
 	defer c.Close()
 	return Ask(c, bufio.NewReader(c), method, host, path, fields, body, timeout)
 }
+
+// shortened returns the fields for the record, without what is long.
+func shortened(fields [][2]string) [][2]string {
+	const most = 100
+	out := make([][2]string, len(fields))
+	for i, f := range fields {
+		out[i] = f
+		if len(f[1]) > most {
+			out[i][1] = fmt.Sprintf("%s... (%d bytes)", f[1][:most], len(f[1]))
+		}
+	}
+	return out
+}
