--- a/review/standins-2/takeup.go
+++ b/review/standins-2/takeup.go
@@ -23,11 +23,16 @@
 
 // resumable is a runner whose streams may be taken up after any event.
 func resumable(r *Runner, w http.ResponseWriter, req *http.Request) {
+	events(r, w, req, streamEvents, eventPause)
+}
+
+// events sends a stream, from the event after Last-Event-Id on.
+func events(r *Runner, w http.ResponseWriter, req *http.Request, n int, pause time.Duration) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Weight-Versions", "1")
 	last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
-	for i := last + 1; i <= streamEvents; i++ {
-		time.Sleep(eventPause)
+	for i := last + 1; i <= n; i++ {
+		time.Sleep(pause)
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, r.Version, i); err != nil {
 			return
 		}
