--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -22,7 +22,9 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	// Err is set if the answer isn't complete; Began if the status line came.
+	// Close is set if the server closes the connection after the answer.
+	Close bool
+	// Err is set if the answer isn't complete.
 	Err error
 }
 
@@ -46,7 +48,7 @@
 		var resp *http.Response
 		resp, a.Err = http.ReadResponse(r, &http.Request{Method: method})
 		if a.Err == nil {
-			a.Status, a.Header = resp.StatusCode, resp.Header
+			a.Status, a.Header, a.Close = resp.StatusCode, resp.Header, resp.Close
 			a.Body, a.Err = io.ReadAll(resp.Body)
 		}
 	}
--- a/review/standins-2/endless.go
+++ b/review/standins-2/endless.go
@@ -116,7 +116,13 @@
 					}
 					defer c.Close()
 					size := 800 + 500*(n%5)
-					a := Ask(c, bufio.NewReader(c), "POST", "a.example", "/s/1", [][2]string{{"X-Model", "m"}, {"X-Token-Usage", fmt.Sprintf("%d,100", size)},
+					// The connection is kept from a first request, which no route serves.
+					r := bufio.NewReader(c)
+					first := Ask(c, r, "GET", "a.example", "/none", nil, nil, time.Second)
+					if first.Err != nil || first.Close {
+						return
+					}
+					a := Ask(c, r, "POST", "a.example", "/s/1", [][2]string{{"X-Model", "m"}, {"X-Token-Usage", fmt.Sprintf("%d,100", size)},
 						{"X-Prompt-Prefix", fmt.Sprintf("%08x:%d,%08x:400", 100+n%20, size-400, 1000+n)}}, make([]byte, 2000), 15*time.Second)
 					mu.Lock()
 					defer mu.Unlock()
