A connection that was reset while the request was written has no orderly end

Callers saw: the part of an answer as a complete one (MIXED), where a runner answered a long upload at once, without a length, and reset the connection while the upload was being written.

Cause: the system reports a reset once, to the call that comes first. That was the write of the upload, whose error nobody looked at; the read of the answer then saw an orderly end, and a body without a length is complete there.

Change: package responseconn wraps the connections. At an orderly end it ends the write that is in progress, waits for its result and returns its error in place of the end. As the result is kept, it doesn't matter how late the reader comes. EPIPE isn't a reset: the system reports it where the answer had ended in order before, so that sound early answers still pass. Used by router/exchange (targets, also for other gateways) and router/target, where net/http's Transport left a window.

--- a/router/exchange/acknowledgement.go
+++ b/router/exchange/acknowledgement.go
@@ -68,10 +68,10 @@
 // unacknowledged reports whether the other end's machine has bytes, or a probe of a silent
 // connection, to acknowledge; false if that can't be found out.
 func (c *conn) unacknowledged() bool {
-	if a, ok := c.Conn.(acknowledger); ok {
+	if a, ok := c.Raw().(acknowledger); ok {
 		return a.Unacknowledged()
 	}
-	sys, ok := c.Conn.(syscall.Conn)
+	sys, ok := c.Raw().(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/router/exchange/conn.go
+++ b/router/exchange/conn.go
@@ -7,6 +7,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"cuminrock.example/router/responseconn"
 )
 
 // readBuffer is the size of a connection's read buffer in bytes.
@@ -47,7 +49,7 @@
 
 // conn is a pooled connection. It carries one exchange at a time.
 type conn struct {
-	net.Conn
+	*responseconn.Conn
 	head   *headLimiter
 	reader *bufio.Reader
 	// used is true after the first exchange.
@@ -58,7 +60,8 @@
 	idleLimit time.Duration
 }
 
-func newConn(c net.Conn) *conn {
+func newConn(raw net.Conn) *conn {
+	c := responseconn.New(raw)
 	head := &headLimiter{source: c}
 	return &conn{Conn: c, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
 }
@@ -69,7 +72,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sys, ok := c.Conn.(syscall.Conn)
+	sys, ok := c.Raw().(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/router/exchange/exchange.go
+++ b/router/exchange/exchange.go
@@ -113,8 +113,7 @@
 }
 
 func (x *exchange) send(data net.Buffers) {
-	// On a TCP connection the blocks are written by one system call.
-	_, x.writeErr = data.WriteTo(x.conn.Conn)
+	_, x.writeErr = x.conn.WriteBuffers(data)
 	close(x.written)
 }
 
--- a/router/exchange/exchange_test.go
+++ b/router/exchange/exchange_test.go
@@ -292,7 +292,7 @@
 // userTimeoutOf returns the TCP_USER_TIMEOUT of a connection.
 func userTimeoutOf(t *testing.T, c *conn) time.Duration {
 	is := is.New(t)
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	raw, err := c.Raw().(*net.TCPConn).SyscallConn()
 	is.NoErr(err)
 	var ms int
 	var getErr error
--- a/router/target/conn.go
+++ b/router/target/conn.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"sync/atomic"
+
+	"cuminrock.example/router/responseconn"
 )
 
 // errAborted is the error of a write to a connection whose exchange was aborted
@@ -75,5 +77,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c}, nil
+	return &conn{Conn: responseconn.New(c)}, nil
 }
