A head that HTTP doesn't allow is no answer

Callers saw: a runner's status 000 as an answer, or what followed its head (MIXED); heads with a blank in the name of a field as answers, with the line passed on or with a body that was framed without that field.

Cause: heads were read by net/http alone, which takes any three digits as a status and skips all below 200, takes names with blanks, joins a line that begins with a blank to the one before, and drops fields of the framing that contradict each other or the version. Control bytes were refused.

Change: responseconn.Conn receives each head whole and checks it line by line before any byte of it is returned: status line, names, values, framing. What fails is ErrNoResponse, an error of the exchange like a broken connection: it counts against the target, the request counts as one that may have run and is repeated only where that is allowed. Bytes that came with the response before are checked as well. Heads that come by way of another gateway, perhaps of another version, are checked for status, names and values.

--- a/router/exchange/exchange.go
+++ b/router/exchange/exchange.go
@@ -121,12 +121,11 @@
 // another id are late responses to earlier requests, and are skipped.
 func (x *exchange) readResponse() (*http.Response, error) {
 	for range maxResponses {
-		x.conn.head.limit()
+		x.conn.expectHead()
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
 		if err != nil {
 			return nil, err
 		}
-		x.conn.head.lift()
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
@@ -172,7 +171,7 @@
 		r.x.abort()
 		return
 	}
-	if !r.x.cancelWatch() || r.x.conn.reader.Buffered() > 0 {
+	if !r.x.cancelWatch() || r.x.conn.hasUnread() {
 		r.x.abort()
 		return
 	}
--- a/router/exchange/exchange_test.go
+++ b/router/exchange/exchange_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/matryer/is"
 	"golang.org/x/sys/unix"
+
+	"cuminrock.example/router/responseconn"
 )
 
 const echoHeader = "Request-Id"
@@ -300,3 +302,23 @@
 	is.NoErr(getErr)
 	return time.Duration(ms) * time.Millisecond
 }
+
+// A head that is no answer isn't taken for one either if it came together with a response that
+// is skipped.
+func TestBrokenHeadAfterASkippedResponseIsErrBroken(t *testing.T) {
+	is := is.New(t)
+	target := newTestTarget(t)
+	target.serve(func(c net.Conn, r *bufio.Reader) {
+		_, _ = readRequest(r)
+		_, _ = io.WriteString(c, responseText("1", "one"))
+		_, _ = readRequest(r)
+		_, _ = io.WriteString(c, responseText("1", "one")+"HTTP/1.1 200 OK\r\nRequest-Id: 2\r\nContent-Length : 3\r\n\r\ntwo")
+	})
+	pool := NewPool(time.Now)
+	resp, err := pool.Do(context.Background(), target.request("1", ""))
+	is.NoErr(err)
+	is.Equal(readAll(t, resp), "one")
+	_, err = pool.Do(context.Background(), target.request("2", ""))
+	is.True(errors.Is(err, ErrBroken))
+	is.True(errors.Is(err, responseconn.ErrNoResponse))
+}
--- a/router/forward/exchange.go
+++ b/router/forward/exchange.go
@@ -12,6 +12,7 @@
 	"cuminrock.example/fleet/errkind"
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/router/relay"
+	"cuminrock.example/router/responseconn"
 )
 
 // receivedAhead is the number of parts of a response that are received before they are
@@ -57,19 +58,30 @@
 	// After io.EOF, Recv returns the stream's error.
 	go x.receive()
 	message, err := x.next()
-	if err == nil && message.GetHead() != nil {
-		x.head, x.header = message.GetHead(), decodeHeader(message.GetHead().Header)
-		return x, nil
+	if err == nil {
+		err = x.begin(message)
 	}
-	x.cancel()
-	switch {
-	case err != nil:
+	if err != nil {
+		x.cancel()
 		return nil, err
-	case message.GetEnd() != nil:
-		return nil, endError(message.GetEnd())
-	default:
-		return nil, x.lost(errProtocol)
 	}
+	return x, nil
+}
+
+// begin takes the first part of the response.
+func (x *exchange) begin(message *pb.ForwardResponse) error {
+	if message.GetEnd() != nil {
+		return endError(message.GetEnd())
+	}
+	if message.GetHead() == nil {
+		return x.lost(errProtocol)
+	}
+	x.head, x.header = message.GetHead(), decodeHeader(message.GetHead().Header)
+	// The other gateway may have another version, which lets more pass.
+	if !responseconn.ValidStatus(x.Status()) || !responseconn.ValidHeader(x.header) {
+		return errkind.Wrap(errkind.TargetFailed, responseconn.ErrNoResponse, "the exchange of another gateway with the target failed")
+	}
+	return nil
 }
 
 // receive receives the parts of the response until the stream ends.
--- a/router/responseconn/conn_test.go
+++ b/router/responseconn/conn_test.go
@@ -11,8 +11,12 @@
 	"github.com/matryer/is"
 )
 
-// requestBytes is the length of a request that no socket takes at once.
-const requestBytes = 64 << 20
+const (
+	// requestBytes is the length of a request that no socket takes at once.
+	requestBytes = 64 << 20
+	// whole is a response that ends with its connection, part the first part of another one.
+	whole, part = "HTTP/1.1 200 OK\r\n\r\nwhole", "HTTP/1.1 200 OK\r\n\r\npart"
+)
 
 // connect returns a connection to a server that is handed the other end.
 func connect(t *testing.T, serve func(c *net.TCPConn)) *Conn {
@@ -48,7 +52,7 @@
 				is := is.New(t)
 				conn := connect(t, func(s *net.TCPConn) {
 					_, _ = s.Read(make([]byte, 100))
-					_, _ = io.WriteString(s, "part")
+					_, _ = io.WriteString(s, part)
 					reset(s)
 				})
 				go func() {
@@ -82,7 +86,7 @@
 				is := is.New(t)
 				conn := connect(t, func(s *net.TCPConn) {
 					_, _ = s.Read(make([]byte, 100))
-					_, _ = io.WriteString(s, "whole")
+					_, _ = io.WriteString(s, whole)
 					_ = s.CloseWrite()
 					after(s)
 				})
@@ -94,7 +98,7 @@
 				time.Sleep(heldUp)
 				response, err := io.ReadAll(conn)
 				is.NoErr(err)
-				is.Equal(string(response), "whole")
+				is.Equal(string(response), whole)
 				<-written // the write doesn't wait for a server that reads no more
 			})
 		}
