--- a/ctl/loadgen/request.go
+++ b/ctl/loadgen/request.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"cuminrock.example/router/responseconn"
 )
 
 // Headers of the caller API and of the targets.
@@ -55,12 +57,12 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{
 		Timeout: timeout,
-		Transport: &http.Transport{
+		Transport: responseconn.NewTransport(&http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: http.DefaultMaxIdleConnsPerHost << 12,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
-		},
+		}),
 	}
 }
 
--- a/ctl/operator/client.go
+++ b/ctl/operator/client.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
+	"cuminrock.example/router/responseconn"
 )
 
 // maxResponseBytes bounds one response of an operator API.
@@ -55,7 +56,8 @@
 // New returns a client of the operator API at address, which is host:port. The
 // token may be empty. The timeout bounds each call.
 func New(address, token string, timeout time.Duration) *Client {
-	return &Client{address: address, token: token, http: &http.Client{Timeout: timeout}}
+	transport := responseconn.NewTransport(http.DefaultTransport.(*http.Transport).Clone())
+	return &Client{address: address, token: token, http: &http.Client{Timeout: timeout, Transport: transport}}
 }
 
 // Address returns the host:port of the operator API.
--- a/router/target/conn.go
+++ b/router/target/conn.go
@@ -48,7 +48,7 @@
 
 // conn is a connection that carries one exchange at a time.
 type conn struct {
-	net.Conn
+	*responseconn.Conn
 	exchange atomic.Pointer[exchange]
 }
 
@@ -63,6 +63,7 @@
 
 // attach makes the connection carry an exchange.
 func (c *conn) attach(e *exchange) {
+	c.ExpectHead()
 	c.exchange.Store(e)
 	e.conn.Store(c)
 }
--- a/router/target/conn_test.go
+++ b/router/target/conn_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"cuminrock.example/router/responseconn"
 )
 
 // After abort, a late write by the transport writes nothing. Such a write would run
@@ -15,7 +17,7 @@
 	is := is.New(t)
 	near, far := net.Pipe()
 	go func() { _, _ = far.Read(make([]byte, 8)) }()
-	c := &conn{Conn: near}
+	c := &conn{Conn: responseconn.New(near)}
 	e := &exchange{}
 	c.attach(e)
 	is.True(e.abort())
@@ -27,7 +29,7 @@
 	is := is.New(t)
 	near, far := net.Pipe()
 	go func() { _, _ = far.Read(make([]byte, 8)) }()
-	c := &conn{Conn: near}
+	c := &conn{Conn: responseconn.New(near)}
 	e := &exchange{}
 	c.attach(e)
 	_, err := c.Write([]byte("first"))
