A stream that was taken up goes on with the events that follow, or breaks off

Would have been seen: the text of an error, or a whole head, in the middle of a stream, or events a second time (ORDER, MIXED), where a stream had begun and broke off, and the next target answered with a 200 whose body was no continuation.

Change: at an attempt that is to go on with a stream, each event must have an id that follows the last one (PROTOCOL: events have increasing ids). Otherwise the attempt has failed, and the request may be repeated as after any other break. The first attempt's stream is passed on as before.

TestTakeoverWithoutItsAttempt had a target that answered Last-Event-Id 3 with event 3; the caller has event 2 there now, and the test is as strict.

--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -18,8 +18,9 @@
 // its answer; each result is a step. Everything else is done by the request's goroutine.
 type attempt struct {
 	lease *slot
-	// sent is when the request was sent.
-	sent time.Time
+	// sent is when the request was sent, and resumes set if it is to go on with a stream.
+	sent    time.Time
+	resumes bool
 	// steps delivers the response or the error of the send, and then, if the response is a
 	// stream, its events up to the error that ends it.
 	steps chan step
@@ -54,7 +55,7 @@
 func (p *proxiedRequest) launch(ctx context.Context, lease *slot, resumeAfter string) *attempt {
 	target := lease.Target()
 	a := &attempt{
-		lease: lease, sent: p.relay.Now(), steps: make(chan step),
+		lease: lease, sent: p.relay.Now(), resumes: resumeAfter != "", steps: make(chan step),
 		unacknowledged: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 	p.decision, p.actualFirstEvent = lease.Decision(), 0
--- a/router/relay/origin_test.go
+++ b/router/relay/origin_test.go
@@ -180,12 +180,12 @@
 		sends    int
 	}{{[]string{"v1", "v1"}, 1}, {[]string{"v1", "v2"}, 0}, {[]string{"v1", ""}, 0}} {
 		r, up := newVersionedRelay(&originLog{}, c.versions, outcome{status: 200, body: lastEvents})
-		serveWith(context.Background(), r, &Request{ID: "2", ResumeAfter: "3"})
+		serveWith(context.Background(), r, &Request{ID: "2", ResumeAfter: "2"})
 		is.Equal(len(up.sends), c.sends)
 	}
 	r, up := newVersionedRelay(&originLog{}, []string{"v1", "v2"}, outcome{status: 200, body: lastEvents})
 	r.Targets.Update([]placement.Target{{ID: "b", Service: "s", Version: "v2"}}, time.Now())
-	serveWith(context.Background(), r, &Request{ID: "2", ResumeAfter: "3"})
+	serveWith(context.Background(), r, &Request{ID: "2", ResumeAfter: "2"})
 	is.Equal(len(up.sends), 0) // it may have begun at v1, which is gone
 }
 
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -64,6 +64,9 @@
 			continue
 		}
 		event, err := s.event, s.err
+		if err == nil && a.resumes && !continues(*lastEventID, event.ID) {
+			err = errNoContinuation
+		}
 		if errors.Is(err, io.EOF) {
 			p.recordComplete(a)
 			if p.ResumeAfter == "" {
