What answers without end occupy comes out of the common room

Callers lost their requests (LOST): runners answered streams with 500 and a body without end, the gateway that had called them kept it, exceeded its memory and was killed.

Cause: a body that wouldn't be passed on was read whole before the retry, up to 8 MiB each, without the room that other answers come out of (handleNonOK). By the same cause, events of up to 1 MiB and heads of up to 64 KiB, whose lines cost more than their bytes, were bounded one by one but not together.

Change: a server error that is retried, or that follows a stream that has begun, isn't read at all; an answer that is passed on takes room, on streaming routes too, and is passed on as it is read where there is none. Events beyond 4 KiB and heads beyond 4 KiB or 64 lines take room as well; without any, the attempt has failed. fleet/intake.Hold is what one response holds.

--- a/router/eventstream/reader.go
+++ b/router/eventstream/reader.go
@@ -7,6 +7,8 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"cuminrock.example/fleet/intake"
 )
 
 const (
@@ -16,8 +18,12 @@
 	maxEventBytes = 1 << 20
 )
 
-// ErrTooLong means that an event exceeds the size limit of 1 MiB.
-var ErrTooLong = errors.New("an event of the stream is too long")
+var (
+	// ErrTooLong means that an event exceeds the size limit of 1 MiB.
+	ErrTooLong = errors.New("an event of the stream is too long")
+	// ErrNoRoom means that there is no room for a long event.
+	ErrNoRoom = errors.New("there is no room for a long event of the stream")
+)
 
 // Event is one event of a stream.
 type Event struct {
@@ -30,32 +36,45 @@
 // Reader reads the events of a stream.
 type Reader struct {
 	reader *bufio.Reader
+	// holds are what the event that is read and the one before it hold of the room.
+	holds [2]*intake.Hold
+}
+
+// NewReader returns a reader of the stream. Long events come out of the room, nil for no bound,
+// until Release.
+func NewReader(r io.Reader, room intake.AnswerRoom) *Reader {
+	holds := [2]*intake.Hold{{Room: room}, {Room: room}}
+	return &Reader{reader: bufio.NewReaderSize(r, bufferBytes), holds: holds}
 }
 
-// NewReader returns a reader of the stream.
-func NewReader(r io.Reader) *Reader {
-	return &Reader{reader: bufio.NewReaderSize(r, bufferBytes)}
+// Release gives back what the last events hold.
+func (r *Reader) Release() {
+	r.holds[0].Release()
+	r.holds[1].Release()
 }
 
-// Next returns the next complete event. The error is io.EOF if the stream ended
-// between two events, and io.ErrUnexpectedEOF if it ended within an event.
+// Next returns the next complete event. The event before the last one mustn't be used any
+// longer. The error is io.EOF if the stream ended between two events, and io.ErrUnexpectedEOF
+// if it ended within an event.
 func (r *Reader) Next() (*Event, error) {
+	r.holds[0], r.holds[1] = r.holds[1], r.holds[0]
+	r.holds[0].Release()
 	e := &Event{}
 	for {
 		line, err := r.reader.ReadSlice('\n')
+		if !r.hold(len(e.Raw) + len(line)) {
+			return nil, ErrNoRoom
+		}
 		e.Raw = append(e.Raw, line...)
+		if len(e.Raw) > maxEventBytes {
+			return nil, ErrTooLong
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
-			if len(e.Raw) > maxEventBytes {
-				return nil, ErrTooLong
-			}
 			continue
 		}
 		if err != nil {
 			return nil, readError(err, e.Raw)
 		}
-		if len(e.Raw) > maxEventBytes {
-			return nil, ErrTooLong
-		}
 		last := lastLine(e.Raw)
 		if len(last) == 0 {
 			return e, nil
@@ -64,6 +83,11 @@
 	}
 }
 
+// hold takes room for an event of a length. Its slice grows by doubling.
+func (r *Reader) hold(length int) bool {
+	return length <= bufferBytes || r.holds[0].Grow(2*int64(length))
+}
+
 // readError replaces io.EOF by io.ErrUnexpectedEOF within an event.
 func readError(err error, partial []byte) error {
 	if err == io.EOF && len(partial) > 0 {
--- a/router/exchange/conn.go
+++ b/router/exchange/conn.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"cuminrock.example/fleet/intake"
 	"cuminrock.example/router/responseconn"
 )
 
@@ -24,8 +25,8 @@
 	idleLimit time.Duration
 }
 
-func newConn(raw net.Conn) *conn {
-	c := responseconn.New(raw)
+func newConn(raw net.Conn, room intake.AnswerRoom) *conn {
+	c := responseconn.New(raw, room)
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}
 }
 
--- a/router/exchange/pool.go
+++ b/router/exchange/pool.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"cuminrock.example/fleet/intake"
 )
 
 const (
@@ -37,6 +39,8 @@
 	// OnConnect, if set, is told the result of each attempt to connect, and when the
 	// attempt began. It must not block.
 	OnConnect func(address string, began time.Time, err error)
+	// Room bounds what the long heads of responses occupy; nil for no bound.
+	Room intake.AnswerRoom
 
 	now func() time.Time
 
@@ -86,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw), nil
+	return newConn(raw, p.Room), nil
 }
 
 // connect makes a new connection.
@@ -125,6 +129,7 @@
 // closes the connection if it may not be kept.
 func (p *Pool) put(address string, c *conn, idleLimit time.Duration) {
 	c.used = true
+	c.ExpectHead() // the last head isn't used any longer
 	c.idleSince = p.now()
 	c.idleLimit = idleLimit
 	p.mu.Lock()
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -176,6 +176,7 @@
 		Limits: callerbuffer.LimitsFor(int64(settings.MemoryMib) << 20), Registry: g.registry, Log: log, Now: time.Now,
 	})
 	g.intake = newIntakes(g, limits)
+	p.Conns.Room = g.intake.callers
 	g.egress = egress.NewMeter(settings.LinkMbps)
 	g.forward = newForwarder(g)
 	g.budgets = g.newBudgets(incarnation, openedAt)
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"io"
+
+	"cuminrock.example/fleet/intake"
 )
 
 const (
@@ -22,29 +24,21 @@
 	errNoAnswerRoom = errors.New("there is no room for the whole response")
 )
 
-// AnswerRoom bounds what complete responses occupy before they are forwarded.
-type AnswerRoom interface {
-	// TakeAnswer takes bytes, and reports whether there were enough.
-	TakeAnswer(bytes int64) bool
-	// ReturnAnswer gives bytes back.
-	ReturnAnswer(bytes int64)
-}
-
 // wholeAnswer is the body of a response that is read before it is forwarded.
 type wholeAnswer struct {
-	room AnswerRoom
-	// blocks are the bytes read, in all read; taken are the bytes of room.
-	blocks      [][]byte
-	read, taken int64
+	hold intake.Hold
+	// blocks are the bytes read, in all read; allocated are those of the blocks.
+	blocks          [][]byte
+	read, allocated int64
 }
 
 // readFrom reads the body to its end. After errNoAnswerRoom the rest can still be read.
 func (w *wholeAnswer) readFrom(r io.Reader) error {
 	for size := firstAnswerBlock; ; size = min(size*answerBlockGrowth, answerBlock) {
-		if w.room != nil && !w.room.TakeAnswer(int64(size)) {
+		if !w.hold.Grow(w.allocated + int64(size)) {
 			return errNoAnswerRoom
 		}
-		w.taken += int64(size)
+		w.allocated += int64(size)
 		n, err := w.readBlock(r, size)
 		w.read += int64(n)
 		switch {
@@ -58,6 +52,11 @@
 	}
 }
 
+// newAnswer returns the body of a response to be read.
+func (r *Relay) newAnswer() *wholeAnswer {
+	return &wholeAnswer{hold: intake.Hold{Room: r.AnswerRoom}}
+}
+
 // readBlock reads a block; it is shorter only if there is an error.
 func (w *wholeAnswer) readBlock(r io.Reader, size int) (n int, err error) {
 	block := make([]byte, size)
@@ -74,8 +73,6 @@
 
 // release gives the room back.
 func (w *wholeAnswer) release() {
-	if w.room != nil {
-		w.room.ReturnAnswer(w.taken)
-	}
-	w.blocks, w.taken = nil, 0
+	w.hold.Release()
+	w.blocks, w.allocated = nil, 0
 }
--- a/router/relay/answer_test.go
+++ b/router/relay/answer_test.go
@@ -71,3 +71,17 @@
 	is.True(out.body == long)
 	is.Equal(len(up.sends), 2)
 }
+
+// Guards against bodies without end that are read before a retry: they are never passed on. What
+// is passed on comes out of the room, also where a stream was asked for.
+func TestBodyThatIsNotPassedOnIsNotRead(t *testing.T) {
+	for _, kind := range []catalog.Kind{catalog.Stream, catalog.Idempotent} {
+		is := is.New(t)
+		out, up := serveWithin(t, 0, &catalog.Route{Kind: kind, Resumable: true, MaxAttempts: 2},
+			outcome{status: 500, body: long, truncated: true}, outcome{status: 500, body: long})
+		is.Equal(len(up.sends), 2)
+		is.Equal(out.status, 500)
+		is.True(out.body == long) // of the second target, as it was read
+		is.True(out.finished)
+	}
+}
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -84,14 +84,14 @@
 	if request.Repeatable {
 		request.OnUnacknowledged = a.reportUnacknowledged
 	}
-	go a.run(ctx, p.relay.Upstream, request, p.route.Kind == catalog.Stream)
+	go a.run(ctx, p.relay, request, p.route.Kind == catalog.Stream)
 	return a
 }
 
 // run delivers the steps of the attempt.
-func (a *attempt) run(ctx context.Context, upstream Upstream, request *UpstreamRequest, stream bool) {
+func (a *attempt) run(ctx context.Context, r *Relay, request *UpstreamRequest, stream bool) {
 	recovered := panics.Try(func() {
-		response, err := upstream.Send(ctx, request)
+		response, err := r.Upstream.Send(ctx, request)
 		if !a.deliver(step{response: response, err: err}) {
 			if err == nil {
 				response.Close()
@@ -99,7 +99,7 @@
 			return
 		}
 		if err == nil && stream && response.Status() == http.StatusOK {
-			a.readEvents(response)
+			a.readEvents(eventstream.NewReader(response, r.AnswerRoom))
 		}
 	})
 	if recovered != nil {
@@ -108,8 +108,8 @@
 }
 
 // readEvents delivers the events of the response up to the error that ends it.
-func (a *attempt) readEvents(response UpstreamResponse) {
-	events := eventstream.NewReader(response)
+func (a *attempt) readEvents(events *eventstream.Reader) {
+	defer events.Release()
 	for {
 		event, err := events.Next()
 		if !a.deliver(step{event: event, err: err}) || err != nil {
--- a/router/relay/buffered.go
+++ b/router/relay/buffered.go
@@ -32,29 +32,37 @@
 	if failure != nil {
 		return failure
 	}
-	answer := &wholeAnswer{room: p.relay.AnswerRoom}
+	status := a.response.Status()
+	result := resultOf(status)
+	if result == placement.Failed && p.mayRetryStatus(ctx, status) {
+		// The body, which may have no end, isn't read: it won't be passed on.
+		a.finish(p, result)
+		return p.tryBuffered(ctx)
+	}
+	return p.passOnWhole(ctx, a, result)
+}
+
+// passOnWhole passes on a response that ends the request, whole or, where there is no room for
+// it, as it is read.
+func (p *proxiedRequest) passOnWhole(ctx context.Context, a *attempt, result placement.Result) *errkind.Error {
+	answer := p.relay.newAnswer()
 	defer answer.release()
 	err := answer.readFrom(a.response)
-	noRoom := errors.Is(err, errNoAnswerRoom)
-	if err != nil && !noRoom {
+	if errors.Is(err, errNoAnswerRoom) {
+		p.forwardUnbuffered(ctx, a, answer, result)
+		return nil
+	}
+	if err != nil {
 		p.recordBreak(ctx, a, err)
 		a.finish(p, AttemptResult(ctx, err))
 		return p.truncatedError(ctx, err)
 	}
 	status, header := a.response.Status(), a.response.Header()
-	result := resultOf(status)
-	if noRoom && (result == placement.OK || !p.mayRetryStatus(ctx, status)) {
-		p.forwardUnbuffered(ctx, a, answer)
-		return nil
-	}
 	if result == placement.OK {
 		p.recordComplete(a)
 		p.recordFirstEvent(a, p.relay.Now())
 	}
 	a.finish(p, result)
-	if noRoom || result == placement.Failed && p.mayRetryStatus(ctx, status) {
-		return p.tryBuffered(ctx)
-	}
 	p.writeBuffered(status, header, answer)
 	return nil
 }
@@ -101,7 +109,7 @@
 
 // forwardUnbuffered forwards a response whose begin has been read, block by block at the
 // caller's pace. If it breaks off, the caller sees that it is incomplete.
-func (p *proxiedRequest) forwardUnbuffered(ctx context.Context, a *attempt, answer *wholeAnswer) {
+func (p *proxiedRequest) forwardUnbuffered(ctx context.Context, a *attempt, answer *wholeAnswer, result placement.Result) {
 	p.relay.Metrics.Unbuffered.Inc()
 	p.status = a.response.Status()
 	p.firstByte = p.relay.Now().Sub(p.Arrived)
@@ -118,7 +126,7 @@
 	case err == nil:
 		p.outcome = outcomeAnswered
 		p.recordComplete(a)
-		a.finish(p, resultOf(p.status))
+		a.finish(p, result)
 		p.writer.Finish()
 		return
 	case errors.Is(err, errTargetBroke):
--- a/router/relay/options.go
+++ b/router/relay/options.go
@@ -10,6 +10,7 @@
 	"cuminrock.example/fleet/catalog"
 	"cuminrock.example/fleet/egress"
 	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/intake"
 	"cuminrock.example/fleet/placement"
 	"cuminrock.example/fleet/quarantine"
 	"cuminrock.example/fleet/retry"
@@ -30,8 +31,8 @@
 	Crashes  CrashGuard
 	Origins  StreamOrigins
 	Limits   TargetLimits
-	// AnswerRoom bounds complete responses; nil for no bound.
-	AnswerRoom AnswerRoom
+	// AnswerRoom bounds what responses occupy before they are passed on; nil for no bound.
+	AnswerRoom intake.AnswerRoom
 	// Admission holds back and refuses requests that compete for slots; nil for none.
 	Admission Admission
 	// Overloaded reports whether this router has more work than processor time or
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -173,25 +173,19 @@
 	return nil
 }
 
-// handleNonOK handles a response with another status than 200, which isn't a stream.
-// A server error is retried where allowed.
+// handleNonOK handles a response with another status than 200, which isn't a stream. A server
+// error is retried where allowed. A response that won't be passed on isn't read: its body may
+// have no end.
 func (p *proxiedRequest) handleNonOK(ctx context.Context, a *attempt, lastEventID *string) *errkind.Error {
-	answer := &wholeAnswer{}
-	err := answer.readFrom(a.response)
 	status := a.response.Status()
-	if err != nil {
-		a.finish(p, AttemptResult(ctx, err))
-		return p.truncatedError(ctx, err)
-	}
-	header := a.response.Header()
-	a.finish(p, placement.Failed)
 	failure := errkind.New(errkind.TargetFailed, "the target answered %d", status)
 	if p.status != 0 {
+		a.finish(p, placement.Failed)
 		return failure
 	}
 	if status >= http.StatusInternalServerError && p.mayRetry(ctx, failure) {
+		a.finish(p, placement.Failed)
 		return p.tryStream(ctx, lastEventID)
 	}
-	p.writeBuffered(status, header, answer)
-	return nil
+	return p.passOnWhole(ctx, a, placement.Failed)
 }
--- a/router/responseconn/conn.go
+++ b/router/responseconn/conn.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"cuminrock.example/fleet/intake"
 )
 
 // Conn is a client's connection to a server. It carries one request at a time; the request may
@@ -34,18 +36,34 @@
 	ready    int
 	interim  bool
 
+	// hold is what the last head holds.
+	hold intake.Hold
+
 	// writing is held during a write.
 	writing sync.Mutex
 	// lost is the error of the write that found out that the connection is lost.
 	lost error
 }
 
-// New wraps a connection. A head is expected first.
-func New(c net.Conn) *Conn { return &Conn{Conn: c} }
+// New wraps a connection. A head is expected first. Long heads come out of the room, which is
+// nil for no further bound.
+func New(c net.Conn, room intake.AnswerRoom) *Conn {
+	return &Conn{Conn: c, hold: intake.Hold{Room: room}}
+}
 
 // ExpectHead tells that a request will be written next, so that what is received then begins
-// with a head. It may be called during a Read that waits for the first bytes.
-func (c *Conn) ExpectHead() { c.inBody.Store(false) }
+// with a head; the last one isn't used any longer. It may be called during a Read that waits for
+// the first bytes.
+func (c *Conn) ExpectHead() {
+	c.hold.Release()
+	c.inBody.Store(false)
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.hold.Release()
+	return c.Conn.Close()
+}
 
 // Unread gives bytes back that were read after the end of a response. It must not be called
 // during a Read.
@@ -93,7 +111,7 @@
 		if n == 0 || c.inBody.Load() {
 			return n, err
 		}
-		complete, err := c.head.scan(p[:n])
+		complete, err := c.scan(p[:n])
 		if err != nil {
 			return 0, err
 		}
@@ -119,7 +137,7 @@
 // completeHead receives more until bytes may be returned, in pieces that fit into a buffer.
 func (c *Conn) completeHead(buffer []byte) error {
 	for c.ready == 0 {
-		complete, err := c.head.scan(c.received)
+		complete, err := c.scan(c.received)
 		switch {
 		case err != nil:
 			return err
@@ -143,6 +161,15 @@
 	return nil
 }
 
+// scan checks further lines of a head, and takes room for it.
+func (c *Conn) scan(text []byte) (complete bool, err error) {
+	complete, err = c.head.scan(text)
+	if err == nil && !c.hold.Grow(c.head.cost(len(text))) {
+		return false, errNoHeadRoom
+	}
+	return complete, err
+}
+
 // endHead ends the check of a head: a body follows.
 func (c *Conn) endHead() {
 	c.head, c.interim = head{}, false
--- a/router/responseconn/conn_test.go
+++ b/router/responseconn/conn_test.go
@@ -30,7 +30,7 @@
 	is.NoErr(err)
 	t.Cleanup(func() { _ = raw.Close(); _ = accepted.Close() })
 	go serve(accepted.(*net.TCPConn))
-	return New(raw)
+	return New(raw, nil)
 }
 
 func reset(c *net.TCPConn) {
--- a/router/responseconn/head.go
+++ b/router/responseconn/head.go
@@ -10,8 +10,15 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// maxHeadBytes bounds the head of a response.
-const maxHeadBytes = 64 << 10
+const (
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
+	// headCopies is how often the bytes of a head stand in memory, and lineBytes what each of
+	// its lines costs beyond them.
+	headCopies, lineBytes = 4, 256
+	// freeHeadBytes and freeLines are the bytes and lines of a head that cost nothing.
+	freeHeadBytes, freeLines = 4 << 10, 64
+)
 
 // ErrNoResponse means that a server sent something that isn't a response by HTTP/1 (RFC 9110
 // and RFC 9112).
@@ -20,6 +27,9 @@
 // errHeadTooLong means that the head of a response exceeds maxHeadBytes.
 var errHeadTooLong = fmt.Errorf("%w: its head is longer than %d bytes", ErrNoResponse, maxHeadBytes)
 
+// errNoHeadRoom means that there is no room for a long head.
+var errNoHeadRoom = fmt.Errorf("%w: there is no room for its long head", ErrNoResponse)
+
 func malformed(what string, line []byte) error {
 	const quoted = 80
 	return fmt.Errorf("%w: %s: %q", ErrNoResponse, what, line[:min(len(line), quoted)])
@@ -75,6 +85,11 @@
 	return false, nil
 }
 
+// cost returns the room that a head takes of which a number of bytes was received.
+func (h *head) cost(received int) int64 {
+	return int64(max(received-freeHeadBytes, 0)*headCopies + max(h.lines-freeLines, 0)*lineBytes)
+}
+
 // statusLine checks the first line: HTTP/1.x, a blank, three digits, and perhaps a blank and a
 // reason.
 func (h *head) statusLine(line []byte) error {
--- a/router/responseconn/head_test.go
+++ b/router/responseconn/head_test.go
@@ -24,7 +24,7 @@
 		}
 		_ = server.Close()
 	}()
-	return New(client)
+	return New(client, nil)
 }
 
 const soundHead = "HTTP/1.1 200 OK\r\nX-Some: text\r\nContent-Length: 4\r\n\r\n"
@@ -162,3 +162,41 @@
 		}
 	})
 }
+
+// room has space for a number of bytes.
+type room struct{ left int64 }
+
+func (r *room) TakeAnswer(bytes int64) bool {
+	if bytes > r.left {
+		return false
+	}
+	r.left -= bytes
+	return true
+}
+
+func (r *room) ReturnAnswer(bytes int64) { r.left += bytes }
+
+// Guards against long heads that are kept beyond the room for them.
+func TestLongHeadsComeOutOfTheRoom(t *testing.T) {
+	for _, line := range []string{"X-Some: " + strings.Repeat("x", 100) + "\r\n", "a:\r\n"} {
+		is := is.New(t)
+		text := "HTTP/1.1 200 OK\r\n" + strings.Repeat(line, maxHeadBytes/2/len(line)) + "\r\n"
+		space := &room{left: 16 << 20}
+		conn := sendPieces(t, cut(text, 1000)...)
+		conn.hold.Room = space
+		got, err := io.ReadAll(conn)
+		is.NoErr(err)
+		is.Equal(string(got), text)
+		is.True(16<<20-space.left >= int64(2*len(text)))
+		conn.ExpectHead()
+		is.Equal(space.left, int64(16<<20))
+
+		space.left = 50 << 10
+		conn = sendPieces(t, cut(text, 1000)...)
+		conn.hold.Room = space
+		_, err = io.ReadAll(conn)
+		is.Equal(err, errNoHeadRoom)
+		_ = conn.Close()
+		is.Equal(space.left, int64(50<<10))
+	}
+}
--- a/router/responseconn/transport.go
+++ b/router/responseconn/transport.go
@@ -23,7 +23,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return New(c), nil
+		return New(c, nil), nil
 	}
 	return &Transport{Transport: t}
 }
--- a/router/target/conn.go
+++ b/router/target/conn.go
@@ -78,5 +78,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: responseconn.New(c)}, nil
+	return &conn{Conn: responseconn.New(c, nil)}, nil
 }
--- a/router/target/conn_test.go
+++ b/router/target/conn_test.go
@@ -17,7 +17,7 @@
 	is := is.New(t)
 	near, far := net.Pipe()
 	go func() { _, _ = far.Read(make([]byte, 8)) }()
-	c := &conn{Conn: responseconn.New(near)}
+	c := &conn{Conn: responseconn.New(near, nil)}
 	e := &exchange{}
 	c.attach(e)
 	is.True(e.abort())
@@ -29,7 +29,7 @@
 	is := is.New(t)
 	near, far := net.Pipe()
 	go func() { _, _ = far.Read(make([]byte, 8)) }()
-	c := &conn{Conn: responseconn.New(near)}
+	c := &conn{Conn: responseconn.New(near, nil)}
 	e := &exchange{}
 	c.attach(e)
 	_, err := c.Write([]byte("first"))
