A stopping gateway sends no late request that it could cut

Callers saw: requests that came late in the grace of a planned stop were passed on and cut at its end, without an answer (LOST); among them requests that run at most once.

Cause: until its end a stopping gateway sent whatever it had read: on kept connections whose earlier answer ended late, and from heads and bodies that came slowly. At the end it closed the connections.

What was sent before that and is still running at the end is given up, and its caller gets an answer that promises nothing (502) where none has begun, not a closed connection.

Measured, code before: TestRequestLateInTheGraceIsNotCut: all 27 late requests that take long ran and were cut; the short ones were served. After: the test passes, in each case of heads, bodies and kept connections. TestRequestThatOutlastsTheGraceIsAnswered: EOF before, 502 after. Planted and seen to fail: never too late, requests not aborted, requests that waited not checked again.

--- a/router/gateway/assemble.go
+++ b/router/gateway/assemble.go
@@ -30,6 +30,7 @@
 		Origins:             g.origins,
 		Limits:              g.limits,
 		Overloaded:          g.overloaded,
+		TooLate:             g.tooLate,
 		ProcessorOverloaded: g.lag.Overloaded,
 		Egress:              g.egress,
 		Metrics:             relay.NewMetrics(g.registry),
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -145,9 +145,13 @@
 	metricsServer   *http.Server
 
 	shuttingDown atomic.Bool
-	hasTarget    atomic.Bool
-	wg           conc.WaitGroup
-	cancelWork   context.CancelFunc
+	// stopPlan is nil until the gateway stops.
+	stopPlan atomic.Pointer[stopPlan]
+	// cancelRequests ends the requests of callers.
+	cancelRequests context.CancelFunc
+	hasTarget      atomic.Bool
+	wg             conc.WaitGroup
+	cancelWork     context.CancelFunc
 }
 
 // Start opens the listeners, starts the servers and watches the store.
--- a/router/gateway/servers.go
+++ b/router/gateway/servers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -14,6 +15,8 @@
 
 // startServers serves on the listeners.
 func (g *Gateway) startServers(l *listeners) {
+	requests, cancel := context.WithCancel(context.Background())
+	g.cancelRequests = cancel
 	g.callerServer = &http.Server{
 		Handler:           g.platform.NewHandler(g),
 		ReadHeaderTimeout: headerTimeout,
@@ -21,6 +24,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          zap.NewStdLog(g.log),
 		ConnState:         g.onStateChange,
+		BaseContext:       func(net.Listener) context.Context { return requests },
 		ConnContext:       callerConnContext,
 	}
 	g.callerListener = l.caller
--- a/router/gateway/stop.go
+++ b/router/gateway/stop.go
@@ -10,26 +10,17 @@
 	"cuminrock.example/router/wait"
 )
 
-const (
-	// balancerDelay is how long new connections are still accepted after the
-	// gateway reports that it isn't ready, until the load balancer has noticed.
-	balancerDelay = 3 * time.Second
-	// stopMargin is the part of the time limit that is left unused.
-	stopMargin = 400 * time.Millisecond
-	// tokenReturnTime is the part of the time limit reserved for returning tokens.
-	tokenReturnTime = 600 * time.Millisecond
-)
-
 // Stop shuts the gateway down: it reports that it isn't ready, still serves requests
 // but closes their connections after the response, stops the servers once no request
-// is in progress, and returns its tokens. It finishes within the time limit of the
-// settings; the error says what couldn't be completed.
+// is in progress, and returns its tokens. Late requests that could outlast it are refused. It
+// finishes within the time limit of the settings; the error says what couldn't be completed.
 func (g *Gateway) Stop() error {
 	startedAt := time.Now()
-	limit := startedAt.Add(time.Duration(g.settings.Times.StopS*float64(time.Second)) - stopMargin)
+	plan := newStopPlan(startedAt, time.Duration(g.settings.Times.StopS*float64(time.Second)))
+	g.stopPlan.Store(&plan)
 	g.shuttingDown.Store(true)
 	g.log.Info("gateway: stopping.", zap.Int64("in_progress", g.relay.Active()))
-	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	ctx, cancel := context.WithDeadline(context.Background(), plan.limit)
 	defer cancel()
 	g.admission.Stop()
 	g.forward.server.RefuseNew()
@@ -37,10 +28,10 @@
 		g.peers.server.RefuseNew()
 		g.peers.registrar.deregister(ctx)
 	}
-	wait.For(ctx, balancerDelay)
-	err := g.shutDownCallerServer(limit.Add(-tokenReturnTime))
-	err = errors.Join(err, g.drainForwarded(limit.Add(-tokenReturnTime)))
-	err = errors.Join(err, g.drainPeers(limit.Add(-tokenReturnTime/2)))
+	wait.For(ctx, time.Until(plan.closing))
+	err := g.shutDownCallerServer(plan.requests)
+	err = errors.Join(err, g.drainForwarded(plan.requests))
+	err = errors.Join(err, g.drainPeers(plan.tokens))
 	err = errors.Join(err, g.budgets.Close(ctx))
 	g.cancelWork()
 	if g.peers != nil {
@@ -82,7 +73,8 @@
 }
 
 // shutDownCallerServer stops accepting callers' connections and waits for requests in
-// progress, and for what is buffered for callers that read slowly, until the time limit.
+// progress, and for what is buffered for callers that read slowly, until the time limit. Requests
+// in progress then are aborted: the callers of those whose answers haven't begun get an answer.
 func (g *Gateway) shutDownCallerServer(limit time.Time) error {
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
@@ -93,11 +85,20 @@
 	}
 	if err != nil {
 		g.log.Warn("gateway: aborting requests in progress; the time limit for stopping has passed.", zap.Int64("in_progress", g.relay.Active()))
+		g.abortRequests()
 		_ = g.callerServer.Close()
 	}
 	return errors.Join(err, g.drainCallerBuffers(ctx))
 }
 
+// abortRequests ends the requests in progress, and waits a moment until they have.
+func (g *Gateway) abortRequests() {
+	g.cancelRequests()
+	ctx, cancel := context.WithTimeout(context.Background(), abortTime)
+	defer cancel()
+	_ = g.intake.callers.Drain(ctx)
+}
+
 // drainCallerBuffers waits until callers have taken what is buffered for them, or drops it
 // when ctx ends.
 func (g *Gateway) drainCallerBuffers(ctx context.Context) error {
--- a/router/relay/options.go
+++ b/router/relay/options.go
@@ -20,7 +20,7 @@
 	"cuminrock.example/router/prepaid"
 )
 
-// Options configures a Relay. All fields but AnswerRoom and Admission are required.
+// Options configures a Relay. All fields but AnswerRoom, TooLate and Admission are required.
 type Options struct {
 	// Catalog returns the configuration in force; nil before there is one.
 	Catalog  func() *catalog.Catalog
@@ -41,6 +41,9 @@
 	Overloaded func(urgent bool) bool
 	// ProcessorOverloaded reports the same of the processor time alone.
 	ProcessorOverloaded func(urgent bool) bool
+	// TooLate reports whether this router stops before a request with a deadline must have been
+	// answered, so that it mustn't be sent to a target; nil for never.
+	TooLate func(deadline time.Time) bool
 	// Egress is told the bytes that are sent to targets and callers.
 	Egress  *egress.Meter
 	Metrics *Metrics
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -49,6 +49,9 @@
 	// overloadedRetryAfter is the Retry-After while this router is overloaded. It is
 	// short, since the next try reaches another router.
 	overloadedRetryAfter = 50 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After while this router stops: the next try reaches
+	// another one.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// notReadyRetryAfter is the Retry-After before a configuration is loaded, or
 	// when it lacks the route's service.
 	notReadyRetryAfter = time.Second
@@ -181,9 +184,21 @@
 		return nil, errkind.New(errkind.NoTarget, "the configuration lacks the route's service").WithRetryAfter(notReadyRetryAfter)
 	}
 	a.deadline = req.Arrived.Add(a.timeout())
+	err := r.refuseLate(a.deadline)
+	if err != nil {
+		return nil, err
+	}
 	return a, nil
 }
 
+// refuseLate refuses a request that this router, which is stopping, could cut.
+func (r *Relay) refuseLate(deadline time.Time) *errkind.Error {
+	if r.TooLate == nil || !r.TooLate(deadline) {
+		return nil
+	}
+	return errkind.New(errkind.Draining, "this router stops before the request must have been answered").WithRetryAfter(stoppingRetryAfter)
+}
+
 // overloaded reports whether this router can't take on the request.
 func (r *Relay) overloaded(a *admittedRequest) bool {
 	if a.LongBody {
--- a/router/relay/send.go
+++ b/router/relay/send.go
@@ -39,6 +39,9 @@
 	var avoid func(placement.Target) bool
 	for denied := 0; ; denied++ {
 		refusal := p.refuseHarmful()
+		if refusal == nil && !p.mayHaveRun {
+			refusal = p.relay.refuseLate(p.deadline) // it has waited, or was sent in vain
+		}
 		if refusal != nil {
 			return nil, refusal
 		}
