--- a/fleet/intake/answers.go
+++ b/fleet/intake/answers.go
@@ -10,6 +10,33 @@
 	ReturnAnswer(bytes int64)
 }
 
+// FixedRoom is an AnswerRoom of a number of bytes. It is safe for concurrent use.
+type FixedRoom struct {
+	mu   sync.Mutex
+	left int64
+}
+
+// NewFixedRoom returns a room of a number of bytes.
+func NewFixedRoom(bytes int64) *FixedRoom { return &FixedRoom{left: bytes} }
+
+// TakeAnswer implements AnswerRoom.
+func (r *FixedRoom) TakeAnswer(bytes int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if bytes > r.left {
+		return false
+	}
+	r.left -= bytes
+	return true
+}
+
+// ReturnAnswer implements AnswerRoom.
+func (r *FixedRoom) ReturnAnswer(bytes int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.left += bytes
+}
+
 // Hold is what one response holds of a room. It is safe for concurrent use.
 type Hold struct {
 	// Room is nil for no bound.
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -226,7 +226,9 @@
 		Seed:        randomSeed(),
 		MaxInFlight: int(routing.MaxInFlightPerTarget),
 	})
+	n.intakes = newIntakes(n)
 	n.targets = target.New(target.Options{
+		Room:             n.intakes.callers,
 		FirstByteTimeout: routing.FirstByteTimeout.AsDuration(),
 		TokenGapTimeout:  routing.TokenGapTimeout.AsDuration(),
 		ConnectionMaxAge: routing.ConnectionMaxAge.AsDuration(),
@@ -270,7 +272,6 @@
 		Handler: operators.Handler(), ReadHeaderTimeout: operatorReadTimeout, ReadTimeout: operatorReadTimeout,
 		MaxHeaderBytes: operatorHeaderBytes, ConnState: intake.ConnState,
 	}
-	n.intakes = newIntakes(n)
 	n.peerGRPC = peer.NewServer(n.membership, n.ledger, n.config, n.server)
 }
 
--- a/router/target/client.go
+++ b/router/target/client.go
@@ -11,6 +11,7 @@
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/intake"
 )
 
 // The defaults of Options.
@@ -39,6 +40,9 @@
 	ConnectionMaxAge time.Duration
 	// MaxResponseBytes is the largest body of a unary response. Default 4 MiB.
 	MaxResponseBytes int64
+	// Room bounds what all unary responses that are being read occupy, but for those of
+	// actions; nil for no bound.
+	Room intake.AnswerRoom
 	// Log is the package's logger. Default none.
 	Log *zap.Logger
 }
--- a/router/target/head_test.go
+++ b/router/target/head_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +15,8 @@
 
 	pb "cuminrock.example/api/gen/cuminrockpb"
 	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/intake"
+	"cuminrock.example/router/responseconn"
 )
 
 // brokenHeads are heads that are no answer by HTTP, with what follows them.
@@ -90,3 +94,21 @@
 	_, err := client.Load(context.Background(), serveRaw(t, text, func(c *net.TCPConn) { _ = c.Close() }), time.Second)
 	is.True(err != nil)
 }
+
+// Guards against responses that are kept beyond the room for them. The response to an action is
+// kept whatever room there is.
+func TestResponsesComeOutOfTheRoom(t *testing.T) {
+	is := is.New(t)
+	const size, roomBytes = 1 << 20, 256 << 10
+	room := intake.NewFixedRoom(roomBytes)
+	client := New(Options{Room: room})
+	defer client.Close()
+	text := "HTTP/1.1 200 OK\r\nCuminrock-Request-Id: r\r\nConnection: close\r\n\r\n" + strings.Repeat("x", size)
+	call := Call{Target: serveRaw(t, text, func(c *net.TCPConn) { _ = c.Close() }), RequestID: "r", Path: "/find", NewConnection: true}
+	_, err := client.Do(context.Background(), call)
+	is.True(errors.Is(err, responseconn.ErrNoBodyRoom))
+	is.True(room.TakeAnswer(roomBytes)) // all was given back
+	resp, err := client.Action(context.Background(), call)
+	is.NoErr(err)
+	is.Equal(len(resp.Body), size)
+}
--- a/router/target/open.go
+++ b/router/target/open.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"cuminrock.example/fleet/errkind"
+	"cuminrock.example/fleet/intake"
+	"cuminrock.example/router/responseconn"
 )
 
 // The headers of the target protocol.
@@ -171,13 +173,16 @@
 
 // readResponse reads a unary response.
 func (c *pendingCall) readResponse() (*Response, error) {
-	body, err := io.ReadAll(io.LimitReader(bodyReader{c}, c.client.opts.MaxResponseBytes+1))
+	var hold intake.Hold
+	if c.route.hasTimeouts {
+		// The response to an action is kept whatever room there is: there won't be another one.
+		hold.Room = c.client.opts.Room
+	}
+	defer hold.Release()
+	body, err := responseconn.ReadBody(bodyReader{c}, c.client.opts.MaxResponseBytes, &hold)
 	if err != nil {
 		return nil, c.fail(err)
 	}
-	if int64(len(body)) > c.client.opts.MaxResponseBytes {
-		return nil, c.fail(errResponseTooLong)
-	}
 	resp := &Response{Status: c.resp.StatusCode, ContentType: c.resp.Header.Get("Content-Type"), Body: body}
 	resp.Usage, err = parseUsage(resp, c.call.RequestID)
 	if err != nil {
