--- a/router/relay/proxied_request.go
+++ b/router/relay/proxied_request.go
@@ -98,7 +98,7 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return errkind.Wrap(errkind.DeadlineInRun, cause, "the deadline passed before the response was complete")
 	}
-	return errkind.Wrap(errkind.TargetFailed, cause, "the caller disconnected")
+	return errkind.Wrap(errkind.TargetFailed, cause, "the caller disconnected, or this router gave the request up at its stop")
 }
 
 // mayRetry reports whether the request may be sent again after a failure: only
