--- a/review/standins-3/restartedversion.go
+++ b/review/standins-3/restartedversion.go
@@ -16,6 +16,8 @@
  "tenants":[{"name":"w","apiKeys":["key-w"],"prepaid":100000000}]}`
 
 const (
+	// versionGateways and versionRunners are the size of the fleet; one of each is disturbed.
+	versionGateways, versionRunners = 3, 6
 	// storeDenialTime is how long the store turns one machine away: that of the site's
 	// platform_down with "nodes".
 	storeDenialTime = 9 * time.Second
@@ -25,6 +27,9 @@
 	maxMixedStreams = 2
 )
 
+// versionZone returns the zone of the i-th gateway or runner: each has one gateway and two runners.
+func versionZone(i int) string { return fmt.Sprintf("z%d", i%versionGateways+1) }
+
 // streamResult is what a client got of one stream over its tries.
 type streamResult struct {
 	first  string
@@ -77,7 +82,7 @@
 // driveRestartedVersion lets a target crash and come back under its id with newer software
 // while the store turns one gateway away. Later the target crashes once more.
 func driveRestartedVersion(f *fleet, opts caseOptions) (string, error) {
-	err := f.startStore(2)
+	err := f.startStore(versionGateways)
 	if err != nil {
 		return "", err
 	}
@@ -85,14 +90,14 @@
 	if err != nil {
 		return "", err
 	}
-	for _, id := range []string{"i-1", "i-2"} {
-		err = f.startRunner(id, "z1", "v1")
+	for i := range versionRunners {
+		err = f.startRunner(fmt.Sprintf("i-%d", i+1), versionZone(i), "v1")
 		if err != nil {
 			return "", err
 		}
 	}
-	for range 2 {
-		_, err = f.startGateway("z1")
+	for i := range versionGateways {
+		_, err = f.startGateway(versionZone(i))
 		if err != nil {
 			return "", err
 		}
@@ -111,7 +116,7 @@
 	}
 	for _, g := range f.gateways {
 		loop(g, shortEvents, 125*time.Millisecond)
-		loop(g, longEvents, 400*time.Millisecond)
+		loop(g, longEvents, 150*time.Millisecond)
 	}
 	if opts.trouble {
 		time.Sleep(4 * time.Second)
