review/11: after a drill, streams of tenants without a row in the copy are lost

What callers see: tenants that began to use a gateway in the last seconds before the copy was made are refused there for good. When another gateway is killed, none of 90 to 96 of their streams can be taken up, while all new ones of another tenant begin; with the kill alone 96 of 96 go on.

--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -41,7 +41,9 @@
 	body      string
 	// whole is set if the answer is complete by its own framing.
 	whole bool
-	err   error
+	// retryAfter is the time that a refusal names.
+	retryAfter time.Duration
+	err        error
 }
 
 // event is one event of a stream.
@@ -95,7 +97,8 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
-	return answer{status: resp.StatusCode, signature: resp.Header.Get("X-Response-Signature"), body: string(data), whole: err == nil, err: err}
+	seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	return answer{retryAfter: time.Duration(seconds * float64(time.Second)), status: resp.StatusCode, signature: resp.Header.Get("X-Response-Signature"), body: string(data), whole: err == nil, err: err}
 }
 
 // parseEvents returns the whole events of a body.
--- a/review/standins-3/drive.go
+++ b/review/standins-3/drive.go
@@ -10,14 +10,23 @@
 
 // caseOptions are those of a run of a case.
 type caseOptions struct {
-	// trouble is false if the disruption is left out.
+	// trouble is false if all disruptions are left out.
 	trouble bool
+	// drill is false if a drill of the store is left out.
+	drill bool
+}
+
+// optionsFrom returns the options for a value of TROUBLE: 0 leaves out all disruptions, "nodrill" the
+// drill only.
+func optionsFrom(trouble string) caseOptions {
+	return caseOptions{trouble: trouble != "0", drill: trouble != "0" && trouble != "nodrill"}
 }
 
 // cases are the cases by name. Each returns what broke the rule, empty if it held, or an error
 // if the case couldn't run.
 var cases = map[string]func(f *fleet, o caseOptions) (broken string, err error){
 	"restarted-version": driveRestartedVersion,
+	"lost-row":          driveLostRow,
 	"uploads":           driveUploads,
 }
 
@@ -62,7 +71,7 @@
 		f.stop()
 		os.Exit(exitCannotRun)
 	})
-	broken, err := drive(f, caseOptions{trouble: os.Getenv("TROUBLE") != "0"})
+	broken, err := drive(f, optionsFrom(os.Getenv("TROUBLE")))
 	f.appendRunners()
 	switch {
 	case err != nil:
--- a/review/standins-3/store.go
+++ b/review/standins-3/store.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -15,6 +16,14 @@
 	"time"
 )
 
+// copyOf is a copy of the store as of a time.
+type copyOf struct {
+	at      time.Time
+	rows    map[rowID]storeRow
+	version uint64
+	history []storeRow
+}
+
 // storeRow is a row in its wire format.
 type storeRow struct {
 	Table   string `json:"table"`
@@ -49,10 +58,13 @@
 	denied  map[int]bool
 	// aliases replace addresses of targets by those of the gateway's links, in pairs.
 	aliases map[int][]string
+	copies  []copyOf
 }
 
 const (
 	transactionTime = 4 * time.Millisecond
+	copyInterval    = 100 * time.Millisecond
+	maxCopies       = 100
 	maxRowsInAnswer = 500
 )
 
@@ -65,6 +77,7 @@
 	gates := flags.Int("gates", 1, "number of listeners for gateways, each of which can be turned away")
 	_ = flags.Parse(args)
 	s := newStore()
+	go s.keepCopies()
 	var addresses []string
 	for gate := range *gates {
 		addresses = append(addresses, serveOn(s.handler(gate)))
@@ -139,6 +152,11 @@
 		s.denied[gate] = r.URL.Query().Get("on") == "1"
 		s.notify()
 	})
+	routes.HandleFunc("POST /drill", func(_ http.ResponseWriter, r *http.Request) {
+		age, _ := strconv.Atoi(r.URL.Query().Get("age_ms"))
+		away, _ := strconv.Atoi(r.URL.Query().Get("away_ms"))
+		s.drill(time.Duration(age)*time.Millisecond, time.Duration(away)*time.Millisecond)
+	})
 	routes.HandleFunc("POST /alias", func(_ http.ResponseWriter, r *http.Request) {
 		gate, _ := strconv.Atoi(r.URL.Query().Get("gate"))
 		s.mu.Lock()
@@ -148,6 +166,51 @@
 	return routes
 }
 
+// keepCopies keeps copies of the last seconds.
+func (s *store) keepCopies() {
+	for range time.Tick(copyInterval) {
+		s.mu.Lock()
+		s.copies = append(s.copies, copyOf{at: time.Now(), rows: maps.Clone(s.rows), version: s.version, history: s.history[:len(s.history):len(s.history)]})
+		if len(s.copies) > maxCopies {
+			s.copies = s.copies[1:]
+		}
+		s.mu.Unlock()
+	}
+}
+
+// drill makes the store go away for a moment and come back from a copy of some age. What the
+// operator and the targets wrote is written again, with new versions.
+func (s *store) drill(age, away time.Duration) {
+	s.mu.Lock()
+	s.away = true
+	s.notify()
+	at := time.Now().Add(-age)
+	last := s.copies[0]
+	for _, c := range s.copies {
+		if c.at.Before(at) {
+			last = c
+		}
+	}
+	s.mu.Unlock()
+	time.Sleep(away)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost := s.rows
+	s.rows, s.version, s.history, s.copies = maps.Clone(last.rows), last.version, slices.Clone(last.history), nil
+	s.era++
+	s.away = false
+	for _, row := range lost {
+		if row.Table != "op" && row.Table != "servers" {
+			continue
+		}
+		if string(s.rows[row.id()].Value) != string(row.Value) {
+			s.version++
+			s.write(row)
+		}
+	}
+	s.notify()
+}
+
 // write writes a row with the newest version. The lock is held.
 func (s *store) write(row storeRow) {
 	row.Version, row.Deleted = s.version, false
