review/12: a gateway that passes on for a zone that is cut off runs out of memory

What callers see: while the three machines of a zone are partitioned from all runners and clients upload there, the one machine that passes their requests on is killed for memory two or three times, and 17 to 60 small requests of its own clients that had run get no answer.

Cause: what a gateway passes on for others isn't counted in its budget for bodies, and offers don't tell their size.

--- a/review/standins-3/drive.go
+++ b/review/standins-3/drive.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(f *fleet, o caseOptions) (broken string, err error){
 	"restarted-version": driveRestartedVersion,
 	"lost-row":          driveLostRow,
+	"crowd":             driveCrowd,
 	"uploads":           driveUploads,
 }
 
--- a/review/standins-3/link.go
+++ b/review/standins-3/link.go
@@ -95,6 +95,12 @@
 	}
 }
 
+func (l *link) isCut() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut
+}
+
 // setCut cuts the link, or mends it.
 func (l *link) setCut(cut bool) error {
 	l.mu.Lock()
