review/15: named streams of a gateway cut off from the store can't be taken up

What callers see: a gateway is cut off from the store for 5.5 s and killed; none of 39 or 40 of its streams can be taken up at the other gateway, though all runners have one version and all new streams begin. With the kill alone 39 of 40 go on.

Cause: for a stream that its caller names, only the row of the gateway that began it is asked. Callers that name nothing go on, as the service had one version only (39 of 39 in a trial).

--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Exits with 1 if streams that are taken up go on less than half as often as new ones begin, with 0
+# if they don't, and with 2 if the case couldn't run. TROUBLE=0 leaves out the cut and the kill,
+# TROUBLE=nocut the cut only.
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." || exit 2
+exec timeout -k 2 115 target/standins3 drive origin -router target/cuminrock-router -record "$here/record.txt"
--- a/review/standins-3/drive.go
+++ b/review/standins-3/drive.go
@@ -14,12 +14,14 @@
 	trouble bool
 	// drill is false if a drill of the store is left out.
 	drill bool
+	// cut is false if a cut between a gateway and the store is left out.
+	cut bool
 }
 
 // optionsFrom returns the options for a value of TROUBLE: 0 leaves out all disruptions, "nodrill" the
-// drill only.
+// drill only, "nocut" the cut only.
 func optionsFrom(trouble string) caseOptions {
-	return caseOptions{trouble: trouble != "0", drill: trouble != "0" && trouble != "nodrill"}
+	return caseOptions{trouble: trouble != "0", drill: trouble != "0" && trouble != "nodrill", cut: trouble != "0" && trouble != "nocut"}
 }
 
 // cases are the cases by name. Each returns what broke the rule, empty if it held, or an error
@@ -28,6 +30,7 @@
 	"restarted-version": driveRestartedVersion,
 	"lost-row":          driveLostRow,
 	"crowd":             driveCrowd,
+	"origin":            driveOrigin,
 	"uploads":           driveUploads,
 }
 
