--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/standins-3"
 mkdir -p ../../target
-GOWORK=off GOPROXY=off GOFLAGS= go build -o ../../target/standins3 .
+GOWORK=off GOPROXY=off GOTOOLCHAIN=local GOFLAGS= go build -o ../../target/standins3 .
